--- a/include/berylbarrow/connection/wire/message.h
+++ b/include/berylbarrow/connection/wire/message.h
@@ -230,24 +230,29 @@
   }
 };
 
+/// Asks a peer for its document in force.
 struct configuration_request {
-  revision in_force = 0;  // of the sender; the answer is sent only if the receiver has a higher one
+  revision in_force = 0;  // of the sender; the reply carries a text only if it is newer
+  std::uint64_t nonce = 0;
 
   auto operator<=>(const configuration_request&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(in_force);
+    archive(in_force, nonce);
   }
 };
 
+/// Always sent in answer to a configuration_request, with its nonce. A process that was paused
+/// tells by the nonce that the reply was made after it woke.
 struct configuration_reply {
-  revision number = 0;
-  std::string text;
+  revision number = 0;  // in force at the replying process
+  std::string text;     // empty if `number` is not above the one in the request
+  std::uint64_t nonce = 0;
 
   auto operator<=>(const configuration_reply&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(number, text);
+    archive(number, text, nonce);
   }
 };
 
--- a/include/berylbarrow/process/core/core.h
+++ b/include/berylbarrow/process/core/core.h
@@ -52,6 +52,7 @@
 struct document_received {
   revision number = 0;
   std::string text;
+  std::uint64_t nonce = 0;  // of the refresh this answers; 0 for watches and polls
 };
 
 struct instance_record {
@@ -106,6 +107,7 @@
 struct configuration_watch {
   watch_mode mode = watch_mode::kPoll;
   revision in_force = 0;
+  std::uint64_t nonce = 0;  // with kRefresh: returned in the document_received that answers it
 };
 
 struct operator_reply {
--- /dev/null
+++ b/include/berylbarrow/process/membership/rendezvous.h
@@ -0,0 +1,19 @@
+#ifndef BERYLBARROW_PROCESS_MEMBERSHIP_RENDEZVOUS_H_
+#define BERYLBARROW_PROCESS_MEMBERSHIP_RENDEZVOUS_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace berylbarrow {
+
+/// The `count` names with the highest hash of (key, name), best first: the same everywhere, and a
+/// name that comes or goes changes only its own place. Source: highest random weight hashing,
+/// Thaler and Ravishankar 1998, over XXH64.
+std::vector<std::string> RendezvousPick(std::string_view key, const std::vector<std::string>& names,
+                                        std::size_t count);
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_PROCESS_MEMBERSHIP_RENDEZVOUS_H_
--- /dev/null
+++ b/tests/version/configuration_follower_test.cc
@@ -0,0 +1,116 @@
+#include "berylbarrow/version/configuration/configuration_follower.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace berylbarrow {
+namespace {
+
+constexpr duration kTick = std::chrono::milliseconds(500);
+
+class any_text_parser final : public configuration_parser {
+ public:
+  checked<configuration> Parse(std::string_view /*text*/,
+                               std::string_view /*file*/) const override {
+    return configuration{};
+  }
+};
+
+struct fixture {
+  manual_clock clock;
+  any_text_parser parser;
+  member_table members{member_options{}};
+  configuration_follower follower{
+      follower_options{.self = {.name = "a", .domain = "heredia", .incarnation = 1}}, parser,
+      members};
+
+  moment At() const { return {clock.Now(), clock.WallNow()}; }
+
+  void ConnectPeer(const std::string& name, connection_id connection, revision in_force) {
+    members.OnOpened(
+        {.connection = connection,
+         .greeting = {.sender = {.name = name, .incarnation = connection}, .in_force = in_force}},
+        clock.Now());
+  }
+
+  void Start(revision number) {
+    follower.OnTime(At());
+    follower.OnDocument({.number = number, .text = "document"}, At());
+  }
+
+  /// A reply reaches the process as a message of a connected peer.
+  follower_actions Reply(const configuration_reply& reply, connection_id from) {
+    members.OnMessage(from, clock.Now());
+    return follower.OnReply(reply, from, At());
+  }
+
+  follower_actions Pause() {
+    clock.Advance(std::chrono::seconds(30));
+    return follower.OnTime(At());
+  }
+};
+
+// Guards against a process that wakes after a pause and acts on its old view.
+BOOST_FIXTURE_TEST_CASE(PauseMakesTheViewStaleUntilTheServiceAnswers, fixture) {
+  Start(1);
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kCurrent));
+  const follower_actions actions = Pause();
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kStale));
+  BOOST_REQUIRE(actions.watch.has_value());
+  BOOST_TEST((actions.watch->mode == watch_mode::kRefresh));
+  follower.OnDocument({.number = 1, .nonce = actions.watch->nonce}, At());
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kCurrent));
+}
+
+// Guards against a reply from before the pause, still in a socket buffer, that ends the refresh.
+BOOST_FIXTURE_TEST_CASE(ReplyFromBeforeThePauseDoesNotEndTheRefresh, fixture) {
+  Start(1);
+  ConnectPeer("b", 5, 2);
+  const follower_actions fetch = follower.OnPeerRevision(2, 5, At());
+  BOOST_REQUIRE(fetch.sends.size() == 1U);
+  const auto request = std::get<configuration_request>(fetch.sends[0].message);
+  Pause();
+  Reply({.number = 1, .nonce = request.nonce}, 5);
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kStale));
+}
+
+// Guards against one outdated peer that ends the refresh alone while others are connected.
+BOOST_FIXTURE_TEST_CASE(RefreshNeedsTwoPeersWhileTheServiceIsSilent, fixture) {
+  Start(1);
+  ConnectPeer("b", 5, 1);
+  ConnectPeer("c", 6, 1);
+  const follower_actions actions = Pause();
+  BOOST_TEST(actions.sends.size() == 2U);
+  const std::uint64_t nonce = std::get<configuration_request>(actions.sends[0].message).nonce;
+  Reply({.number = 1, .nonce = nonce}, 5);
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kStale));
+  Reply({.number = 2, .text = "newer", .nonce = nonce}, 6);
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kCurrent));
+  BOOST_TEST(follower.Revision() == 2U);
+}
+
+// Guards against a process cut off from everything that goes on admitting work.
+BOOST_FIXTURE_TEST_CASE(SilenceOfAllMakesTheViewIsolated, fixture) {
+  Start(1);
+  for (int i = 0; i < 9; ++i) {
+    clock.Advance(kTick);
+    follower.OnTime(At());
+  }
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kIsolated));
+  ConnectPeer("b", 5, 1);
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kCurrent));
+}
+
+// Guards against a new process that waits for the service although a peer has the document.
+BOOST_FIXTURE_TEST_CASE(NewProcessFetchesFromAPeer, fixture) {
+  follower.OnTime(At());
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kNone));
+  ConnectPeer("b", 5, 4);
+  BOOST_TEST(follower.OnPeerRevision(4, 5, At()).sends.size() == 1U);
+  BOOST_TEST(follower.OnPeerRevision(4, 5, At()).sends.empty());
+  const follower_actions actions = Reply({.number = 4, .text = "text"}, 5);
+  BOOST_TEST(actions.version_changed);
+  BOOST_TEST(follower.Revision() == 4U);
+}
+
+}  // namespace
+}  // namespace berylbarrow
