--- /dev/null
+++ b/tests/process/membership/fleet_view_test.cc
@@ -0,0 +1,99 @@
+#include "berylbarrow/process/membership/fleet_view.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace berylbarrow {
+namespace {
+
+/// One service with an upstream in each of the failure domains a and b. The text "b out" takes b
+/// out; "plan" empties a once nothing runs there.
+class fake_parser final : public configuration_parser {
+ public:
+  checked<configuration> Parse(std::string_view text, std::string_view /*file*/) const override {
+    configuration document;
+    document.domains = {{.name = "a"}, {.name = "b"}};
+    document.services = {
+        {.name = "drafting",
+         .upstreams = {{.name = "a-1", .domain = "a"}, {.name = "b-1", .domain = "b"}}}};
+    if (text == "b out") {
+      document.domains[1].state = service_state::kOut;
+    }
+    return document;
+  }
+};
+
+struct fixture {
+  manual_clock clock;
+  fake_parser parser;
+  fleet_view view{fleet_options{.self = {.name = "entry-1", .domain = "a"}}, parser};
+
+  moment At() const { return {clock.Now(), clock.WallNow()}; }
+
+  upstream_options Upstream(std::size_t index) const {
+    return view.Current()->value.services[0].upstreams[index];
+  }
+
+  void Beat(const std::string& name, process_state state, std::uint64_t sequence) {
+    view.On(heartbeat_received{.from = "x",
+                               .content = {.sender = {.name = name, .incarnation = 1},
+                                           .sequence = sequence,
+                                           .state = state,
+                                           .load = {.in_flight = 2}}},
+            At());
+  }
+};
+
+// Guards against work for an upstream that has announced that it is leaving.
+BOOST_FIXTURE_TEST_CASE(LeavingUpstreamIsOutOfService, fixture) {
+  view.OnTime(At());
+  view.On(document_received{.number = 1, .text = "first"}, At());
+  Beat("a-1", process_state::kServing, 1);
+  BOOST_TEST(view.UpstreamInService(Upstream(0)));
+  Beat("a-1", process_state::kLeaving, 2);
+  BOOST_TEST(!view.UpstreamInService(Upstream(0)));
+}
+
+// Guards against a lagging list that brings a leaving upstream back.
+BOOST_FIXTURE_TEST_CASE(InstanceListCannotOverruleTheAnnouncement, fixture) {
+  view.OnTime(At());
+  view.On(document_received{.number = 1, .text = "first"}, At());
+  Beat("a-1", process_state::kLeaving, 1);
+  view.On(instances_received{.instances = {{.name = "a-1", .leaving = false},
+                                           {.name = "b-1", .leaving = true}}},
+          At());
+  BOOST_TEST(!view.UpstreamInService(Upstream(0)));
+  BOOST_TEST(!view.UpstreamInService(Upstream(1)));
+}
+
+// Guards against work for a failure domain that the document takes out.
+BOOST_FIXTURE_TEST_CASE(DomainTakenOutIsOutOfService, fixture) {
+  view.OnTime(At());
+  view.On(document_received{.number = 1, .text = "first"}, At());
+  BOOST_TEST(view.UpstreamInService(Upstream(1)));
+  view.On(document_received{.number = 2, .text = "b out"}, At());
+  BOOST_TEST(!view.UpstreamInService(Upstream(1)));
+  BOOST_TEST(!view.DomainInService("b"));
+  BOOST_TEST(view.DomainInService("a"));
+}
+
+// Guards against a new revision that waits for the next heartbeat interval.
+BOOST_FIXTURE_TEST_CASE(NewRevisionIsAnnouncedAtOnce, fixture) {
+  BOOST_TEST(view.OnTime(At()).heartbeat_due);
+  clock.Advance(std::chrono::milliseconds(10));
+  BOOST_TEST(!view.OnTime(At()).heartbeat_due);
+  view.On(document_received{.number = 1, .text = "first"}, At());
+  BOOST_TEST(view.OnTime(At()).heartbeat_due);
+}
+
+// Guards against an unheard upstream that counts as idle while the instance list shows it.
+BOOST_FIXTURE_TEST_CASE(UnheardListedUpstreamIsUnknown, fixture) {
+  view.OnTime(At());
+  view.On(document_received{.number = 1, .text = "first"}, At());
+  view.On(instances_received{.instances = {{.name = "a-1"}}}, At());
+  const domain_observations observed = view.Observe(clock.Now());
+  BOOST_TEST(observed.at("a").unknown == 1U);
+  BOOST_TEST(observed.at("b").unknown == 0U);
+}
+
+}  // namespace
+}  // namespace berylbarrow
