Search the expert placement by a high norm instead of the maximum

Change: 16th-power norm, a third kind of change (the most loaded rank gives up a replica), half-life and interval of 64 steps in the benchmark.

--- a/bench/skew/main.cc
+++ b/bench/skew/main.cc
@@ -154,8 +154,8 @@
 }
 
 std::vector<std::unique_ptr<contestant>> Contestants() {
-  const rebalancer_options options{.half_life_steps = 256,
-                                   .interval_steps = 256,
+  const rebalancer_options options{.half_life_steps = 64,
+                                   .interval_steps = 64,
                                    .max_moves = 64,
                                    .bytes_per_expert = kBytesPerExpert,
                                    .bytes_per_second = kStoreBytesPerSecond};
--- a/include/berylbarrow/version/expert/placement_policy.h
+++ b/include/berylbarrow/version/expert/placement_policy.h
@@ -35,8 +35,8 @@
 };
 
 struct incremental_options {
-  /// Share of a layer's step time that one loaded expert must save.
-  double min_gain_per_move = 0.004;
+  /// Share of a layer's mean rank load that one loaded expert must save.
+  double min_gain_per_move = 0.0005;
 };
 
 /// Improves the current map by single changes, best first: a further replica for an expert of the
--- a/src/version/expert/incremental_placement.cc
+++ b/src/version/expert/incremental_placement.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <numeric>
 #include <optional>
@@ -15,29 +16,44 @@
   std::size_t slot = 0;
   std::size_t source = 0;
   bool is_swap = false;
-  double gain_per_move = 0;  // tokens of step time saved per expert loaded
+  double gain_per_move = 0;  // share of the layer's mean rank load saved per expert loaded
 
   std::size_t Moves() const { return is_swap ? 2 : 1; }
 };
 
+/// Load of a rank relative to the mean, raised to the 16th power. The 16th root of the sum over the
+/// ranks is close to the highest load, but also falls when only the second highest rank improves:
+/// with the maximum itself, two equally loaded ranks would end the search.
+double Weight(double relative_load) {
+  double value = relative_load * relative_load;
+  value *= value;
+  value *= value;
+  return value * value;
+}
+
+double Norm(double sum_of_weights) { return std::pow(sum_of_weights, 1.0 / 16.0); }
+
 /// One layer of a map that is being improved.
 class layer_state {
  public:
   layer_state(const group_shape& shape, const double* load, expert_index* slots)
-      : shape_(shape), load_(load), slots_(slots), replicas_(shape.experts), ranks_(shape.ranks) {
-    for (std::size_t slot = 0; slot < shape_.SlotsPerLayer(); ++slot) {
-      ++replicas_[slots_[slot]];
+      : shape_(shape),
+        load_(load, load + shape.experts),
+        slots_(slots),
+        places_(shape.experts),
+        ranks_(shape.ranks) {
+    const double mean = std::accumulate(load_.begin(), load_.end(), 0.0) / shape_.ranks;
+    for (double& value : load_) {
+      value /= mean > 0 ? mean : 1.0;
     }
     for (std::size_t slot = 0; slot < shape_.SlotsPerLayer(); ++slot) {
-      ranks_[RankOf(slot)] += Share(slots_[slot]);
+      places_[slots_[slot]].push_back(slot);
     }
+    Recount();
   }
 
-  double Highest() const { return *std::max_element(ranks_.begin(), ranks_.end()); }
-  double Mean() const {
-    return std::accumulate(ranks_.begin(), ranks_.end(), 0.0) / static_cast<double>(ranks_.size());
-  }
-
+  /// The best single change of the most loaded rank: another rank takes a replica of one of its
+  /// experts, two slots are swapped, or it gives up a replica for an expert with less load.
   std::optional<change> BestChange() const {
     const auto hottest =
         static_cast<std::size_t>(std::max_element(ranks_.begin(), ranks_.end()) - ranks_.begin());
@@ -47,6 +63,7 @@
       for (std::size_t slot = 0; slot < shape_.SlotsPerLayer(); ++slot) {
         Consider({.slot = slot, .source = source, .is_swap = false}, best);
         Consider({.slot = slot, .source = source, .is_swap = true}, best);
+        Consider({.slot = source, .source = slot, .is_swap = false}, best);
       }
     }
     return best;
@@ -55,78 +72,96 @@
   void Apply(const change& step) {
     const expert_index added = slots_[step.source];
     const expert_index removed = slots_[step.slot];
+    std::erase(places_[removed], step.slot);
+    places_[added].push_back(step.slot);
     slots_[step.slot] = added;
     if (step.is_swap) {
+      std::erase(places_[added], step.source);
+      places_[removed].push_back(step.source);
       slots_[step.source] = removed;
-    } else {
-      ++replicas_[added];
-      --replicas_[removed];
     }
+    Recount();
+  }
+
+ private:
+  std::size_t RankOf(std::size_t slot) const { return slot / shape_.slots_per_rank; }
+  double Share(expert_index expert, int further_replicas = 0) const {
+    return load_[expert] /
+           static_cast<double>(static_cast<int>(places_[expert].size()) + further_replicas);
+  }
+
+  void Recount() {
     std::fill(ranks_.begin(), ranks_.end(), 0.0);
     for (std::size_t slot = 0; slot < shape_.SlotsPerLayer(); ++slot) {
       ranks_[RankOf(slot)] += Share(slots_[slot]);
     }
+    sum_ = 0;
+    for (const double rank : ranks_) {
+      sum_ += Weight(rank);
+    }
   }
 
- private:
-  std::size_t RankOf(std::size_t slot) const { return slot / shape_.slots_per_rank; }
-  double Share(expert_index expert) const { return load_[expert] / replicas_[expert]; }
-
   bool IsAllowed(const change& step) const {
     const expert_index added = slots_[step.source];
     const expert_index removed = slots_[step.slot];
     if (RankOf(step.slot) == RankOf(step.source) || added == removed) {
       return false;
     }
-    return step.is_swap || replicas_[removed] > 1;
+    return step.is_swap || places_[removed].size() > 1;
   }
 
   void Consider(change step, std::optional<change>& best) const {
     if (!IsAllowed(step)) {
       return;
     }
-    // A change can lower the step time only if the receiving rank stays below the highest.
-    const double added =
-        load_[slots_[step.source]] / (replicas_[slots_[step.source]] + (step.is_swap ? 0 : 1));
-    const double before = ranks_[RankOf(step.slot)];
-    if (before - Share(slots_[step.slot]) + added >= ranks_[RankOf(step.source)]) {
-      return;
-    }
-    const double gain = Highest() - HighestAfter(step);
+    const double gain = Norm(sum_) - Norm(SumAfter(step));
     step.gain_per_move = gain / static_cast<double>(step.Moves());
     if (!best || step.gain_per_move > best->gain_per_move) {
       best = step;
     }
   }
 
-  double HighestAfter(const change& step) const {
-    layer_copy_ = ranks_;
+  double SumAfter(const change& step) const {
+    std::vector<std::pair<std::size_t, double>>& deltas = deltas_;
+    deltas.clear();
     const expert_index added = slots_[step.source];
     const expert_index removed = slots_[step.slot];
     if (step.is_swap) {
-      layer_copy_[RankOf(step.slot)] += Share(added) - Share(removed);
-      layer_copy_[RankOf(step.source)] += Share(removed) - Share(added);
+      deltas.emplace_back(RankOf(step.slot), Share(added) - Share(removed));
+      deltas.emplace_back(RankOf(step.source), Share(removed) - Share(added));
     } else {
-      const double added_after = load_[added] / (replicas_[added] + 1);
-      const double removed_after = load_[removed] / (replicas_[removed] - 1);
-      for (std::size_t slot = 0; slot < shape_.SlotsPerLayer(); ++slot) {
-        if (slots_[slot] == added) {
-          layer_copy_[RankOf(slot)] += added_after - Share(added);
-        } else if (slots_[slot] == removed && slot != step.slot) {
-          layer_copy_[RankOf(slot)] += removed_after - Share(removed);
-        }
+      for (const std::size_t slot : places_[added]) {
+        deltas.emplace_back(RankOf(slot), Share(added, 1) - Share(added));
+      }
+      for (const std::size_t slot : places_[removed]) {
+        deltas.emplace_back(RankOf(slot), Share(removed, -1) - Share(removed));
+      }
+      deltas.emplace_back(RankOf(step.slot), Share(added, 1) - Share(removed, -1));
+    }
+    return SumWith(deltas);
+  }
+
+  double SumWith(std::vector<std::pair<std::size_t, double>>& deltas) const {
+    std::sort(deltas.begin(), deltas.end());
+    double sum = sum_;
+    for (std::size_t i = 0; i < deltas.size();) {
+      const std::size_t rank = deltas[i].first;
+      double load = ranks_[rank];
+      for (; i < deltas.size() && deltas[i].first == rank; ++i) {
+        load += deltas[i].second;
       }
-      layer_copy_[RankOf(step.slot)] += added_after - Share(removed);
+      sum += Weight(load) - Weight(ranks_[rank]);
     }
-    return *std::max_element(layer_copy_.begin(), layer_copy_.end());
+    return std::max(sum, 0.0);
   }
 
   const group_shape& shape_;
-  const double* load_;
+  std::vector<double> load_;  // relative to the mean rank load
   expert_index* slots_;
-  std::vector<std::uint32_t> replicas_;
+  std::vector<std::vector<std::size_t>> places_;  // slots that hold each expert
   std::vector<double> ranks_;
-  mutable std::vector<double> layer_copy_;
+  double sum_ = 0;
+  mutable std::vector<std::pair<std::size_t, double>> deltas_;
 };
 
 }  // namespace
@@ -151,8 +186,8 @@
         best.begin(), best.end(),
         [&gain](const auto& left, const auto& right) { return gain(left) < gain(right); });
     const auto layer = static_cast<std::size_t>(top - best.begin());
-    const bool is_worthwhile = gain(*top) > options_.min_gain_per_move * layers[layer].Mean() &&
-                               moved + (*top)->Moves() <= max_moves;
+    const bool is_worthwhile =
+        gain(*top) > options_.min_gain_per_move && moved + (*top)->Moves() <= max_moves;
     if (!is_worthwhile) {
       break;
     }
