Parse and check the published document and the process settings

Cause: the configuration store and the process set-up had types for the document and the settings but no reader, and operators had no way to check a file before they publish it.

Weighed: YAML::Node was ruled out because it merges repeated keys, gives empty values the place of the next token and expands aliases, so that a text of 1 MB can describe an unbounded document. The reader builds its own tree from the events of the yaml-cpp parser and refuses aliases, tags, second documents and more than 32 levels. A second pass over the finished structure for cross-references was ruled out: reading the sections in order of dependency needs no separate table of places. `idempotent` has no default for POST and PATCH, because a payment taken for idempotent by omission would be retried.

Change: document_parser, ParseSettings and RunCheck share map_reader, which reads typed values of one YAML map and reports each problem with its place. The move plan is replayed over the set of domains that are out; a step that leaves a service without any domain is a finding. Control characters of the input are replaced in findings: yaml-cpp cites a raw line feed in its message for an unknown escape.

Conclusion: every input ends in a value or in findings with a place.

--- /dev/null
+++ b/src/process/runtime/finding_list.h
@@ -0,0 +1,51 @@
+#ifndef BERYLBARROW_PROCESS_RUNTIME_FINDING_LIST_H_
+#define BERYLBARROW_PROCESS_RUNTIME_FINDING_LIST_H_
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "berylbarrow/process/runtime/finding.h"
+
+namespace berylbarrow {
+
+/// Line and column of a finding, counted from 1; columns count bytes.
+struct place {
+  std::uint32_t line = 0;
+  std::uint32_t column = 0;
+  auto operator<=>(const place&) const = default;
+};
+
+/// Collects the findings of one file.
+class finding_list {
+ public:
+  explicit finding_list(std::string_view file) : file_(file) {}
+
+  /// Control characters of the input that the message cites are replaced by "?", so that each
+  /// finding stays on one line.
+  void Add(const place& at, std::string message) {
+    std::replace_if(
+        message.begin(), message.end(),
+        [](char c) { return static_cast<unsigned char>(c) < 0x20 || c == 0x7F; }, '?');
+    found_.push_back(
+        {.file = file_, .line = at.line, .column = at.column, .message = std::move(message)});
+  }
+  bool Empty() const { return found_.empty(); }
+
+  /// The findings, sorted by place.
+  findings Take() && {
+    std::sort(found_.begin(), found_.end());
+    return std::move(found_);
+  }
+
+ private:
+  std::string file_;
+  findings found_;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_PROCESS_RUNTIME_FINDING_LIST_H_
