--- /dev/null
+++ b/src/connection/http/http_get.cc
@@ -0,0 +1,120 @@
+#include "connection/http/http_get.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <optional>
+#include <utility>
+
+#include "connection/wire/endpoint.h"
+
+namespace berylbarrow {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+}  // namespace
+
+class http_get::impl final : public std::enable_shared_from_this<impl> {
+ public:
+  impl(boost::asio::io_context& context, http_get_options options, callback done)
+      : context_(context), options_(std::move(options)), done_(std::move(done)), stream_(context) {
+    parser_.body_limit(options_.max_body_bytes);
+  }
+
+  void Start() {
+    const std::optional<ip_endpoint> remote = ParseEndpoint(options_.address);
+    if (!remote) {
+      boost::asio::post(context_, [self = shared_from_this()] { self->Fail("not IP:port"); });
+      return;
+    }
+    request_.method(http::verb::get);
+    request_.target(options_.target);
+    request_.version(11);
+    request_.set(http::field::host, options_.address);
+    request_.set(http::field::connection, "close");
+    stream_.expires_after(options_.timeout);
+    stream_.async_connect(tcp::endpoint(remote->address, remote->port),
+                          [self = shared_from_this()](const error_code& error) {
+                            if (error) return self->Fail(error.message());
+                            self->Write();
+                          });
+  }
+
+  void Cancel() {
+    done_ = nullptr;
+    stream_.close();
+  }
+
+ private:
+  void Write() {
+    http::async_write(stream_, request_,
+                      [self = shared_from_this()](const error_code& error, std::size_t /*count*/) {
+                        if (error) return self->Fail(error.message());
+                        self->ReadHeader();
+                      });
+  }
+
+  // The header is read on its own because Beast 1.74 loses the error of a Content-Length above the
+  // limit when it reads header and body in one operation.
+  void ReadHeader() {
+    http::async_read_header(
+        stream_, buffer_, parser_,
+        [self = shared_from_this()](const error_code& error, std::size_t /*count*/) {
+          if (error) return self->Fail(error.message());
+          self->ReadBody();
+        });
+  }
+
+  void ReadBody() {
+    http::async_read(stream_, buffer_, parser_,
+                     [self = shared_from_this()](const error_code& error, std::size_t /*count*/) {
+                       if (error) return self->Fail(error.message());
+                       http::response<http::string_body> response = self->parser_.release();
+                       self->Finish({.error = {},
+                                     .status = response.result_int(),
+                                     .revision = std::string(response["Revision"]),
+                                     .body = std::move(response.body())});
+                     });
+  }
+
+  void Fail(const std::string& reason) {
+    http_get_reply reply;
+    reply.error = "GET http://" + options_.address + options_.target + ": " + reason;
+    Finish(std::move(reply));
+  }
+
+  void Finish(http_get_reply reply) {
+    const callback done = std::exchange(done_, nullptr);
+    stream_.close();
+    if (done) done(std::move(reply));
+  }
+
+  boost::asio::io_context& context_;
+  const http_get_options options_;
+  callback done_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  http::request<http::empty_body> request_;
+  http::response_parser<http::string_body> parser_;
+};
+
+http_get::http_get(boost::asio::io_context& context, http_get_options options, callback done)
+    : impl_(std::make_shared<impl>(context, std::move(options), std::move(done))) {
+  impl_->Start();
+}
+
+http_get::~http_get() { impl_->Cancel(); }
+
+}  // namespace berylbarrow
