Add the HTTP servers for callers and operators and the upstream client

Cause: the decision cores need HTTP on three sides: callers, the upstream of an agent, and operators. Weighed and ruled out: Beast's tcp_stream, because its one timer cannot limit a pending read and a write independently; building a JSON document of each completion body, because nested arrays take many times their size in memory; a pool of upstream connections, because a reused connection that fails does not show whether the upstream saw the request; passing on answers without length as complete, because their end looks the same as a crash of the upstream. Change: caller_server, upstream_client and operator_server with bounded buffers and connection counts, and a parser of caller requests that answers every malformed, oversized or truncated input itself. Conclusion: the three components are ready to be connected to the cores.

--- /dev/null
+++ b/src/connection/http/caller_connection.cc
@@ -0,0 +1,363 @@
+#include "connection/http/caller_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <utility>
+
+namespace berylbarrow {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 4096;
+// Holds one header of the maximum size and the block that Beast reads at a time (64 KiB).
+constexpr std::size_t kBufferBytes = 128UL * 1024;
+// Pipelined bytes accepted while an answer is being made. Beyond this the connection is not read,
+// and a caller that leaves is noticed at the next write.
+constexpr std::size_t kMaxPipelinedBytes = 32UL * 1024;
+// A socket closed with unread bytes sends RST, which can destroy the reply on its way.
+constexpr auto kLingerTime = std::chrono::seconds(1);
+
+bool IsTooLarge(const boost::system::error_code& error) {
+  return error == http::error::header_limit || error == http::error::body_limit ||
+         error == http::error::buffer_overflow;
+}
+
+}  // namespace
+
+caller_connection::caller_connection(asio::ip::tcp::socket socket,
+                                     std::shared_ptr<caller_host> host)
+    : socket_(std::move(socket)),
+      read_timer_(socket_.get_executor()),
+      write_timer_(socket_.get_executor()),
+      host_(std::move(host)),
+      buffer_(kBufferBytes) {
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+}
+
+void caller_connection::Refuse(const caller_reply& reply) {
+  phase_ = phase::kFlushing;
+  keep_alive_ = false;
+  Write(SerializeReply(reply, false));
+}
+
+void caller_connection::ReadRequest() {
+  phase_ = phase::kReading;
+  parser_.emplace();
+  parser_->header_limit(host_->Options().max_header_bytes);
+  parser_->body_limit(host_->Options().max_request_bytes);
+  ArmReadTimer(host_->Options().idle_timeout);
+  if (watching_) {
+    // OnWatched starts the read. Pipelined bytes that are already here must not wait for more.
+    if (buffer_.size() > 0) {
+      error_code ignored;
+      socket_.cancel(ignored);
+    }
+    return;
+  }
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t) { self->OnHeader(error); });
+}
+
+void caller_connection::OnHeader(error_code error) {
+  if (phase_ != phase::kReading) {
+    return;
+  }
+  if (error) {
+    OnReadError(error);
+    return;
+  }
+  if (boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t) { self->OnBody(error); });
+}
+
+void caller_connection::OnBody(error_code error) {
+  if (phase_ != phase::kReading) {
+    return;
+  }
+  if (error) {
+    OnReadError(error);
+    return;
+  }
+  read_timer_.cancel();
+  Dispatch();
+}
+
+void caller_connection::OnReadError(error_code error) {
+  if (error == http::error::partial_message) {
+    FailRequest({.status = 400, .code = "truncated", .message = "the request ended early"});
+  } else if (IsTooLarge(error)) {
+    FailRequest({.status = 413, .code = "too_large", .message = "the request is too large"});
+  } else if (error != http::error::end_of_stream &&
+             error.category() == make_error_code(http::error::bad_method).category()) {
+    FailRequest({.status = 400, .code = "malformed", .message = error.message()});
+  } else {
+    Close();
+  }
+}
+
+void caller_connection::FailRequest(const caller_error& error) {
+  ++host_->Count().malformed;
+  Refuse(ErrorReply(error));
+}
+
+void caller_connection::Dispatch() {
+  keep_alive_ = parser_->get().keep_alive();
+  head_sent_ = false;
+  bodyless_ = false;
+  auto parsed = ParseCallerRequest(parser_->get());
+  parser_.reset();
+  if (const auto* error = std::get_if<caller_error>(&parsed)) {
+    ++host_->Count().malformed;
+    phase_ = phase::kFlushing;
+    Write(SerializeReply(ErrorReply(*error), KeepAlive()));
+    return;
+  }
+  phase_ = phase::kWaiting;
+  const auto caller = host_->Begin(shared_from_this(), std::get<caller_message>(std::move(parsed)));
+  if (!caller) {
+    ++host_->Count().refused_full;
+    phase_ = phase::kFlushing;
+    Write(SerializeReply(NotRunReply("overload", "the process is overloaded"), KeepAlive()));
+    return;
+  }
+  caller_ = *caller;
+  ++host_->Count().requests;
+  WatchForClose();
+}
+
+void caller_connection::WatchForClose() {
+  if (watching_ || buffer_.size() >= kMaxPipelinedBytes) {
+    return;
+  }
+  watching_ = true;
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](error_code error, std::size_t bytes) {
+                            self->OnWatched(error, bytes);
+                          });
+}
+
+void caller_connection::OnWatched(error_code error, std::size_t bytes) {
+  watching_ = false;
+  if (phase_ == phase::kClosed) {
+    return;
+  }
+  buffer_.commit(bytes);
+  if (phase_ == phase::kLinger) {
+    Discard();
+  } else if (error && phase_ == phase::kFlushing) {
+    keep_alive_ = false;
+  } else if (error && error != asio::error::operation_aborted) {
+    Abandon();
+  } else if (phase_ == phase::kWaiting) {
+    WatchForClose();
+  } else if (phase_ == phase::kReading) {
+    ReadRequest();
+  }
+}
+
+void caller_connection::Reply(const caller_reply& reply) {
+  if (head_sent_) {
+    End(false);
+    return;
+  }
+  const bool keep_alive = KeepAlive();
+  keep_alive_ = keep_alive;
+  FinishExchange();
+  Write(SerializeReply(reply, keep_alive));
+}
+
+void caller_connection::Head(const caller_head& head) {
+  if (std::exchange(head_sent_, true)) {
+    return;
+  }
+  keep_alive_ = KeepAlive();
+  bodyless_ = IsBodyless(head.status);
+  Write(SerializeHead(head, keep_alive_));
+}
+
+void caller_connection::Part(std::string_view bytes) {
+  // A chunk of size zero would end the answer.
+  if (bytes.empty() || bodyless_) {
+    return;
+  }
+  if (!head_sent_) {
+    End(false);
+    return;
+  }
+  Write(SerializeChunk(bytes));
+}
+
+void caller_connection::End(bool complete) {
+  if (!head_sent_) {
+    keep_alive_ = false;
+    Reply(ErrorReply(
+        {.status = 502, .code = "incomplete", .message = "the answer could not be completed"}));
+    return;
+  }
+  keep_alive_ = keep_alive_ && complete;
+  FinishExchange();
+  if (complete && !bodyless_) {
+    Write(SerializeLastChunk());
+  } else if (!writing_) {
+    OnFlushed();
+  }
+}
+
+void caller_connection::FinishExchange() {
+  phase_ = phase::kFlushing;
+  host_->Finish(std::exchange(caller_, 0), false);
+}
+
+void caller_connection::Write(std::string_view bytes) {
+  if (phase_ == phase::kClosed) {
+    return;
+  }
+  const auto waiting = outgoing_.size() + in_write_.size() - written_;
+  if (waiting + bytes.size() > host_->Options().max_outgoing_bytes) {
+    ++host_->Count().slow_callers;
+    Abandon();
+    return;
+  }
+  outgoing_ += bytes;
+  if (!writing_) {
+    writing_ = true;
+    WriteSome();
+  }
+}
+
+void caller_connection::WriteSome() {
+  if (written_ == in_write_.size()) {
+    in_write_.clear();
+    std::swap(in_write_, outgoing_);
+    written_ = 0;
+  }
+  if (in_write_.empty()) {
+    writing_ = false;
+    write_timer_.cancel();
+    OnFlushed();
+    return;
+  }
+  ArmWriteTimer();
+  socket_.async_write_some(asio::buffer(in_write_) + written_,
+                           [self = shared_from_this()](error_code error, std::size_t bytes) {
+                             if (self->phase_ == phase::kClosed) {
+                               return;
+                             }
+                             if (error) {
+                               self->Abandon();
+                               return;
+                             }
+                             self->written_ += bytes;
+                             self->WriteSome();
+                           });
+}
+
+void caller_connection::OnFlushed() {
+  if (phase_ != phase::kFlushing) {
+    return;
+  }
+  if (!KeepAlive()) {
+    StartLinger();
+    return;
+  }
+  ReadRequest();
+}
+
+void caller_connection::StartLinger() {
+  phase_ = phase::kLinger;
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  ArmReadTimer(kLingerTime);
+  Discard();
+}
+
+void caller_connection::Discard() {
+  if (watching_) {
+    return;
+  }
+  buffer_.clear();
+  socket_.async_read_some(buffer_.prepare(kReadBytes),
+                          [self = shared_from_this()](error_code error, std::size_t) {
+                            if (self->phase_ == phase::kClosed) {
+                              return;
+                            }
+                            if (error) {
+                              self->Close();
+                              return;
+                            }
+                            self->Discard();
+                          });
+}
+
+void caller_connection::CloseIfIdle() {
+  error_code ignored;
+  const bool began = buffer_.size() > 0 || (parser_ && parser_->got_some());
+  // Bytes that have arrived but are not read yet belong to a request that must not be cut off.
+  if (phase_ == phase::kReading && !began && socket_.available(ignored) == 0) {
+    Close();
+  }
+}
+
+void caller_connection::Abandon() {
+  if (caller_ != 0) {
+    ++host_->Count().abandoned;
+    host_->Finish(std::exchange(caller_, 0), true);
+  }
+  Close();
+}
+
+void caller_connection::Close() {
+  if (std::exchange(phase_, phase::kClosed) == phase::kClosed) {
+    return;
+  }
+  error_code ignored;
+  socket_.close(ignored);
+  read_timer_.cancel();
+  write_timer_.cancel();
+  host_->Forget(this);
+}
+
+void caller_connection::ArmReadTimer(duration limit) {
+  read_timer_.expires_after(limit);
+  read_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error && self->read_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
+      self->OnReadTimeout();
+    }
+  });
+}
+
+void caller_connection::OnReadTimeout() {
+  if (phase_ == phase::kLinger) {
+    Close();
+  } else if (phase_ == phase::kReading) {
+    if (buffer_.size() == 0 && !(parser_ && parser_->got_some())) {
+      Close();
+    } else {
+      FailRequest(
+          {.status = 400, .code = "truncated", .message = "the request did not arrive in time"});
+    }
+  }
+}
+
+void caller_connection::ArmWriteTimer() {
+  write_timer_.expires_after(host_->Options().idle_timeout);
+  write_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error && self->phase_ != phase::kClosed &&
+        self->write_timer_.expiry() <= asio::steady_timer::clock_type::now()) {
+      ++self->host_->Count().slow_callers;
+      self->Abandon();
+    }
+  });
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/tests/connection/upstream_client_test.cc
@@ -0,0 +1,203 @@
+#include "berylbarrow/connection/http/upstream_client.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <vector>
+
+#include "connection/socket_fixture.h"
+
+namespace berylbarrow {
+namespace {
+
+using boost::asio::ip::tcp;
+
+/// A listener whose connections are answered by the test, and a client towards it.
+struct fixture {
+  explicit fixture(upstream_client_options options = {}) {
+    Accept();
+    options.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+    client.emplace(context, options, [this](const agent_input& input) {
+      if (full) {
+        ++refused;
+        return false;
+      }
+      if (const auto* part = std::get_if<upstream_part>(&input)) {
+        bytes += part->bytes;
+      } else if (const auto* head = std::get_if<upstream_head>(&input)) {
+        heads.push_back(*head);
+      } else if (const auto* end = std::get_if<upstream_end>(&input)) {
+        ends.push_back(*end);
+      } else if (const auto* report = std::get_if<upstream_report>(&input)) {
+        reports.push_back(*report);
+      }
+      return true;
+    });
+  }
+
+  void Accept() {
+    acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+      if (!error) {
+        sockets.push_back(std::make_shared<raw_socket>(std::move(socket)));
+        sockets.back()->Read();
+        Accept();
+      }
+    });
+  }
+
+  void Start(execution_id execution, std::uint64_t offset = 0) {
+    client->Deliver(upstream_start{.execution = execution,
+                                   .id = {.sender = 0xab, .sequence = 7},
+                                   .request = {.method = "POST",
+                                               .target = "/pay",
+                                               .content_type = "application/json",
+                                               .body = "{}"},
+                                   .resume_offset = offset});
+  }
+
+  /// The connection whose request contains the text.
+  std::shared_ptr<raw_socket> Receiving(const std::string& text) {
+    std::shared_ptr<raw_socket> found;
+    BOOST_REQUIRE(Until([&] {
+      for (const auto& socket : sockets) {
+        found = socket->Has(text) ? socket : found;
+      }
+      return found != nullptr;
+    }));
+    return found;
+  }
+
+  template <typename Condition>
+  bool Until(Condition condition) {
+    return RunUntil(context, condition);
+  }
+
+  boost::asio::io_context context;
+  tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
+  std::vector<std::shared_ptr<raw_socket>> sockets;
+  std::optional<upstream_client> client;
+  std::vector<upstream_head> heads;
+  std::vector<upstream_end> ends;
+  std::vector<upstream_report> reports;
+  std::string bytes;
+  bool full = false;
+  int refused = 0;
+};
+
+/// Comparable form of an end.
+std::pair<upstream_outcome, execution_id> Of(const upstream_end& end) {
+  return {end.outcome, end.execution};
+}
+
+std::pair<upstream_outcome, execution_id> End(upstream_outcome outcome,
+                                              execution_id execution = 1) {
+  return {outcome, execution};
+}
+
+// Guards against lost, reordered or undecoded bytes, and against a repeated part while the sink is
+// full.
+BOOST_AUTO_TEST_CASE(ChunkedAnswerIsPassedOnAsItArrives) {
+  fixture f;
+  f.Start(1, 42);
+  const auto upstream = f.Receiving("POST /pay HTTP/1.1\r\n");
+  BOOST_TEST(upstream->Has("X-Request-Id: 00000000000000ab-7\r\n"));
+  BOOST_TEST(upstream->Has("Berylbarrow-Resume-Offset: 42\r\n"));
+  BOOST_TEST(upstream->Has("\r\n\r\n{}"));
+  upstream->Send("HTTP/1.1 200 OK\r\nContent-Type: text/x\r\nTransfer-Encoding: chunked\r\n\r\n");
+  BOOST_TEST(f.Until([&] { return !f.heads.empty(); }));
+  BOOST_TEST(f.heads[0].content_type == "text/x");
+  upstream->Send("5\r\nhel");
+  BOOST_TEST(f.Until([&] { return f.bytes == "hel"; }));
+  f.full = true;
+  upstream->Send("lo\r\n6\r\n world\r\n0\r\n\r\n");
+  BOOST_TEST(f.Until([&] { return f.refused > 3; }));
+  f.full = false;
+  BOOST_TEST(f.Until([&] { return !f.ends.empty(); }));
+  BOOST_TEST(f.bytes == "hello world");
+  BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kComplete)));
+  BOOST_TEST(f.client->ConnectionCount() == 0U);
+}
+
+// Guards against an operation that is called "not sent" although the upstream may have run it.
+BOOST_AUTO_TEST_CASE(BrokenAfterTheRequestWasWritten) {
+  const std::vector<std::string> answers{
+      "",
+      "HTTP/1.1 200 OK\r\nContent-Le",
+      "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+      "HTTP/1.1 200 OK\r\n\r\nno length",
+      "nonsense\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nX: " + std::string(20000, 'h') + "\r\n\r\n"};
+  fixture f;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    f.sockets.clear();
+    f.Start(i);
+    const auto upstream = f.Receiving("POST /pay");
+    upstream->Send(answers[i]);
+    RunUntil(
+        f.context, [&] { return f.ends.size() > i; }, std::chrono::seconds(0));
+    upstream->FinishSending();
+    BOOST_REQUIRE(f.Until([&] { return f.ends.size() > i; }));
+    BOOST_TEST((Of(f.ends[i]) == End(upstream_outcome::kBroken, i)), answers[i].substr(0, 60));
+  }
+  f.sockets.clear();
+  f.Start(99);
+  f.Receiving("POST /pay")->Reset();
+  BOOST_REQUIRE(f.Until([&] { return f.ends.size() > answers.size(); }));
+  BOOST_TEST((Of(f.ends.back()) == End(upstream_outcome::kBroken, 99)));
+}
+
+// Guards against an unreachable upstream whose requests cannot be sent elsewhere.
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsNotSent) {
+  fixture f({.max_connections = 1});
+  f.Start(1);
+  f.Start(2);
+  BOOST_TEST(f.Until([&] { return f.ends.size() == 1; }));
+  BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kNotSent, 2)), "over the bound");
+  f.acceptor.close();
+  f.client->Deliver(upstream_cancel{.execution = 1});
+  BOOST_TEST(f.Until([&] { return f.ends.size() == 2; }));
+  f.Start(3);
+  BOOST_TEST(f.Until([&] { return f.ends.size() == 3; }));
+  BOOST_TEST((Of(f.ends[2]) == End(upstream_outcome::kNotSent, 3)), "connection refused");
+  BOOST_TEST(f.Until([&] { return !f.reports.empty() && !f.reports.back().reachable; }));
+}
+
+// Guards against a cancelled request that keeps its connection or ends twice.
+BOOST_AUTO_TEST_CASE(CancelClosesTheConnection) {
+  fixture f;
+  f.Start(1);
+  const auto upstream = f.Receiving("POST /pay");
+  upstream->Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc");
+  BOOST_TEST(f.Until([&] { return f.bytes == "abc"; }));
+  f.client->Deliver(upstream_cancel{.execution = 1});
+  f.client->Deliver(upstream_cancel{.execution = 1});
+  BOOST_TEST(f.Until([&] { return upstream->Closed(); }));
+  BOOST_TEST(f.ends.size() == 1U);
+  BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kBroken)));
+  f.Start(2);
+  f.client->Deliver(upstream_cancel{.execution = 2});
+  BOOST_TEST(f.Until([&] { return f.ends.size() == 2; }));
+  BOOST_TEST((Of(f.ends[1]) == End(upstream_outcome::kNotSent, 2)));
+}
+
+// Guards against load reports that are misread, and polling that stops after a bad answer.
+BOOST_AUTO_TEST_CASE(LoadIsPolled) {
+  fixture f({.load_poll_interval = std::chrono::milliseconds(1)});
+  const std::string good = R"({"instance":"i1","uptime_ms":1200,"running":3,"waiting":1})";
+  for (const auto& body : {std::string("not json"), std::string("[1]"), good}) {
+    f.reports.clear();
+    f.sockets.clear();
+    f.Receiving("GET /load HTTP/1.1\r\n")
+        ->Send("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+               body);
+    BOOST_REQUIRE(f.Until([&] { return !f.reports.empty(); }));
+    BOOST_TEST(f.reports[0].reachable == (body == good));
+  }
+  BOOST_TEST(f.reports[0].instance == "i1");
+  BOOST_TEST((f.reports[0].uptime == std::chrono::milliseconds(1200)));
+  BOOST_TEST(f.reports[0].running == 3U);
+  BOOST_TEST(f.reports[0].waiting == 1U);
+}
+
+}  // namespace
+}  // namespace berylbarrow
