Add the agent core and its request modules

Cause: the daemon needs the decisions of an agent process: which dispatches run, when they start, and what is answered to later copies.

Weighed: suspect reports carry only a fingerprint and a number of deaths. A table merged from them can neither forget an entry while peers repeat it nor keep it cleared against an older report. Reports now also carry the cleared deaths and the age of the last death; all three merge by maximum or minimum. With 64 entries they take 1,024 bytes of the datagram. Tombstones need room in a full table. Dropping them would let a late copy run, so the epoch of the key, or the range of request ids of the sender, is closed instead.

Conclusion: a simple dispatch runs end to end.

--- a/include/berylbarrow/connection/wire/message.h
+++ b/include/berylbarrow/connection/wire/message.h
@@ -76,11 +76,13 @@
 struct suspect_report {
   std::uint64_t fingerprint = 0;  // XXH64 of method, target and body
   std::uint32_t deaths = 0;
+  std::uint16_t cleared = 0;  // of these deaths, those before the request completed alone
+  std::uint16_t age_s = 0;    // seconds since the last death
 
   auto operator<=>(const suspect_report&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, deaths);
+    archive(fingerprint, deaths, cleared, age_s);
   }
 };
 
--- /dev/null
+++ b/src/process/agent/agent_delivery.cc
@@ -0,0 +1,131 @@
+#include <algorithm>
+
+#include "berylbarrow/process/agent/agent_core.h"
+
+namespace berylbarrow {
+namespace {
+
+// Far below the bound of a frame, and small enough that other messages get between the parts.
+constexpr std::size_t kMaxPartBytes = 64 << 10;
+// An entry reconnects and sends its dispatches again within this time, or has died.
+constexpr duration kOrphanWait = std::chrono::seconds(5);
+// The upstream's end of a cancelled request frees its slot earlier if it is reported.
+constexpr duration kCancelWait = std::chrono::seconds(1);
+
+}  // namespace
+
+void agent_core::Deliver(execution_record& record) {
+  for (auto& [id, target] : record.subscribers) {
+    Deliver(record, id, target);
+  }
+}
+
+void agent_core::Deliver(const execution_record& record, const request_id& id, subscriber& target) {
+  if (!target.connection || target.is_done || target.has_end) {
+    return;
+  }
+  const connection_id connection = *target.connection;
+  if (record.head && !target.has_head) {
+    target.has_head = true;
+    Send(connection,
+         answer_head{
+             .id = id, .status = record.head->status, .content_type = record.head->content_type});
+  }
+  const std::uint64_t end = record.answer.End();
+  const bool is_lost =
+      target.sent < record.answer.Begin() || (record.end != answer_end::kMore && target.sent > end);
+  if (is_lost) {
+    target.has_end = true;
+    Send(connection, answer_part{.id = id, .offset = target.sent, .end = answer_end::kBroken});
+    return;
+  }
+  while (record.head && target.sent < end) {
+    const std::string_view piece = record.answer.Read(target.sent, kMaxPartBytes);
+    const bool is_last = target.sent + piece.size() == end;
+    Send(connection, answer_part{.id = id,
+                                 .offset = target.sent,
+                                 .bytes = std::string(piece),
+                                 .end = is_last ? record.end : answer_end::kMore});
+    target.sent += piece.size();
+    target.has_end = is_last && record.end != answer_end::kMore;
+  }
+  if (record.end != answer_end::kMore && !target.has_end) {
+    target.has_end = true;
+    Send(connection, answer_part{.id = id, .offset = target.sent, .end = record.end});
+  }
+}
+
+void agent_core::OnAcknowledgement(const acknowledgement& message) {
+  execution_record* record = table_.FindByRequest(message.id);
+  if (record == nullptr || !record->subscribers.contains(message.id)) {
+    ++counters_.unexpected;
+    return;
+  }
+  table_.Acknowledge(*record, message);
+}
+
+void agent_core::OnCancel(const cancel& message) {
+  const auto held = std::find_if(held_.begin(), held_.end(), [&message](const held_dispatch& item) {
+    return item.work.id == message.id;
+  });
+  if (held != held_.end()) {
+    if (held->work.idempotent) {
+      held_bytes_ -= held->work.request.body.size() + held->work.request.target.size();
+      held_.erase(held);
+    }
+    return;
+  }
+  execution_record* record = table_.FindByRequest(message.id);
+  if (record == nullptr) {
+    ++counters_.unexpected;
+    return;
+  }
+  table_.Cancel(*record, message.id);
+  // An operation that runs at most once goes on: its caller may ask for the answer later.
+  if (record->key.empty() && !record->IsEnded() && !record->HasPendingSubscriber()) {
+    CancelExecution(*record);
+  }
+}
+
+/// Stops an idempotent execution.
+void agent_core::CancelExecution(execution_record& record) {
+  ++counters_.cancelled;
+  if (queue_.Remove(record.id)) {
+    RefuseRecord(record, refusal_reason::kKeyRefused);
+    return;
+  }
+  record.is_cancelled = true;
+  cancelled_.emplace_back(Now() + kCancelWait, record.id);
+  Emit(upstream_cancel{.execution = record.id});
+  Finish(record, answer_end::kBroken);
+}
+
+void agent_core::OnDetached(connection_id connection) {
+  std::erase_if(held_, [this, connection](const held_dispatch& item) {
+    if (item.connection != connection) {
+      return false;
+    }
+    held_bytes_ -= item.work.request.body.size() + item.work.request.target.size();
+    return true;
+  });
+  for (const execution_id id : table_.Detach(connection, Now())) {
+    const execution_record& record = *table_.FindById(id);
+    if (record.key.empty() && !record.IsEnded()) {
+      orphans_.emplace_back(Now() + kOrphanWait, id);
+    }
+  }
+}
+
+void agent_core::CancelOrphans() {
+  while (!orphans_.empty() && orphans_.front().first <= Now()) {
+    execution_record* record = table_.FindById(orphans_.front().second);
+    const time_point lost = orphans_.front().first - kOrphanWait;
+    orphans_.pop_front();
+    const bool is_waiting = record != nullptr && !record->IsEnded();
+    if (is_waiting && !record->HasConnectedSubscriber() && record->detached == lost) {
+      CancelExecution(*record);
+    }
+  }
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/process/agent/agent_upstream.cc
@@ -0,0 +1,266 @@
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "berylbarrow/process/agent/agent_core.h"
+
+namespace berylbarrow {
+namespace {
+
+// A broken connection counts as a death of the upstream if that is confirmed within this time.
+constexpr duration kConfirmDeath = std::chrono::seconds(10);
+constexpr std::size_t kMaxBroken = 256;
+
+}  // namespace
+
+/// Refuses queued work that may no longer start here.
+void agent_core::RecheckQueue() {
+  for (const queued_work& late : queue_.Expire(Now())) {
+    RefuseRecord(*table_.FindById(late.execution), refusal_reason::kDeadline);
+  }
+  const view_state view = fleet_.View(Now());
+  if (view == view_state::kCurrent || queue_.Size() == 0) {
+    view_lost_.reset();
+  } else if (!view_lost_) {
+    view_lost_ = Now();
+  }
+  std::optional<refusal_reason> reason;
+  if (view == view_state::kIsolated || (view_lost_ && Now() - *view_lost_ >= kViewWait)) {
+    reason = refusal_reason::kStaleView;
+  } else if (view == view_state::kCurrent && !InService()) {
+    reason = refusal_reason::kDraining;
+  }
+  if (!reason) {
+    return;
+  }
+  view_lost_.reset();
+  for (const queued_work& item : queue_.Clear()) {
+    RefuseRecord(*table_.FindById(item.execution), *reason);
+  }
+}
+
+bool agent_core::MayStartNext() const {
+  return queue_.Size() > 0 && !alone_ && running_.size() < limit_->Limit() &&
+         fleet_.View(Now()) == view_state::kCurrent;
+}
+
+void agent_core::Pump() {
+  while (MayStartNext()) {
+    execution_record& record = *table_.FindById(queue_.Peek()->execution);
+    const auto verdict = suspects_.Judge(record.work.fingerprint, record.work.idempotent, Now());
+    if (verdict == suspect_verdict::kAlone && !running_.empty()) {
+      return;
+    }
+    queue_.Pop();
+    if (verdict == suspect_verdict::kRefused) {
+      RefuseRecord(record, refusal_reason::kSuspect);
+      continue;
+    }
+    Start(record, verdict == suspect_verdict::kAlone);
+  }
+}
+
+void agent_core::Start(execution_record& record, bool alone) {
+  assert(record.state == execution_state::kQueued);
+  record.state = execution_state::kRunning;
+  record.at_upstream = true;
+  record.started = Now();
+  record.runs_alone = alone;
+  record.warm_generation = limit_->OnStarted();
+  running_.insert(record.id);
+  if (alone) {
+    alone_ = record.id;
+  }
+  ++counters_.started;
+  Emit(upstream_start{.execution = record.id,
+                      .id = record.work.id,
+                      .request = table_.TakeRequest(record),
+                      .resume_offset = record.answer.End(),
+                      .priority = record.work.priority});
+}
+
+execution_record* agent_core::Running(execution_id id) {
+  if (!running_.contains(id)) {
+    ++counters_.unexpected;
+    return nullptr;
+  }
+  return table_.FindById(id);
+}
+
+void agent_core::On(const upstream_head& event) {
+  execution_record* record = Running(event.execution);
+  if (record == nullptr || record->head || record->IsEnded()) {
+    return;
+  }
+  record->head = event;
+  record->first_byte = record->first_byte.value_or(Now());
+  Deliver(*record);
+}
+
+void agent_core::On(const upstream_part& event) {
+  execution_record* record = Running(event.execution);
+  if (record == nullptr) {
+    return;
+  }
+  if (record->IsEnded()) {
+    ++counters_.parts_dropped;
+    return;
+  }
+  if (!table_.Append(*record, event.bytes)) {
+    OnOverflow(*record);
+    return;
+  }
+  record->first_byte = record->first_byte.value_or(Now());
+  Deliver(*record);
+}
+
+void agent_core::On(const upstream_end& event) {
+  execution_record* record = Running(event.execution);
+  if (record == nullptr) {
+    return;
+  }
+  Release(*record);
+  if (record->is_cancelled) {
+    return;
+  }
+  if (event.outcome == upstream_outcome::kComplete && record->head) {
+    limit_->OnCompleted({.generation = record->warm_generation,
+                         .first_byte = record->first_byte.value_or(Now()) - record->started,
+                         .total = Now() - record->started,
+                         .bytes = record->answer.End() - record->work.answer_offset});
+    if (record->runs_alone) {
+      suspects_.OnCompletedAlone(record->work.fingerprint, Now());
+    }
+    if (!record->IsEnded()) {
+      ++counters_.completed;
+      Finish(*record, answer_end::kComplete);
+    }
+    return;
+  }
+  limit_->OnColdEvidence();
+  if (event.outcome == upstream_outcome::kNotSent && !record->head && !record->IsEnded()) {
+    ++counters_.not_sent;
+    RefuseRecord(*record, refusal_reason::kUpstreamGone);
+    return;
+  }
+  OnBroken(*record);
+}
+
+/// The execution no longer takes a slot at the upstream.
+void agent_core::Release(execution_record& record) {
+  record.at_upstream = false;
+  running_.erase(record.id);
+  if (alone_ == record.id) {
+    alone_.reset();
+  }
+}
+
+void agent_core::Finish(execution_record& record, answer_end end) {
+  record.end = end;
+  table_.End(record, execution_state::kFinished, Now());
+  Deliver(record);
+}
+
+void agent_core::EndUnknown(execution_record& record, refusal_reason reason) {
+  record.reason = reason;
+  table_.End(record, execution_state::kUnknown, Now());
+  for (auto& [id, item] : record.subscribers) {
+    if (item.IsPending() && item.connection) {
+      SendRefusal(id, *item.connection, reason, run_certainty::kUnknown);
+    }
+    item.is_done = true;
+  }
+}
+
+void agent_core::OnBroken(execution_record& record) {
+  ++counters_.broken;
+  const std::uint64_t fingerprint = record.work.fingerprint;
+  if (upstream_dead_) {
+    CountDeaths({fingerprint});
+  } else if (!record.death_counted) {
+    broken_.push_back({.fingerprint = fingerprint, .at = Now()});
+    if (broken_.size() > kMaxBroken) {
+      broken_.pop_front();
+    }
+  }
+  if (record.IsEnded()) {
+    return;
+  }
+  if (record.key.empty()) {
+    Finish(record, answer_end::kBroken);
+  } else {
+    EndUnknown(record, refusal_reason::kUpstreamGone);
+  }
+}
+
+/// The answer exceeds the memory for it.
+void agent_core::OnOverflow(execution_record& record) {
+  ++counters_.parts_dropped;
+  if (!record.key.empty()) {
+    EndUnknown(record, refusal_reason::kOverload);
+    return;
+  }
+  CancelExecution(record);
+}
+
+void agent_core::On(const upstream_report& event) {
+  const bool is_restart = restarts_.OnReport(event);
+  while (!broken_.empty() && Now() - broken_.front().at > kConfirmDeath) {
+    broken_.pop_front();
+  }
+  if (event.reachable && !is_restart) {
+    upstream_dead_ = false;
+    return;
+  }
+  std::set<std::uint64_t> dead;
+  for (const broken_work& item : std::exchange(broken_, {})) {
+    dead.insert(item.fingerprint);
+  }
+  if (!event.reachable) {
+    // An unreachable upstream whose connections are intact is alive but busy.
+    if (!dead.empty() && !upstream_dead_) {
+      upstream_dead_ = true;
+      dead_counted_.clear();
+      ++counters_.upstream_deaths;
+    }
+    CountDeaths(dead);
+    return;
+  }
+  if (!upstream_dead_) {
+    dead_counted_.clear();
+    ++counters_.upstream_deaths;
+  }
+  upstream_dead_ = false;
+  limit_->OnColdEvidence();
+  // The report lags: requests that started after the restart run on the new instance.
+  const time_point restarted = Now() - event.uptime;
+  for (const execution_id id : running_) {
+    execution_record& record = *table_.FindById(id);
+    if (record.started <= restarted && !record.death_counted) {
+      record.death_counted = true;
+      dead.insert(record.work.fingerprint);
+    }
+  }
+  CountDeaths(dead);
+}
+
+/// Counts each request once per death of the upstream.
+void agent_core::CountDeaths(const std::set<std::uint64_t>& fingerprints) {
+  for (const std::uint64_t fingerprint : fingerprints) {
+    if (fingerprint != 0 && dead_counted_.insert(fingerprint).second) {
+      suspects_.OnDeath(fingerprint, Now());
+    }
+  }
+}
+
+void agent_core::ReleaseCancelled() {
+  while (!cancelled_.empty() && cancelled_.front().first <= Now()) {
+    const execution_id id = cancelled_.front().second;
+    cancelled_.pop_front();
+    if (running_.contains(id)) {
+      Release(*table_.FindById(id));
+    }
+  }
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/request/execution/execution_table.cc
@@ -0,0 +1,341 @@
+#include "berylbarrow/request/execution/execution_table.h"
+
+#include <algorithm>
+#include <cassert>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace berylbarrow {
+namespace {
+
+// Protects the arithmetic on deadlines from absurd times to live.
+constexpr duration kMaxTimeToLive = std::chrono::hours(1);
+// Far above the number of entries; reached only after as many restarts of entries.
+constexpr std::size_t kMaxSenders = 4096;
+
+const std::string& KeyOf(const dispatch& work) {
+  static const std::string kNone;
+  return work.idempotent ? kNone : work.idempotency_key;
+}
+
+std::size_t RequestBytes(const execution_record& record) {
+  return record.work.request.body.size() + record.work.request.target.size();
+}
+
+time_point DeadlineOf(const dispatch& work, time_point now) {
+  return now + std::clamp(work.remaining, duration::zero(), kMaxTimeToLive);
+}
+
+}  // namespace
+
+const char* StateName(execution_state state) {
+  switch (state) {
+    case execution_state::kQueued:
+      return "queued";
+    case execution_state::kRunning:
+      return "running";
+    case execution_state::kFinished:
+      return "finished";
+    case execution_state::kUnknown:
+      return "unknown";
+    case execution_state::kRefused:
+      return "refused";
+  }
+  return "";
+}
+
+bool execution_record::HasPendingSubscriber() const {
+  return std::any_of(subscribers.begin(), subscribers.end(),
+                     [](const auto& item) { return item.second.IsPending(); });
+}
+
+bool execution_record::HasConnectedSubscriber() const {
+  return std::any_of(subscribers.begin(), subscribers.end(), [](const auto& item) {
+    return item.second.IsPending() && item.second.connection.has_value();
+  });
+}
+
+execution_record* execution_table::FindById(execution_id id) {
+  const auto place = records_.find(id);
+  return place == records_.end() ? nullptr : &place->second;
+}
+
+execution_record* execution_table::FindByRequest(const request_id& id) {
+  const auto place = by_request_.find(id);
+  return place == by_request_.end() ? nullptr : FindById(place->second);
+}
+
+execution_record* execution_table::Find(const dispatch& work) {
+  if (execution_record* known = FindByRequest(work.id); known != nullptr) {
+    return known;
+  }
+  const auto place = by_key_.find(KeyOf(work));
+  return place == by_key_.end() ? nullptr : FindById(place->second);
+}
+
+bool execution_table::IsClosed(const dispatch& work, std::uint64_t epoch) const {
+  if (!work.idempotent) {
+    return epoch <= closed_epoch_;
+  }
+  const auto place = closed_requests_.find(work.id.sender);
+  return place != closed_requests_.end() && work.id.sequence <= place->second;
+}
+
+bool execution_table::MakeRoom(std::size_t bytes) {
+  while (records_.size() >= limits_.max_records) {
+    const auto place = std::find_if(ended_.begin(), ended_.end(), [this](const auto& item) {
+      const execution_record& record = records_.at(item.second);
+      return !record.at_upstream && !record.HasPendingSubscriber();
+    });
+    if (place == ended_.end()) {
+      return false;
+    }
+    const execution_id id = place->second;
+    ended_.erase(place);
+    Drop(id);
+  }
+  return bytes_ + bytes <= limits_.max_bytes;
+}
+
+execution_record& execution_table::Add(dispatch work, std::uint64_t epoch, time_point now) {
+  assert(records_.size() < limits_.max_records);
+  const execution_id id = ++last_id_;
+  execution_record& record = records_[id];
+  record.id = id;
+  record.key = KeyOf(work);
+  record.epoch = epoch;
+  record.deadline = DeadlineOf(work, now);
+  record.answer = answer_buffer(work.answer_offset);
+  record.work = std::move(work);
+  bytes_ += RequestBytes(record);
+  by_request_[record.work.id] = id;
+  if (!record.key.empty()) {
+    by_key_[record.key] = id;
+  }
+  return record;
+}
+
+void execution_table::AddTombstone(const dispatch& work, std::uint64_t epoch, refusal_reason reason,
+                                   time_point now) {
+  if (!MakeRoom(0) && records_.size() >= limits_.max_records) {
+    if (work.idempotent) {
+      CloseRequest(work.id);
+    } else {
+      closed_epoch_ = std::max(closed_epoch_, epoch);
+    }
+    return;
+  }
+  dispatch remembered = work;
+  remembered.request = {};
+  execution_record& record = Add(std::move(remembered), epoch, now);
+  record.reason = reason;
+  End(record, execution_state::kRefused, now);
+}
+
+http_request execution_table::TakeRequest(execution_record& record) {
+  bytes_ -= RequestBytes(record);
+  return std::exchange(record.work.request, {});
+}
+
+attach_result execution_table::Attach(execution_record& record, const dispatch& work,
+                                      connection_id connection, time_point now) {
+  const auto place = record.subscribers.find(work.id);
+  if (place == record.subscribers.end() && record.subscribers.size() >= limits_.max_subscribers) {
+    return attach_result::kFull;
+  }
+  if (place != record.subscribers.end() &&
+      (place->second.is_done || place->second.connection == connection)) {
+    return attach_result::kDuplicate;
+  }
+  by_request_[work.id] = record.id;
+  record.deadline = std::max(record.deadline, DeadlineOf(work, now));
+  record.subscribers[work.id] = {
+      .connection = connection, .sent = work.answer_offset, .acknowledged = work.answer_offset};
+  Free(record);
+  return attach_result::kAttached;
+}
+
+std::vector<execution_id> execution_table::Detach(connection_id connection, time_point now) {
+  std::vector<execution_id> orphans;
+  for (auto& [id, record] : records_) {
+    bool is_hit = false;
+    for (auto& [request, item] : record.subscribers) {
+      if (item.connection == connection) {
+        item.connection.reset();
+        is_hit = true;
+      }
+    }
+    if (is_hit && !record.HasConnectedSubscriber()) {
+      record.detached = now;
+      orphans.push_back(id);
+    }
+  }
+  return orphans;
+}
+
+void execution_table::Acknowledge(execution_record& record, const acknowledgement& message) {
+  subscriber& item = record.subscribers.at(message.id);
+  item.acknowledged = std::max(item.acknowledged, std::min(message.offset, item.sent));
+  item.is_done = item.is_done || (message.finished && item.has_end);
+  Free(record);
+}
+
+void execution_table::Cancel(execution_record& record, const request_id& id) {
+  const auto place = record.subscribers.find(id);
+  if (place != record.subscribers.end()) {
+    place->second.is_done = true;
+  }
+  Free(record);
+}
+
+void execution_table::Free(execution_record& record) {
+  if (!record.key.empty()) {
+    return;
+  }
+  std::uint64_t needed = record.answer.End();
+  for (const auto& [id, item] : record.subscribers) {
+    if (item.IsPending()) {
+      needed = std::min(needed, item.acknowledged);
+    }
+  }
+  const std::size_t before = record.answer.Size();
+  record.answer.FreeBefore(needed);
+  bytes_ -= before - record.answer.Size();
+}
+
+bool execution_table::Append(execution_record& record, std::string_view bytes) {
+  while (bytes_ + bytes.size() > limits_.max_bytes) {
+    if (!ReleaseStoredAnswer()) {
+      return false;
+    }
+  }
+  if (record.answer.Size() + bytes.size() > limits_.max_answer_bytes) {
+    return false;
+  }
+  record.answer.Append(bytes);
+  bytes_ += bytes.size();
+  return true;
+}
+
+/// Gives up the oldest stored answer of a key that nobody waits for. The record stays, so that the
+/// key does not run again.
+bool execution_table::ReleaseStoredAnswer() {
+  const auto place = std::find_if(records_.begin(), records_.end(), [](const auto& item) {
+    const execution_record& record = item.second;
+    return record.state == execution_state::kFinished && record.answer.Size() > 0 &&
+           !record.HasPendingSubscriber();
+  });
+  if (place == records_.end()) {
+    return false;
+  }
+  bytes_ -= place->second.answer.Size();
+  place->second.answer = answer_buffer(place->second.answer.End());
+  place->second.state = execution_state::kUnknown;
+  place->second.reason = refusal_reason::kOverload;
+  return true;
+}
+
+void execution_table::End(execution_record& record, execution_state state, time_point now) {
+  assert(!record.IsEnded());
+  record.state = state;
+  record.ended = now;
+  TakeRequest(record);
+  if (state != execution_state::kFinished) {
+    bytes_ -= record.answer.Size();
+    record.answer = answer_buffer(record.answer.End());
+  }
+  if (record.key.empty()) {
+    ended_.emplace_back(now, record.id);
+  }
+}
+
+void execution_table::CloseRequest(const request_id& id) {
+  if (closed_requests_.size() >= kMaxSenders && !closed_requests_.contains(id.sender)) {
+    closed_requests_.erase(closed_requests_.begin());
+  }
+  std::uint64_t& closed = closed_requests_[id.sender];
+  closed = std::max(closed, id.sequence);
+}
+
+void execution_table::Drop(execution_id id) {
+  const auto place = records_.find(id);
+  assert(place != records_.end());
+  const execution_record& record = place->second;
+  if (record.state == execution_state::kRefused && record.key.empty()) {
+    CloseRequest(record.work.id);
+  }
+  bytes_ -= record.answer.Size() + RequestBytes(record);
+  const auto erase_index = [id](auto& index, const auto& key) {
+    const auto item = index.find(key);
+    if (item != index.end() && item->second == id) {
+      index.erase(item);
+    }
+  };
+  erase_index(by_key_, record.key);
+  erase_index(by_request_, record.work.id);
+  for (const auto& [request, item] : record.subscribers) {
+    erase_index(by_request_, request);
+  }
+  records_.erase(place);
+}
+
+void execution_table::Expire(time_point now) {
+  while (!ended_.empty() && now - ended_.front().first >= kKeepEnded) {
+    const execution_id id = ended_.front().second;
+    ended_.pop_front();
+    Drop(id);
+  }
+}
+
+void execution_table::ExpireEpochs(std::uint64_t oldest_epoch, time_point now) {
+  std::vector<execution_id> due;
+  for (const auto& [id, record] : records_) {
+    const bool is_old = !record.key.empty() && record.epoch < oldest_epoch;
+    if (is_old && record.IsEnded() && !record.at_upstream && record.deadline <= now) {
+      due.push_back(id);
+    }
+  }
+  for (const execution_id id : due) {
+    Drop(id);
+  }
+}
+
+time_point execution_table::NextDeadline() const {
+  return ended_.empty() ? time_point::max() : ended_.front().first + kKeepEnded;
+}
+
+std::size_t execution_table::PendingSubscribers() const {
+  std::size_t count = 0;
+  for (const auto& [id, record] : records_) {
+    count += static_cast<std::size_t>(
+        std::count_if(record.subscribers.begin(), record.subscribers.end(),
+                      [](const auto& item) { return item.second.IsPending(); }));
+  }
+  return count;
+}
+
+nlohmann::json execution_table::State() const {
+  std::map<std::string, std::size_t> counts;
+  nlohmann::json active = nlohmann::json::array();
+  for (const auto& [id, record] : records_) {
+    ++counts[StateName(record.state)];
+    if (record.IsEnded()) {
+      continue;
+    }
+    active.push_back({{"execution", id},
+                      {"state", StateName(record.state)},
+                      {"key", record.key},
+                      {"account", record.work.account},
+                      {"sender", record.work.id.sender},
+                      {"sequence", record.work.id.sequence},
+                      {"subscribers", record.subscribers.size()},
+                      {"answer_bytes", record.answer.End()}});
+  }
+  return {{"records", counts},
+          {"active", active},
+          {"bytes", bytes_},
+          {"closed_epoch", closed_epoch_},
+          {"closed_senders", closed_requests_.size()}};
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/request/execution/key_policy.cc
@@ -0,0 +1,49 @@
+#include "berylbarrow/request/execution/key_policy.h"
+
+namespace berylbarrow {
+namespace {
+
+key_decision DecideKnown(const execution_record& known) {
+  if (known.state == execution_state::kRefused) {
+    return {.verdict = key_verdict::kRefuse, .reason = known.reason};
+  }
+  if (known.state == execution_state::kUnknown) {
+    return {.verdict = key_verdict::kUnknown, .reason = known.reason};
+  }
+  return {.verdict = key_verdict::kJoin};
+}
+
+}  // namespace
+
+bool grant_window::Accepts(const grant& permission) const {
+  return permission.agent == current.agent && permission.incarnation == current.incarnation &&
+         permission.epoch <= current.epoch && permission.epoch >= oldest_epoch;
+}
+
+key_decision grant_key_policy::Decide(const dispatch& work, const execution_record* known,
+                                      bool is_closed, const grant_window& window) const {
+  if (known != nullptr) {
+    return DecideKnown(*known);
+  }
+  if (work.idempotent) {
+    // Requests below the closed one may have run, and their records may have expired.
+    return {.verdict = is_closed ? key_verdict::kUnknown : key_verdict::kRun};
+  }
+  const auto key = ParseGrantKey(work.idempotency_key);
+  if (!key) {
+    return {.verdict = key_verdict::kRefuse, .reason = refusal_reason::kGrantMissing};
+  }
+  if (!window.Accepts(key.value().permission)) {
+    // The caller sends attempt 1 once, so without a record it has not run here. A dispatch that
+    // goes on with an answer shows that it has.
+    const bool is_first = work.attempt == 1 && work.answer_offset == 0;
+    return {.verdict = is_first ? key_verdict::kRefuse : key_verdict::kUnknown,
+            .reason = refusal_reason::kGrantExpired};
+  }
+  if (is_closed) {
+    return {.verdict = key_verdict::kRefuse, .reason = refusal_reason::kOverload};
+  }
+  return {.verdict = key_verdict::kRun};
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/tests/process/agent/agent_core_test.cc
@@ -0,0 +1,26 @@
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "process/agent/agent_harness.h"
+
+namespace berylbarrow {
+namespace {
+
+// Guards against an answer that is lost or changed on its way from the upstream to the entry.
+BOOST_FIXTURE_TEST_CASE(DispatchRunsEndToEnd, agent_harness) {
+  Serve();
+  Receive(1, TestWork(1));
+  const auto starts = All<upstream_start>();
+  BOOST_TEST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].request.body == "body");
+  Complete(starts[0].execution, "done");
+  BOOST_TEST(Sent<answer_head>(1).size() == 1U);
+  const auto parts = Sent<answer_part>(1);
+  BOOST_TEST_REQUIRE(parts.size() == 2U);
+  BOOST_TEST(parts[0].bytes == "done");
+  BOOST_TEST((parts[1].end == answer_end::kComplete));
+  BOOST_TEST(parts[1].offset == 4U);
+}
+
+}  // namespace
+}  // namespace berylbarrow
