Add the decisions of an entry: routing, admission, relay and retries

Cause: entries need one object that decides for callers without sockets, threads or clocks, so that a schedule can be replayed. Weighed: passing the answer head on at once or with the first part. With the first part, a request whose agent is lost before any byte can still go to another agent, so the head waits. Weighed: a connection that closes under a started answer waits 250 ms for the same run of the agent before the answer moves; a request without an answer moves at once, within the retry budget. Ruled out: saying "not run" for a key whose attempt number is not 1 and that this entry never forwarded, because an earlier attempt may have run through another entry. Change: routing policies, retry budget, account limiter, entry_core with the parts peers, addresses, requests, attempts, keyed, answers, status. Conclusion: an address query is answered and a request is relayed, so the daemon can be wired to the core.

--- /dev/null
+++ b/include/berylbarrow/request/routing/retry_budget.h
@@ -0,0 +1,35 @@
+#ifndef BERYLBARROW_REQUEST_ROUTING_RETRY_BUDGET_H_
+#define BERYLBARROW_REQUEST_ROUTING_RETRY_BUDGET_H_
+
+#include "berylbarrow/process/runtime/time.h"
+
+namespace berylbarrow {
+
+struct retry_budget_options {
+  double share = 0.1;       // retries per request
+  double per_second = 1.0;  // granted even when there are few requests
+  double burst = 20.0;      // retries saved up at most
+};
+
+/// Bounds the retries of one service, so that refusals of a full fleet do not multiply its load.
+/// Allows the larger of a share of the requests and a constant rate.
+class retry_budget {
+ public:
+  retry_budget(const retry_budget_options& options, time_point now);
+
+  void OnRequest();
+  /// Returns false if no retry is allowed now.
+  bool TryTake(time_point now);
+  /// Retries that could be taken at once at the time of the last call.
+  double Available() const;
+
+ private:
+  retry_budget_options options_;
+  double from_requests_ = 0.0;
+  double from_time_ = 0.0;
+  time_point refilled_;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_REQUEST_ROUTING_RETRY_BUDGET_H_
--- /dev/null
+++ b/src/process/entry/peers.cc
@@ -0,0 +1,230 @@
+#include "process/entry/peers.h"
+
+#include <nlohmann/json.hpp>
+
+#include "berylbarrow/process/membership/rendezvous.h"
+
+namespace berylbarrow {
+
+void entry_peers::Start() {
+  if (seeds_connected_ || context_.index.IsKnown()) {
+    return;
+  }
+  seeds_connected_ = true;
+  for (const std::string& seed : context_.options.seeds) {
+    context_.Emit(peer_connect{.name = seed, .address = seed});
+  }
+}
+
+void entry_peers::Connect(const std::string& name, agent_link& link, const std::string& address) {
+  link.address = address;
+  link.last_used = context_.Now();
+  context_.Emit(peer_connect{.name = name, .address = address});
+}
+
+void entry_peers::OnVersion() {
+  const configuration& document = context_.index.Document();
+  for (auto& [name, link] : links_) {
+    link.in_subset = false;
+  }
+  for (const service_options& service : document.services) {
+    for (const upstream_options* upstream : context_.index.Subset(service.name)) {
+      auto [place, is_new] = links_.try_emplace(upstream->name);
+      agent_link& link = place->second;
+      link.in_subset = true;
+      if (!is_new && link.address != upstream->agent_address) {
+        context_.Emit(peer_disconnect{.name = upstream->name});
+        is_new = true;
+      }
+      if (is_new) {
+        Connect(upstream->name, link, upstream->agent_address);
+      }
+    }
+  }
+  Sweep();
+  if (seeds_connected_) {
+    seeds_connected_ = false;
+    for (const std::string& seed : context_.options.seeds) {
+      context_.Emit(peer_disconnect{.name = seed});
+    }
+  }
+  std::vector<std::string> names;
+  std::map<std::string, std::string> addresses;
+  for (const entry_options& entry : document.entries) {
+    if (entry.name != context_.options.identity.name) {
+      names.push_back(entry.name);
+      addresses.emplace(entry.name, entry.peer_address);
+    }
+  }
+  entry_addresses_.clear();
+  for (const std::string& name :
+       RendezvousPick(context_.options.identity.name, names, context_.options.heartbeat_entries)) {
+    entry_addresses_.push_back(addresses.at(name));
+  }
+}
+
+std::string entry_peers::OnOpened(const peer_opened& event) {
+  const std::string& name = event.greeting.sender.name;
+  const auto place = links_.find(name);
+  const member* known = context_.fleet.Members().FindByConnection(event.connection);
+  if (place == links_.end() || known == nullptr) {
+    return {};
+  }
+  agent_link& link = place->second;
+  if (link.connection) {
+    connections_.erase(*link.connection);
+  }
+  link.connection = event.connection;
+  link.incarnation = event.greeting.sender.incarnation;
+  connections_[event.connection] = name;
+  return name;
+}
+
+std::string entry_peers::OnClosed(connection_id connection) {
+  const auto place = connections_.find(connection);
+  if (place == connections_.end()) {
+    return {};
+  }
+  std::string name = place->second;
+  connections_.erase(place);
+  if (agent_link* link = Find(name)) {
+    link->connection.reset();
+  }
+  return name;
+}
+
+void entry_peers::OnLoad(const std::string& agent) {
+  if (agent_link* link = Find(agent)) {
+    link->sent_since = 0;
+  }
+}
+
+void entry_peers::SendHeartbeats() {
+  const heartbeat content = context_.fleet.NextHeartbeat(context_.state);
+  if (!context_.index.IsKnown()) {
+    for (const std::string& seed : context_.options.seeds) {
+      context_.Emit(heartbeat_send{.to = seed, .content = content});
+    }
+    return;
+  }
+  for (const auto& [name, link] : links_) {
+    context_.Emit(heartbeat_send{.to = link.address, .content = content});
+  }
+  for (const std::string& address : entry_addresses_) {
+    context_.Emit(heartbeat_send{.to = address, .content = content});
+  }
+}
+
+void entry_peers::Sweep() {
+  for (auto place = links_.begin(); place != links_.end();) {
+    const agent_link& link = place->second;
+    const bool lingers =
+        link.on_demand && context_.Now() - link.last_used < context_.options.idle_link;
+    // A link that left the subset stays until its requests are done.
+    if (link.in_subset || lingers || !link.requests.empty()) {
+      ++place;
+      continue;
+    }
+    if (link.connection) {
+      connections_.erase(*link.connection);
+    }
+    context_.Emit(peer_disconnect{.name = place->first});
+    place = links_.erase(place);
+  }
+  context_.fleet.Members().Retain([this](const member& known) {
+    return context_.Now() - known.last_heard < context_.options.forget_member;
+  });
+}
+
+agent_link* entry_peers::Find(const std::string& agent) {
+  const auto place = links_.find(agent);
+  return place == links_.end() ? nullptr : &place->second;
+}
+
+void entry_peers::Demand(const upstream_options& upstream) {
+  auto [place, is_new] = links_.try_emplace(upstream.name);
+  if (is_new) {
+    place->second.on_demand = true;
+    Connect(upstream.name, place->second, upstream.agent_address);
+  }
+}
+
+bool entry_peers::IsConnectedTo(const agent_run& run) const {
+  const auto link = links_.find(run.name);
+  if (link == links_.end() || !link->second.connection) {
+    return false;
+  }
+  const member* known = context_.fleet.Members().Find(run.name);
+  return known != nullptr && known->identity.incarnation == run.incarnation &&
+         link->second.incarnation == run.incarnation;
+}
+
+void entry_peers::Attach(const std::string& agent, caller_id caller) {
+  if (agent_link* link = Find(agent)) {
+    link->requests.insert(caller);
+    link->last_used = context_.Now();
+  }
+}
+
+void entry_peers::Detach(const std::string& agent, caller_id caller) {
+  if (agent_link* link = Find(agent)) {
+    link->requests.erase(caller);
+    link->last_used = context_.Now();
+  }
+}
+
+void entry_peers::OnSent(const std::string& agent) {
+  if (agent_link* link = Find(agent)) {
+    ++link->sent_since;
+  }
+}
+
+bool entry_peers::MayTakeWork(const upstream_options& upstream) const {
+  const member* known = context_.fleet.Members().Find(upstream.name);
+  return known != nullptr && known->state == process_state::kServing &&
+         IsConnectedTo({.name = upstream.name, .incarnation = known->identity.incarnation}) &&
+         context_.Liveness(upstream.name) == liveness::kAlive &&
+         context_.fleet.UpstreamInService(upstream);
+}
+
+std::vector<routing_candidate> entry_peers::Candidates(const service_options& service,
+                                                       const std::set<agent_run>& excluded) const {
+  std::vector<routing_candidate> result;
+  for (const upstream_options* upstream : context_.index.Subset(service.name)) {
+    if (!MayTakeWork(*upstream) ||
+        excluded.contains({upstream->name, links_.at(upstream->name).incarnation})) {
+      continue;
+    }
+    result.push_back({.name = upstream->name,
+                      .load = context_.fleet.Members().Find(upstream->name)->load,
+                      .sent_since = links_.at(upstream->name).sent_since});
+  }
+  return result;
+}
+
+std::vector<agent_run> entry_peers::ConnectedRuns(const service_options& service) const {
+  std::vector<agent_run> result;
+  for (const upstream_options& upstream : service.upstreams) {
+    const auto link = links_.find(upstream.name);
+    if (link != links_.end() && link->second.connection) {
+      result.push_back({.name = upstream.name, .incarnation = link->second.incarnation});
+    }
+  }
+  return result;
+}
+
+nlohmann::json entry_peers::State() const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& [name, link] : links_) {
+    list.push_back({{"name", name},
+                    {"address", link.address},
+                    {"in_subset", link.in_subset},
+                    {"connected", link.connection.has_value()},
+                    {"incarnation", link.incarnation},
+                    {"sent_since_report", link.sent_since},
+                    {"requests", link.requests.size()}});
+  }
+  return {{"agents", list}, {"heartbeat_entries", entry_addresses_}};
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/process/entry/status.cc
@@ -0,0 +1,133 @@
+#include "process/entry/status.h"
+
+#include <array>
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <string_view>
+
+namespace berylbarrow {
+namespace {
+
+struct named_counter {
+  std::string_view name;
+  std::uint64_t entry_counters::*value;
+};
+
+constexpr std::array kCounters{
+    named_counter{"address_responses", &entry_counters::address_responses},
+    named_counter{"attempts", &entry_counters::attempts},
+    named_counter{"retries_refused", &entry_counters::retries_refused},
+    named_counter{"reattachments", &entry_counters::reattachments},
+    named_counter{"resends", &entry_counters::resends},
+    named_counter{"resumptions", &entry_counters::resumptions},
+    named_counter{"parts_dropped", &entry_counters::parts_dropped},
+    named_counter{"unexpected_messages", &entry_counters::unexpected_messages},
+    named_counter{"refused_requests", &entry_counters::refused_requests},
+    named_counter{"refused_keys", &entry_counters::refused_keys},
+    named_counter{"ignored_heartbeats", &entry_counters::ignored_heartbeats},
+};
+
+std::string_view LivenessName(liveness value) {
+  switch (value) {
+    case liveness::kUnknown:
+      return "unknown";
+    case liveness::kAlive:
+      return "alive";
+    case liveness::kSuspect:
+      return "suspect";
+    case liveness::kDead:
+      return "dead";
+  }
+  return "";
+}
+
+void WriteLatency(std::ostream& out, const std::string& name, const latency_counts& counts) {
+  out << "# TYPE berylbarrow_" << name << "_seconds histogram\n";
+  std::uint64_t sum = 0;
+  for (std::size_t i = 0; i < latency_counts::kBoundsSeconds.size(); ++i) {
+    sum += counts.buckets.at(i);
+    out << "berylbarrow_" << name << "_seconds_bucket{le=\"" << latency_counts::kBoundsSeconds.at(i)
+        << "\"} " << sum << '\n';
+  }
+  out << "berylbarrow_" << name << "_seconds_bucket{le=\"+Inf\"} " << counts.count << '\n'
+      << "berylbarrow_" << name << "_seconds_sum " << counts.sum_seconds << '\n'
+      << "berylbarrow_" << name << "_seconds_count " << counts.count << '\n';
+}
+
+}  // namespace
+
+nlohmann::json FleetStatus(const entry_context& context) {
+  const nlohmann::json view = context.fleet.State(context.at);
+  nlohmann::json upstreams = nlohmann::json::array();
+  nlohmann::json processes = nlohmann::json::array();
+  processes.push_back({{"name", context.options.identity.name},
+                       {"role", "entry"},
+                       {"revision", context.fleet.Revision()},
+                       {"plan_step", context.fleet.PlanStep()}});
+  for (const auto& [name, known] : context.fleet.Members().Members()) {
+    processes.push_back({{"name", name},
+                         {"role", known.identity.role == process_role::kEntry ? "entry" : "agent"},
+                         {"liveness", LivenessName(context.Liveness(name))},
+                         {"revision", known.in_force},
+                         {"plan_step", known.plan_step}});
+  }
+  if (context.index.IsKnown()) {
+    for (const service_options& service : context.index.Document().services) {
+      for (const upstream_options& upstream : service.upstreams) {
+        const member* known = context.fleet.Members().Find(upstream.name);
+        const upstream_load load = known == nullptr ? upstream_load{} : known->load;
+        upstreams.push_back({{"name", upstream.name},
+                             {"service", service.name},
+                             {"domain", upstream.domain},
+                             {"in_service", context.fleet.UpstreamInService(upstream)},
+                             {"liveness", LivenessName(context.Liveness(upstream.name))},
+                             {"in_flight", load.in_flight},
+                             {"queued", load.queued},
+                             {"limit", load.limit},
+                             {"warm", load.warm}});
+      }
+    }
+  }
+  return {{"entry", context.options.identity.name},
+          {"revision", context.fleet.Revision()},
+          {"domains", view.at("domains")},
+          {"plan_step", context.fleet.PlanStep()},
+          {"plan", view.at("plan")},
+          {"upstreams", upstreams},
+          {"processes", processes}};
+}
+
+nlohmann::json CountersJson(const entry_counters& counters) {
+  nlohmann::json result = nlohmann::json::object();
+  for (const named_counter& counter : kCounters) {
+    result[std::string(counter.name)] = counters.*counter.value;
+  }
+  nlohmann::json requests = nlohmann::json::array();
+  for (const auto& [key, count] : counters.requests) {
+    requests.push_back(
+        {{"service", key.first}, {"outcome", OutcomeName(key.second)}, {"count", count}});
+  }
+  result["requests"] = requests;
+  return result;
+}
+
+std::string CountersText(const entry_counters& counters, std::size_t in_flight) {
+  std::ostringstream out;
+  out << "# TYPE berylbarrow_requests_total counter\n";
+  for (const auto& [key, count] : counters.requests) {
+    out << "berylbarrow_requests_total{service=" << std::quoted(key.first) << ",outcome=\""
+        << OutcomeName(key.second) << "\"} " << count << '\n';
+  }
+  for (const named_counter& counter : kCounters) {
+    out << "# TYPE berylbarrow_" << counter.name << "_total counter\n"
+        << "berylbarrow_" << counter.name << "_total " << counters.*counter.value << '\n';
+  }
+  out << "# TYPE berylbarrow_requests_in_flight gauge\n"
+      << "berylbarrow_requests_in_flight " << in_flight << '\n';
+  WriteLatency(out, "first_byte", counters.first_byte);
+  WriteLatency(out, "total", counters.total);
+  return out.str();
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/request/routing/routing_policy.cc
@@ -0,0 +1,80 @@
+#include "berylbarrow/request/routing/routing_policy.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cassert>
+
+namespace berylbarrow {
+namespace {
+
+std::size_t RandomIndex(std::size_t count, std::mt19937_64& random) {
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(random);
+}
+
+/// A random index other than `taken`; `count` must be at least 2.
+std::size_t RandomOther(std::size_t count, std::size_t taken, std::mt19937_64& random) {
+  const std::size_t index = RandomIndex(count - 1, random);
+  return index < taken ? index : index + 1;
+}
+
+std::size_t HomeOf(std::uint64_t prefix_hash, const std::vector<routing_candidate>& candidates) {
+  const auto weight = [prefix_hash](const routing_candidate& candidate) {
+    return XXH64(candidate.name.data(), candidate.name.size(), prefix_hash);
+  };
+  const auto best = std::max_element(
+      candidates.begin(), candidates.end(),
+      [&weight](const auto& left, const auto& right) { return weight(left) < weight(right); });
+  return static_cast<std::size_t>(best - candidates.begin());
+}
+
+}  // namespace
+
+double LoadRatio(const routing_candidate& candidate) {
+  const auto work =
+      static_cast<double>(candidate.load.in_flight) + candidate.load.queued + candidate.sent_since;
+  return work / std::max<std::uint32_t>(1, candidate.load.limit);
+}
+
+std::size_t power_of_two_policy::Choose(const std::vector<routing_candidate>& candidates,
+                                        const routing_request& request, std::mt19937_64& random) {
+  assert(!candidates.empty());
+  if (candidates.size() == 1) {
+    return 0;
+  }
+  const bool has_home = options_.prefix_affinity && request.prefix_hash != 0;
+  const std::size_t first =
+      has_home ? HomeOf(request.prefix_hash, candidates) : RandomIndex(candidates.size(), random);
+  const std::size_t second = RandomOther(candidates.size(), first, random);
+  const double first_ratio = LoadRatio(candidates[first]);
+  const double second_ratio = LoadRatio(candidates[second]);
+  if (!has_home) {
+    return second_ratio < first_ratio ? second : first;
+  }
+  const double bound =
+      std::max(options_.affinity_free_ratio, second_ratio * options_.affinity_factor);
+  return first_ratio > bound ? second : first;
+}
+
+std::size_t round_robin_policy::Choose(const std::vector<routing_candidate>& candidates,
+                                       const routing_request& /*request*/,
+                                       std::mt19937_64& /*random*/) {
+  assert(!candidates.empty());
+  return next_++ % candidates.size();
+}
+
+std::size_t least_reported_policy::Choose(const std::vector<routing_candidate>& candidates,
+                                          const routing_request& /*request*/,
+                                          std::mt19937_64& /*random*/) {
+  assert(!candidates.empty());
+  const auto reported = [](const routing_candidate& candidate) {
+    return candidate.load.in_flight + candidate.load.queued;
+  };
+  const auto best = std::min_element(candidates.begin(), candidates.end(),
+                                     [&reported](const auto& left, const auto& right) {
+                                       return reported(left) < reported(right);
+                                     });
+  return static_cast<std::size_t>(best - candidates.begin());
+}
+
+}  // namespace berylbarrow
