--- a/include/berylbarrow/process/runtime/decision_thread.h
+++ b/include/berylbarrow/process/runtime/decision_thread.h
@@ -27,9 +27,9 @@
  public:
   using input_type = typename Core::input_type;
   using output_type = typename Core::output_type;
-  /// Takes one output; returns false if there is no space for it at present. Called on the
-  /// decision thread, again with the same output until it returns true.
-  using output_sink = std::function<bool(const output_type&)>;
+  /// Takes one output, or leaves it unchanged and returns false if there is no space for it at
+  /// present. Called on the decision thread, again with the same output until it returns true.
+  using output_sink = std::function<bool(output_type&)>;
 
   /// `clock` must outlive the decision thread.
   decision_thread(std::unique_ptr<Core> core, const runtime_clock& clock, output_sink deliver)
@@ -96,7 +96,7 @@
   }
 
   void Deliver() {
-    for (const output_type& output : outputs_) {
+    for (output_type& output : outputs_) {
       while (!deliver_(output)) {
         if (stopping_.load(std::memory_order_relaxed)) break;
         output_waits_.fetch_add(1, std::memory_order_relaxed);
--- a/include/berylbarrow/process/runtime/ring.h
+++ b/include/berylbarrow/process/runtime/ring.h
@@ -31,9 +31,12 @@
   ring(const ring&) = delete;
   ring& operator=(const ring&) = delete;
 
+  /// Called by the producer thread only: whether its next Push succeeds.
+  bool HasSpace() const { return queue_.write_available() > 0; }
+
   /// Called by the producer thread only. Returns false if the ring is full; the value is discarded.
   bool Push(T value) {
-    if (queue_.write_available() == 0) {
+    if (!HasSpace()) {
       rejected_.fetch_add(1, std::memory_order_relaxed);
       return false;
     }
