Wire the processes and add the command line

Cause: entries and agents need one setup place each, and operators one binary. Weighed and ruled out: one ring for all inputs, because a ring has one producer; every source has its own. SIGTERM and SIGINT become shutdown_requested; the process exits 500 ms after process_finished, so that the I/O threads write what was sent last.

--- /dev/null
+++ b/include/berylbarrow/process/entry/run_entry.h
@@ -0,0 +1,19 @@
+#ifndef BERYLBARROW_PROCESS_ENTRY_RUN_ENTRY_H_
+#define BERYLBARROW_PROCESS_ENTRY_RUN_ENTRY_H_
+
+#include <memory>
+
+#include "berylbarrow/process/core/core.h"
+#include "berylbarrow/process/settings/settings.h"
+
+namespace berylbarrow {
+
+/// Runs an entry until its core reports that it has finished, which SIGTERM and SIGINT ask for.
+/// Returns the exit code: 0, or 1 if an address of the settings cannot be used (printed on standard
+/// error).
+int RunEntry(const process_settings& settings, std::unique_ptr<entry_decisions> core,
+             const runtime_clock& clock, const process_identity& identity);
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_PROCESS_ENTRY_RUN_ENTRY_H_
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,229 @@
+#include <chrono>
+#include <cxxopts.hpp>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "berylbarrow/process/agent/agent_core.h"
+#include "berylbarrow/process/agent/run_agent.h"
+#include "berylbarrow/process/cli/check.h"
+#include "berylbarrow/process/entry/entry_core.h"
+#include "berylbarrow/process/entry/run_entry.h"
+#include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/process/settings/settings.h"
+#include "process/cli/show.h"
+
+namespace berylbarrow {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+
+constexpr const char* kUsage =
+    R"(berylbarrow moves live model serving between failure domains.
+
+Usage:
+  berylbarrow entry SETTINGS            run an entry
+  berylbarrow agent SETTINGS            run the agent of one upstream
+  berylbarrow check FILE                check settings or a published document
+  berylbarrow state ADDRESS             print the state of a process
+  berylbarrow status ADDRESS [--table]  print the fleet as one entry sees it
+  berylbarrow COMMAND --help            describe one command
+  berylbarrow --version                 print the version
+
+Exit codes:
+  0  success
+  1  findings, or the command failed
+  2  wrong usage, or a file cannot be read
+)";
+
+struct command {
+  std::string name;
+  std::string argument;  // name of its only positional argument
+  std::string summary;
+  std::string notes;  // examples and exit codes
+  bool has_table = false;
+  int (*run)(const std::string& argument, bool table);
+};
+
+process_identity MakeIdentity(const process_settings& settings, const runtime_clock& clock) {
+  std::random_device device;
+  std::uniform_int_distribution<std::uint64_t> any;
+  return {.name = settings.name,
+          .role = settings.role,
+          .domain = settings.domain,
+          .incarnation = any(device),
+          .generation = static_cast<std::uint64_t>(clock.WallNow().time_since_epoch().count())};
+}
+
+/// Prints what is wrong with the settings on standard error. `exit_code` is set if there is no
+/// value.
+std::optional<process_settings> ReadSettings(process_role role, const std::string& path,
+                                             int& exit_code) {
+  std::ifstream file(path);
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  if (!file.is_open() || file.bad()) {
+    std::cerr << "berylbarrow: cannot read " << path << "\n";
+    exit_code = kExitUsage;
+    return std::nullopt;
+  }
+  checked<process_settings> settings = ParseSettings(role, text, path);
+  if (settings) return std::move(settings.value());
+  for (const finding& each : settings.error()) {
+    std::cerr << each.file << ":" << each.line << ":" << each.column << ": " << each.message
+              << "\n";
+  }
+  exit_code = kExitFailure;
+  return std::nullopt;
+}
+
+int RunEntryCommand(const std::string& path, bool /*table*/) {
+  int exit_code = kExitOk;
+  const auto settings = ReadSettings(process_role::kEntry, path, exit_code);
+  if (!settings) return exit_code;
+  const system_clock clock;
+  const process_identity identity = MakeIdentity(*settings, clock);
+  return RunEntry(*settings, MakeEntryCore(*settings, identity, identity.incarnation), clock,
+                  identity);
+}
+
+int RunAgentCommand(const std::string& path, bool /*table*/) {
+  int exit_code = kExitOk;
+  const auto settings = ReadSettings(process_role::kAgent, path, exit_code);
+  if (!settings) return exit_code;
+  const system_clock clock;
+  const process_identity identity = MakeIdentity(*settings, clock);
+  return RunAgent(*settings, MakeAgentCore(*settings, identity, identity.incarnation), clock,
+                  identity);
+}
+
+int RunCheckCommand(const std::string& path, bool /*table*/) {
+  return RunCheck(path, std::cout, std::cerr);
+}
+
+int RunStateCommand(const std::string& address, bool /*table*/) {
+  return Show(address, "state", show_format::kJson, std::cout, std::cerr);
+}
+
+int RunStatusCommand(const std::string& address, bool table) {
+  return Show(address, "status", table ? show_format::kTable : show_format::kJson, std::cout,
+              std::cerr);
+}
+
+std::vector<command> Commands() {
+  const std::string run_codes =
+      "Exit codes:\n"
+      "  0  ended after SIGTERM or SIGINT, with every request completed\n"
+      "  1  the settings are invalid, or an address cannot be used\n"
+      "  2  wrong usage, or the settings cannot be read\n";
+  const std::string show_codes =
+      "Exit codes:\n"
+      "  0  printed\n"
+      "  1  the process does not answer with JSON within 2 s\n"
+      "  2  wrong usage\n";
+  return {
+      {.name = "entry",
+       .argument = "SETTINGS",
+       .summary = "Runs an entry with the YAML settings in SETTINGS.",
+       .notes = "Example:\n  berylbarrow entry entry-1.yaml\n\n" + run_codes,
+       .has_table = false,
+       .run = RunEntryCommand},
+      {.name = "agent",
+       .argument = "SETTINGS",
+       .summary = "Runs the agent of one upstream with the YAML settings in SETTINGS.",
+       .notes = "Example:\n  berylbarrow agent agent-1.yaml\n\n" + run_codes,
+       .has_table = false,
+       .run = RunAgentCommand},
+      {.name = "check",
+       .argument = "FILE",
+       .summary = "Checks the settings of a process or a published document and prints every "
+                  "finding with file, line and column.",
+       .notes =
+           "Example:\n  berylbarrow check document.yaml\n\n"
+           "Exit codes:\n  0  valid\n  1  findings\n  2  wrong usage, or FILE cannot be read\n",
+       .has_table = false,
+       .run = RunCheckCommand},
+      {.name = "state",
+       .argument = "ADDRESS",
+       .summary =
+           "Prints the state dump of the process whose operator address is ADDRESS, as JSON.",
+       .notes = "Example:\n  berylbarrow state 10.0.0.7:9100\n\n" + show_codes,
+       .has_table = false,
+       .run = RunStateCommand},
+      {.name = "status",
+       .argument = "ADDRESS",
+       .summary = "Prints the fleet as the entry with operator address ADDRESS sees it.",
+       .notes = "Examples:\n  berylbarrow status 10.0.0.7:9100\n"
+                "  berylbarrow status --table 10.0.0.7:9100\n\n" +
+                show_codes,
+       .has_table = true,
+       .run = RunStatusCommand},
+  };
+}
+
+int UsageError(const std::string& message) {
+  std::cerr << "berylbarrow: " << message << "\n\n" << kUsage;
+  return kExitUsage;
+}
+
+int RunCommand(const command& chosen, int argc, char** argv) {
+  cxxopts::Options options("berylbarrow " + chosen.name, chosen.summary);
+  options.add_options()("h,help", "describe this command");
+  if (chosen.has_table) options.add_options()("table", "print tables instead of JSON");
+  options.add_options("hidden")("argument", "", cxxopts::value<std::vector<std::string>>());
+  options.parse_positional({"argument"});
+  options.positional_help(chosen.argument);
+  try {
+    const cxxopts::ParseResult parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help({""}) << "\n" << chosen.notes;
+      return kExitOk;
+    }
+    const bool given = parsed.count("argument") > 0;
+    const auto arguments =
+        given ? parsed["argument"].as<std::vector<std::string>>() : std::vector<std::string>();
+    if (arguments.size() != 1) {
+      return UsageError("\"" + chosen.name + "\" needs exactly one " + chosen.argument);
+    }
+    const bool table = chosen.has_table && parsed.count("table") > 0;
+    return chosen.run(arguments.front(), table);
+  } catch (const cxxopts::exceptions::exception& error) {
+    return UsageError(error.what());
+  }
+}
+
+int Run(int argc, char** argv) {
+  if (argc < 2) return UsageError("a command is missing");
+  const std::string name = argv[1];
+  if (name == "--help" || name == "-h") {
+    std::cout << kUsage;
+    return kExitOk;
+  }
+  if (name == "--version") {
+    std::cout << "berylbarrow " << BERYLBARROW_VERSION << "\n";
+    return kExitOk;
+  }
+  for (const command& each : Commands()) {
+    if (each.name == name) return RunCommand(each, argc - 1, argv + 1);
+  }
+  return UsageError("there is no command \"" + name + "\"");
+}
+
+}  // namespace
+}  // namespace berylbarrow
+
+int main(int argc, char** argv) {
+  try {
+    return berylbarrow::Run(argc, argv);
+  } catch (const std::exception& error) {
+    std::cerr << "berylbarrow: " << error.what() << "\n";
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/process/entry/run_entry.cc
@@ -0,0 +1,31 @@
+#include "berylbarrow/process/entry/run_entry.h"
+
+#include <exception>
+#include <iostream>
+#include <utility>
+
+#include "berylbarrow/connection/http/caller_server.h"
+#include "process/runtime/process_wiring.h"
+
+namespace berylbarrow {
+
+int RunEntry(const process_settings& settings, std::unique_ptr<entry_decisions> core,
+             const runtime_clock& clock, const process_identity& identity) {
+  try {
+    process_wiring<entry_decisions> wiring(settings, std::move(core), clock, identity);
+    duty callers("callers");
+    caller_server server(callers.Context(),
+                         {settings.callers_address, settings.limits.max_connections,
+                          settings.limits.max_request_bytes},
+                         wiring.MakeSink<entry_input>());
+    ring<entry_output> to_callers(callers.Context(), wiring.RingCapacity(),
+                                  [&](entry_output&& output) { server.Deliver(output); });
+    wiring.Run(callers, to_callers);
+    return 0;
+  } catch (const std::exception& error) {
+    std::cerr << "berylbarrow entry " << settings.name << ": " << error.what() << "\n";
+    return 1;
+  }
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/process/runtime/process_wiring.h
@@ -0,0 +1,210 @@
+#ifndef BERYLBARROW_PROCESS_RUNTIME_PROCESS_WIRING_H_
+#define BERYLBARROW_PROCESS_RUNTIME_PROCESS_WIRING_H_
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "berylbarrow/connection/http/operator_server.h"
+#include "berylbarrow/connection/http/platform_client.h"
+#include "berylbarrow/connection/peer/peer_manager.h"
+#include "berylbarrow/process/core/core.h"
+#include "berylbarrow/process/runtime/decision_thread.h"
+#include "berylbarrow/process/runtime/duty.h"
+#include "berylbarrow/process/runtime/ring.h"
+#include "berylbarrow/process/settings/settings.h"
+
+namespace berylbarrow {
+
+template <typename Wanted, typename... Listed>
+inline constexpr bool kIsOneOf = (std::is_same_v<Wanted, Listed> || ...);
+
+/// The duties that entries and agents have in common, and the rings between them and the decisions.
+/// The duty of the role (callers or upstream) is added by its setup function.
+template <typename Core>
+class process_wiring {
+ public:
+  using input_type = typename Core::input_type;
+  using output_type = typename Core::output_type;
+
+  process_wiring(const process_settings& settings, std::unique_ptr<Core> core,
+                 const runtime_clock& clock, const process_identity& identity)
+      : capacity_(settings.limits.ring_capacity),
+        decisions_(std::move(core), clock, [this](output_type& output) { return Route(output); }),
+        signal_input_(decisions_.AddInput(capacity_)),
+        peers_(peer_duty_.Context(), PeerOptions(settings, identity), MakeSink<peer_event>()),
+        platform_(platform_duty_.Context(), PlatformOptions(settings, identity),
+                  MakeSink<platform_event>()),
+        operators_(operator_duty_.Context(), settings.operators_address,
+                   MakeSink<operator_query>()),
+        to_peers_(peer_duty_.Context(), capacity_,
+                  [this](output_type&& output) { HandlePeerOutput(output); }),
+        to_platform_(platform_duty_.Context(), capacity_,
+                     [this](configuration_watch&& watch) { platform_.Watch(watch); }),
+        to_operators_(operator_duty_.Context(), capacity_,
+                      [this](operator_reply&& reply) { operators_.Deliver(reply); }) {}
+
+  /// A sink with its own ring to the decisions. Each thread needs one of its own.
+  template <typename Event>
+  std::function<bool(Event)> MakeSink() {
+    ring<input_type>& input = decisions_.AddInput(capacity_);
+    return [&input](Event event) {
+      if (!input.HasSpace()) return false;
+      return input.Push(ToInput(std::move(event)));
+    };
+  }
+
+  std::size_t RingCapacity() const { return capacity_; }
+
+  /// Starts every duty and returns when the core has finished; all duties have ended then. Outputs
+  /// of the role go to `to_role`, which `role` consumes. Throws std::runtime_error if the peer
+  /// address cannot be used.
+  void Run(duty& role, ring<output_type>& to_role) {
+    const checked<std::string> bound = peers_.Listen();
+    if (!bound) throw std::runtime_error(bound.error().front().message);
+    to_role_ = &to_role;
+    platform_.Start();
+    WaitForSignal();
+    for (duty* each : {&peer_duty_, &platform_duty_, &operator_duty_, &role}) each->Start();
+    decisions_.Start();
+    main_.run();
+    // The other threads end first: the decisions may wait for space in one of their rings.
+    for (duty* each : {&role, &operator_duty_, &platform_duty_, &peer_duty_}) each->Stop();
+    decisions_.Stop();
+  }
+
+ private:
+  // Time for the I/O threads to write what the decisions sent last.
+  static constexpr std::chrono::milliseconds kFlushTime{500};
+  static constexpr std::chrono::milliseconds kSignalRetry{1};
+  static constexpr std::size_t kMinQueuedBytes = 8U << 20;
+
+  static peer_manager_options PeerOptions(const process_settings& settings,
+                                          const process_identity& identity) {
+    const std::size_t frame = settings.limits.max_frame_bytes;
+    return {.listen_address = settings.peers_address,
+            .identity = identity,
+            .max_frame_bytes = frame,
+            .max_connections = settings.limits.max_connections,
+            .max_queued_messages = settings.limits.ring_capacity,
+            .max_queued_bytes = std::max(kMinQueuedBytes, 2 * frame),
+            .seed = identity.incarnation};
+  }
+
+  static platform_client_options PlatformOptions(const process_settings& settings,
+                                                 const process_identity& identity) {
+    return {.configuration_service = settings.configuration_service,
+            .instance_list = settings.instance_list,
+            .seed = identity.incarnation};
+  }
+
+  template <typename Event>
+  static input_type ToInput(Event event) {
+    if constexpr (std::is_constructible_v<input_type, Event>) {
+      return input_type(std::move(event));
+    } else {
+      return std::visit(
+          [](auto&& alternative) {
+            return input_type(std::forward<decltype(alternative)>(alternative));
+          },
+          std::move(event));
+    }
+  }
+
+  /// Runs on the decision thread.
+  bool Route(output_type& output) {
+    return std::visit(
+        [&](auto& value) {
+          using value_type = std::decay_t<decltype(value)>;
+          if constexpr (kIsOneOf<value_type, peer_connect, peer_disconnect, peer_send,
+                                 heartbeat_send>) {
+            return Pass(to_peers_, output);
+          } else if constexpr (kIsOneOf<value_type, configuration_watch>) {
+            if (!to_peers_.HasSpace() || !to_platform_.HasSpace()) return false;
+            return to_platform_.Push(value) && to_peers_.Push(output);
+          } else if constexpr (kIsOneOf<value_type, operator_reply>) {
+            return Pass(to_operators_, value);
+          } else if constexpr (kIsOneOf<value_type, process_finished>) {
+            boost::asio::post(main_, [this] { HandleFinished(); });
+            return true;
+          } else {
+            return Pass(*to_role_, output);
+          }
+        },
+        output);
+  }
+
+  template <typename Value>
+  static bool Pass(ring<Value>& target, Value& value) {
+    return target.HasSpace() && target.Push(std::move(value));
+  }
+
+  void HandlePeerOutput(const output_type& output) {
+    if (const auto* connect = std::get_if<peer_connect>(&output)) {
+      peers_.Connect(*connect);
+    } else if (const auto* disconnect = std::get_if<peer_disconnect>(&output)) {
+      peers_.Disconnect(*disconnect);
+    } else if (const auto* send = std::get_if<peer_send>(&output)) {
+      peers_.Send(*send);
+    } else if (const auto* beat = std::get_if<heartbeat_send>(&output)) {
+      peers_.SendHeartbeat(*beat);
+    } else if (const auto* watch = std::get_if<configuration_watch>(&output)) {
+      peers_.SetRevision(watch->in_force);
+    }
+  }
+
+  void WaitForSignal() {
+    signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+      if (error) return;
+      RequestShutdown();
+      WaitForSignal();
+    });
+  }
+
+  void RequestShutdown() {
+    if (signal_input_.Push(shutdown_requested{})) return;
+    signal_timer_.expires_after(kSignalRetry);
+    signal_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) RequestShutdown();
+    });
+  }
+
+  void HandleFinished() {
+    finish_timer_.expires_after(kFlushTime);
+    finish_timer_.async_wait(
+        [this](const boost::system::error_code& /*cancelled*/) { main_.stop(); });
+  }
+
+  std::size_t capacity_;
+  boost::asio::io_context main_{1};
+  boost::asio::signal_set signals_{main_, SIGTERM, SIGINT};
+  boost::asio::steady_timer signal_timer_{main_};
+  boost::asio::steady_timer finish_timer_{main_};
+  duty peer_duty_{"peers"};
+  duty platform_duty_{"platform"};
+  duty operator_duty_{"operators"};
+  decision_thread<Core> decisions_;
+  ring<input_type>& signal_input_;
+  peer_manager peers_;
+  platform_client platform_;
+  operator_server operators_;
+  ring<output_type> to_peers_;
+  ring<configuration_watch> to_platform_;
+  ring<operator_reply> to_operators_;
+  ring<output_type>* to_role_ = nullptr;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_PROCESS_RUNTIME_PROCESS_WIRING_H_
