Build the cores from the settings

Cause: the process setup called factories with other parameters than they have. Change: the options of the cores are filled from the settings at the command line.

--- a/src/main.cc
+++ b/src/main.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "berylbarrow/process/agent/agent_core.h"
@@ -17,6 +18,7 @@
 #include "berylbarrow/process/entry/run_entry.h"
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/process/settings/settings.h"
+#include "berylbarrow/version/configuration/document_parser.h"
 #include "process/cli/show.h"
 
 namespace berylbarrow {
@@ -90,8 +92,13 @@
   if (!settings) return exit_code;
   const system_clock clock;
   const process_identity identity = MakeIdentity(*settings, clock);
-  return RunEntry(*settings, MakeEntryCore(*settings, identity, identity.incarnation), clock,
-                  identity);
+  const document_parser parser;
+  auto core = MakeEntryCore({.identity = identity,
+                             .limits = settings->limits,
+                             .seeds = settings->seeds,
+                             .seed = identity.incarnation},
+                            parser);
+  return RunEntry(*settings, std::move(core), clock, identity);
 }
 
 int RunAgentCommand(const std::string& path, bool /*table*/) {
@@ -100,8 +107,14 @@
   if (!settings) return exit_code;
   const system_clock clock;
   const process_identity identity = MakeIdentity(*settings, clock);
-  return RunAgent(*settings, MakeAgentCore(*settings, identity, identity.incarnation), clock,
-                  identity);
+  const document_parser parser;
+  auto core = MakeAgentCore({.identity = identity,
+                             .service = settings->service,
+                             .limits = settings->limits,
+                             .seeds = settings->seeds,
+                             .seed = identity.incarnation},
+                            parser);
+  return RunAgent(*settings, std::move(core), clock, identity);
 }
 
 int RunCheckCommand(const std::string& path, bool /*table*/) {
