--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -11,7 +11,7 @@
 mkdir -p "$cache"
 lint_one() {
   local key
-  key=$({ cat .clang-tidy; g++ -std=c++20 -Iinclude -Isrc -Itests -MM "$1" 2>/dev/null |
+  key=$({ cat .clang-tidy; g++ -std=c++20 -Iinclude -Isrc -Itests -Itools -MM "$1" 2>/dev/null |
     tr -d '\\' | tr ' ' '\n' | grep -E '\.(cc|h)$' | xargs cat; } | sha256sum | cut -d ' ' -f 1)
   [ -e "$2/$key" ] && return 0
   if ! clang-tidy --quiet -p build "$1" 2>/dev/null; then
