--- a/src/process/membership/fleet_view.cc
+++ b/src/process/membership/fleet_view.cc
@@ -54,6 +54,10 @@
 
 fleet_changes fleet_view::On(const peer_opened& event, const moment& at) {
   fleet_changes changes;
+  // A process is among its own seeds; it is not its own peer.
+  if (event.greeting.sender.name == options_.self.name) {
+    return changes;
+  }
   const heard_as effect = members_.OnOpened(event, at.now);
   if (effect == heard_as::kOutdated) {
     return changes;
--- a/tests/process/membership/fleet_view_test.cc
+++ b/tests/process/membership/fleet_view_test.cc
@@ -85,6 +85,12 @@
   BOOST_TEST(view.OnTime(At()).heartbeat_due);
 }
 
+// Guards against a process that counts itself as a peer, because it is among its own seeds.
+BOOST_FIXTURE_TEST_CASE(OwnConnectionIsNotAPeer, fixture) {
+  view.On(peer_opened{.connection = 1, .greeting = {.sender = {.name = "entry-1"}}}, At());
+  BOOST_TEST(view.Members().Members().empty());
+}
+
 // Guards against an unheard upstream that counts as idle while the instance list shows it.
 BOOST_FIXTURE_TEST_CASE(UnheardListedUpstreamIsUnknown, fixture) {
   view.OnTime(At());
