--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -107,6 +107,8 @@
   grant_options Grant() const;
   upstream_load Load() const;
   time_point Now() const { return at_.now; }
+  /// The time without the pauses of the process.
+  time_point ActiveNow() const { return at_.now - paused_; }
 
   // New work (agent_dispatch.cc).
   void OnDispatch(const dispatch& work, connection_id connection);
@@ -136,6 +138,7 @@
   void OnBroken(execution_record& record);
   void OnOverflow(execution_record& record);
   void Release(execution_record& record);
+  void NoteDeath();
   void CountDeaths(const std::set<std::uint64_t>& fingerprints);
   void ReleaseCancelled();
 
@@ -167,6 +170,7 @@
   agent_counters counters_;
 
   moment at_{};
+  duration paused_ = duration::zero();            // sum of all pauses
   std::vector<agent_output>* outputs_ = nullptr;  // of the input being handled
 
   std::map<connection_id, std::uint64_t> connections_;  // open ones, with the peer's incarnation
@@ -181,10 +185,11 @@
   std::deque<broken_work> broken_;
   std::set<std::uint64_t> dead_counted_;  // of the present death
   bool upstream_dead_ = false;
+  time_point dead_since_;
 
   std::uint64_t epoch_ = 0;
   std::uint64_t oldest_epoch_ = 0;
-  time_point epoch_due_;
+  time_point epoch_due_;  // in active time
   bool heartbeat_due_ = false;
   std::optional<time_point> leaving_since_;
   time_point last_work_;  // when work last ran or waited
--- a/include/berylbarrow/request/execution/execution_table.h
+++ b/include/berylbarrow/request/execution/execution_table.h
@@ -73,6 +73,8 @@
   std::size_t max_subscribers = 64;  // of one record
 };
 
+enum class closed_state : std::uint8_t { kOpen, kNotRun, kMayHaveRun };
+
 enum class attach_result : std::uint8_t {
   kAttached,
   kDuplicate,  // already attached on this connection, or done; nothing to do
@@ -93,9 +95,9 @@
   execution_record* FindByRequest(const request_id& id);
   execution_record* FindById(execution_id id);
 
-  /// Whether the key or request id belongs to a range whose tombstones were given up for lack of
-  /// room, so that it must not run although it has no record.
-  bool IsClosed(const dispatch& work, std::uint64_t epoch) const;
+  /// Whether the dispatch must not run although it has no record, because the record was dropped
+  /// or there was no room for a tombstone.
+  closed_state Closed(const dispatch& work, std::uint64_t epoch) const;
 
   /// Whether one more record with a request of `bytes` fits. Drops ended records of idempotent
   /// requests that nobody waits for if that is needed; never a record of a key.
@@ -106,7 +108,7 @@
 
   /// Remembers that the dispatch was refused, so that a later copy is refused as well.
   void AddTombstone(const dispatch& work, std::uint64_t epoch, refusal_reason reason,
-                    time_point now);
+                    time_point now, time_point active_now);
 
   /// Takes the request out of the record, to be sent to the upstream.
   http_request TakeRequest(execution_record& record);
@@ -125,15 +127,17 @@
   /// Returns false if the answer would exceed its bounds; nothing is stored then.
   bool Append(execution_record& record, std::string_view bytes);
 
-  /// Moves the record to an ended state.
-  void End(execution_record& record, execution_state state, time_point now);
+  /// Moves the record to an ended state. `active_now` does not count pauses of the process: copies
+  /// that arrived during a pause must still find the record.
+  void End(execution_record& record, execution_state state, time_point active_now);
 
   /// Drops ended idempotent records that are due.
-  void Expire(time_point now);
+  void Expire(time_point active_now);
   /// Drops records of keys older than `oldest_epoch`. One that is still at the upstream, or whose
   /// entry may still send a copy, stays until a later call.
   void ExpireEpochs(std::uint64_t oldest_epoch, time_point now);
 
+  /// In active time.
   time_point NextDeadline() const;
   std::size_t Size() const { return records_.size(); }
   std::size_t Bytes() const { return bytes_; }
@@ -143,7 +147,7 @@
   nlohmann::json State() const;
 
  private:
-  void CloseRequest(const request_id& id);
+  void CloseRequest(const request_id& id, closed_state state);
   void Drop(execution_id id);
   void Free(execution_record& record);
   bool ReleaseStoredAnswer();
@@ -154,8 +158,9 @@
   std::map<request_id, execution_id> by_request_;
   // Ended idempotent records in order of their end.
   std::deque<std::pair<time_point, execution_id>> ended_;
-  // Per sender, the highest request id whose tombstone was dropped.
-  std::map<std::uint64_t, std::uint64_t> closed_requests_;
+  // Request ids without a record, oldest first in `closed_order_`.
+  std::map<request_id, closed_state> closed_requests_;
+  std::deque<request_id> closed_order_;
   // Keys up to this epoch that have no record never run.
   std::uint64_t closed_epoch_ = 0;
   execution_id last_id_ = 0;
--- a/src/process/agent/agent_core.cc
+++ b/src/process/agent/agent_core.cc
@@ -55,6 +55,10 @@
 }
 
 void agent_core::Begin(const moment& at, std::vector<agent_output>& outputs) {
+  // Heartbeats make a deadline every half second, so a longer gap is a pause.
+  if (epoch_ != 0 && at.now - at_.now > options_.follower.pause_threshold) {
+    paused_ += at.now - at_.now;
+  }
   at_ = at;
   outputs_ = &outputs;
   Apply(fleet_.OnTime(at));
@@ -68,7 +72,7 @@
   CancelOrphans();
   RecheckQueue();
   Pump();
-  table_.Expire(Now());
+  table_.Expire(ActiveNow());
   if (heartbeat_due_) {
     SendHeartbeats();
   }
@@ -85,7 +89,7 @@
 }
 
 void agent_core::ApplyVersion() {
-  epoch_due_ = std::min(epoch_due_, Now() + Grant().epoch);
+  epoch_due_ = std::min(epoch_due_, ActiveNow() + Grant().epoch);
   if (const service_options* service = Service(); service != nullptr) {
     limit_->Configure(service->cold_start, service->limits);
   }
@@ -108,24 +112,21 @@
   return current ? current->value.grant : grant_options{};
 }
 
+/// Epochs advance in active time: copies of keys may wait in socket buffers during a pause, and
+/// must find the records when the process goes on.
 void agent_core::AdvanceEpoch() {
   const grant_options grant = Grant();
-  if (epoch_ == 0) {
-    epoch_ = 1;
-    epoch_due_ = Now() + grant.epoch;
-  }
-  if (Now() >= epoch_due_) {
-    // After a pause the epoch rises by one only: copies of the keys of the epochs that would be
-    // skipped may still wait in socket buffers.
+  const bool is_due = epoch_ == 0 || ActiveNow() >= epoch_due_;
+  if (is_due) {
     ++epoch_;
-    epoch_due_ = Now() + grant.epoch;
+    epoch_due_ = ActiveNow() + grant.epoch;
   }
   // Never lowered: a document that keeps more epochs does not bring dropped records back.
   oldest_epoch_ =
       std::max(oldest_epoch_, epoch_ > grant.epochs_kept ? epoch_ - grant.epochs_kept : 0);
   // Records outlive the acceptance of their keys by an epoch, so that the last copies are answered
   // from the record.
-  if (oldest_epoch_ > 1) {
+  if (is_due && oldest_epoch_ > 1) {
     table_.ExpireEpochs(oldest_epoch_ - 1, Now());
   }
 }
--- a/src/process/agent/agent_dispatch.cc
+++ b/src/process/agent/agent_dispatch.cc
@@ -48,8 +48,8 @@
     ++counters_.unexpected;
     return;
   }
-  const bool is_closed = table_.IsClosed(work, EpochOf(work));
-  const key_decision decision = policy_->Decide(work, known, is_closed, Window());
+  const closed_state closed = table_.Closed(work, EpochOf(work));
+  const key_decision decision = policy_->Decide(work, known, closed, Window());
   switch (decision.verdict) {
     case key_verdict::kRun:
       Admit(work, connection);
@@ -60,7 +60,7 @@
       }
       return;
     case key_verdict::kRefuse:
-      counters_.tombstone_hits += known != nullptr || is_closed ? 1 : 0;
+      counters_.tombstone_hits += known != nullptr || closed != closed_state::kOpen ? 1 : 0;
       SendRefusal(work.id, connection, decision.reason, run_certainty::kNotRun);
       return;
     case key_verdict::kUnknown:
@@ -221,13 +221,13 @@
 }
 
 void agent_core::RefuseNew(const dispatch& work, connection_id connection, refusal_reason reason) {
-  table_.AddTombstone(work, EpochOf(work), reason, Now());
+  table_.AddTombstone(work, EpochOf(work), reason, at_.now, ActiveNow());
   SendRefusal(work.id, connection, reason, run_certainty::kNotRun);
 }
 
 void agent_core::RefuseRecord(execution_record& record, refusal_reason reason) {
   record.reason = reason;
-  table_.End(record, execution_state::kRefused, Now());
+  table_.End(record, execution_state::kRefused, ActiveNow());
   for (auto& [id, item] : record.subscribers) {
     if (item.IsPending() && item.connection) {
       SendRefusal(id, *item.connection, reason, run_certainty::kNotRun);
--- a/src/process/agent/agent_upstream.cc
+++ b/src/process/agent/agent_upstream.cc
@@ -15,11 +15,15 @@
 
 /// Refuses queued work that may no longer start here.
 void agent_core::RecheckQueue() {
+  if (queue_.Size() == 0) {
+    view_lost_.reset();
+    return;
+  }
   for (const queued_work& late : queue_.Expire(Now())) {
     RefuseRecord(*table_.FindById(late.execution), refusal_reason::kDeadline);
   }
   const view_state view = fleet_.View(Now());
-  if (view == view_state::kCurrent || queue_.Size() == 0) {
+  if (view == view_state::kCurrent) {
     view_lost_.reset();
   } else if (!view_lost_) {
     view_lost_ = Now();
@@ -157,13 +161,13 @@
 
 void agent_core::Finish(execution_record& record, answer_end end) {
   record.end = end;
-  table_.End(record, execution_state::kFinished, Now());
+  table_.End(record, execution_state::kFinished, ActiveNow());
   Deliver(record);
 }
 
 void agent_core::EndUnknown(execution_record& record, refusal_reason reason) {
   record.reason = reason;
-  table_.End(record, execution_state::kUnknown, Now());
+  table_.End(record, execution_state::kUnknown, ActiveNow());
   for (auto& [id, item] : record.subscribers) {
     if (item.IsPending() && item.connection) {
       SendRefusal(id, *item.connection, reason, run_certainty::kUnknown);
@@ -176,6 +180,10 @@
   ++counters_.broken;
   const std::uint64_t fingerprint = record.work.fingerprint;
   if (upstream_dead_) {
+    if (record.started > dead_since_) {
+      // It ran on a later instance, which has died before its first load report.
+      NoteDeath();
+    }
     CountDeaths({fingerprint});
   } else if (!record.death_counted) {
     broken_.push_back({.fingerprint = fingerprint, .at = Now()});
@@ -220,15 +228,13 @@
     // An unreachable upstream whose connections are intact is alive but busy.
     if (!dead.empty() && !upstream_dead_) {
       upstream_dead_ = true;
-      dead_counted_.clear();
-      ++counters_.upstream_deaths;
+      NoteDeath();
     }
     CountDeaths(dead);
     return;
   }
   if (!upstream_dead_) {
-    dead_counted_.clear();
-    ++counters_.upstream_deaths;
+    NoteDeath();
   }
   upstream_dead_ = false;
   limit_->OnColdEvidence();
@@ -244,6 +250,12 @@
   CountDeaths(dead);
 }
 
+void agent_core::NoteDeath() {
+  dead_since_ = Now();
+  dead_counted_.clear();
+  ++counters_.upstream_deaths;
+}
+
 /// Counts each request once per death of the upstream.
 void agent_core::CountDeaths(const std::set<std::uint64_t>& fingerprints) {
   for (const std::uint64_t fingerprint : fingerprints) {
--- a/src/request/execution/execution_table.cc
+++ b/src/request/execution/execution_table.cc
@@ -10,8 +10,6 @@
 
 // Protects the arithmetic on deadlines from absurd times to live.
 constexpr duration kMaxTimeToLive = std::chrono::hours(1);
-// Far above the number of entries; reached only after as many restarts of entries.
-constexpr std::size_t kMaxSenders = 4096;
 
 const std::string& KeyOf(const dispatch& work) {
   static const std::string kNone;
@@ -73,12 +71,13 @@
   return place == by_key_.end() ? nullptr : FindById(place->second);
 }
 
-bool execution_table::IsClosed(const dispatch& work, std::uint64_t epoch) const {
+closed_state execution_table::Closed(const dispatch& work, std::uint64_t epoch) const {
   if (!work.idempotent) {
-    return epoch <= closed_epoch_;
+    // Records of keys that ran are kept, so a key of a closed epoch without a record has not run.
+    return epoch <= closed_epoch_ ? closed_state::kNotRun : closed_state::kOpen;
   }
-  const auto place = closed_requests_.find(work.id.sender);
-  return place != closed_requests_.end() && work.id.sequence <= place->second;
+  const auto place = closed_requests_.find(work.id);
+  return place == closed_requests_.end() ? closed_state::kOpen : place->second;
 }
 
 bool execution_table::MakeRoom(std::size_t bytes) {
@@ -116,10 +115,10 @@
 }
 
 void execution_table::AddTombstone(const dispatch& work, std::uint64_t epoch, refusal_reason reason,
-                                   time_point now) {
+                                   time_point now, time_point active_now) {
   if (!MakeRoom(0) && records_.size() >= limits_.max_records) {
     if (work.idempotent) {
-      CloseRequest(work.id);
+      CloseRequest(work.id, closed_state::kNotRun);
     } else {
       closed_epoch_ = std::max(closed_epoch_, epoch);
     }
@@ -129,7 +128,7 @@
   remembered.request = {};
   execution_record& record = Add(std::move(remembered), epoch, now);
   record.reason = reason;
-  End(record, execution_state::kRefused, now);
+  End(record, execution_state::kRefused, active_now);
 }
 
 http_request execution_table::TakeRequest(execution_record& record) {
@@ -235,34 +234,38 @@
   return true;
 }
 
-void execution_table::End(execution_record& record, execution_state state, time_point now) {
+void execution_table::End(execution_record& record, execution_state state, time_point active_now) {
   assert(!record.IsEnded());
   record.state = state;
-  record.ended = now;
+  record.ended = active_now;
   TakeRequest(record);
   if (state != execution_state::kFinished) {
     bytes_ -= record.answer.Size();
     record.answer = answer_buffer(record.answer.End());
   }
   if (record.key.empty()) {
-    ended_.emplace_back(now, record.id);
+    ended_.emplace_back(active_now, record.id);
   }
 }
 
-void execution_table::CloseRequest(const request_id& id) {
-  if (closed_requests_.size() >= kMaxSenders && !closed_requests_.contains(id.sender)) {
-    closed_requests_.erase(closed_requests_.begin());
+void execution_table::CloseRequest(const request_id& id, closed_state state) {
+  if (!closed_requests_.insert_or_assign(id, state).second) {
+    return;
+  }
+  closed_order_.push_back(id);
+  if (closed_order_.size() > limits_.max_records) {
+    closed_requests_.erase(closed_order_.front());
+    closed_order_.pop_front();
   }
-  std::uint64_t& closed = closed_requests_[id.sender];
-  closed = std::max(closed, id.sequence);
 }
 
 void execution_table::Drop(execution_id id) {
   const auto place = records_.find(id);
   assert(place != records_.end());
   const execution_record& record = place->second;
-  if (record.state == execution_state::kRefused && record.key.empty()) {
-    CloseRequest(record.work.id);
+  if (record.key.empty()) {
+    const bool is_refused = record.state == execution_state::kRefused;
+    CloseRequest(record.work.id, is_refused ? closed_state::kNotRun : closed_state::kMayHaveRun);
   }
   bytes_ -= record.answer.Size() + RequestBytes(record);
   const auto erase_index = [id](auto& index, const auto& key) {
@@ -279,8 +282,8 @@
   records_.erase(place);
 }
 
-void execution_table::Expire(time_point now) {
-  while (!ended_.empty() && now - ended_.front().first >= kKeepEnded) {
+void execution_table::Expire(time_point active_now) {
+  while (!ended_.empty() && active_now - ended_.front().first >= kKeepEnded) {
     const execution_id id = ended_.front().second;
     ended_.pop_front();
     Drop(id);
@@ -335,7 +338,7 @@
           {"active", active},
           {"bytes", bytes_},
           {"closed_epoch", closed_epoch_},
-          {"closed_senders", closed_requests_.size()}};
+          {"closed_requests", closed_requests_.size()}};
 }
 
 }  // namespace berylbarrow
--- a/src/request/execution/key_policy.cc
+++ b/src/request/execution/key_policy.cc
@@ -21,13 +21,15 @@
 }
 
 key_decision grant_key_policy::Decide(const dispatch& work, const execution_record* known,
-                                      bool is_closed, const grant_window& window) const {
+                                      closed_state closed, const grant_window& window) const {
   if (known != nullptr) {
     return DecideKnown(*known);
   }
+  if (closed == closed_state::kMayHaveRun) {
+    return {.verdict = key_verdict::kUnknown};
+  }
   if (work.idempotent) {
-    // Requests below the closed one may have run, and their records may have expired.
-    return {.verdict = is_closed ? key_verdict::kUnknown : key_verdict::kRun};
+    return {.verdict = closed == closed_state::kOpen ? key_verdict::kRun : key_verdict::kRefuse};
   }
   const auto key = ParseGrantKey(work.idempotency_key);
   if (!key) {
@@ -40,7 +42,7 @@
     return {.verdict = is_first ? key_verdict::kRefuse : key_verdict::kUnknown,
             .reason = refusal_reason::kGrantExpired};
   }
-  if (is_closed) {
+  if (closed == closed_state::kNotRun) {
     return {.verdict = key_verdict::kRefuse, .reason = refusal_reason::kOverload};
   }
   return {.verdict = key_verdict::kRun};
--- /dev/null
+++ b/tests/request/admission_test.cc
@@ -0,0 +1,89 @@
+#include <boost/test/unit_test.hpp>
+
+#include "berylbarrow/request/admission/admission_limit.h"
+
+namespace berylbarrow {
+namespace {
+
+struct fixture {
+  cold_start_limit limit;
+
+  fixture() { limit.Configure({.limit = 2, .step_completions = 3}, {.in_flight = 5}); }
+
+  void Complete(int count, duration first_byte = std::chrono::milliseconds(100)) {
+    for (int i = 0; i < count; ++i) {
+      limit.OnCompleted({.generation = limit.OnStarted(),
+                         .first_byte = first_byte,
+                         .total = first_byte + std::chrono::milliseconds(500),
+                         .bytes = 1000});
+    }
+  }
+};
+
+// Guards against a limit that rises before the upstream has shown that it bears it.
+BOOST_FIXTURE_TEST_CASE(LimitRisesWithCompletions, fixture) {
+  BOOST_TEST(limit.Limit() == 2U);
+  Complete(2);
+  BOOST_TEST(limit.Limit() == 2U);
+  Complete(1);
+  BOOST_TEST(limit.Limit() == 3U);
+  Complete(6);
+  BOOST_TEST(limit.Limit() == 5U);
+  BOOST_TEST(limit.IsWarm());
+  Complete(20);
+  BOOST_TEST(limit.Limit() == 5U);
+}
+
+// Guards against completions of work of the warm upstream that count for the cold one.
+BOOST_FIXTURE_TEST_CASE(WorkFromBeforeTheFallDoesNotCount, fixture) {
+  Complete(9);
+  const std::uint64_t older = limit.OnStarted();
+  limit.OnColdEvidence();
+  BOOST_TEST(limit.Limit() == 2U);
+  for (int i = 0; i < 30; ++i) {
+    limit.OnCompleted({.generation = older});
+  }
+  BOOST_TEST(limit.Limit() == 2U);
+  BOOST_TEST(limit.ColdResets() == 1U);
+}
+
+// Guards against full load on a slow upstream, and against a fall because of one slow request.
+BOOST_FIXTURE_TEST_CASE(OnlySeveralSlowRequestsAreEvidence, fixture) {
+  Complete(9 + 20);
+  Complete(1, std::chrono::milliseconds(2000));
+  Complete(5);
+  Complete(1, std::chrono::milliseconds(2000));
+  BOOST_TEST(limit.IsWarm());
+  Complete(2, std::chrono::milliseconds(400));
+  BOOST_TEST(limit.Limit() == 2U);
+}
+
+// Guards against a new document that makes a cold upstream warm or a warm one cold.
+BOOST_FIXTURE_TEST_CASE(NewOptionsKeepTheWarmth, fixture) {
+  limit.Configure({.limit = 1, .step_completions = 3}, {.in_flight = 8});
+  BOOST_TEST(limit.Limit() == 1U);
+  Complete(21);
+  BOOST_TEST(limit.IsWarm());
+  limit.Configure({.limit = 1, .step_completions = 3}, {.in_flight = 4});
+  BOOST_TEST(limit.Limit() == 4U);
+  limit.Configure({.limit = 1, .step_completions = 3}, {.in_flight = 6});
+  BOOST_TEST(limit.IsWarm());
+}
+
+// Guards against a restart between two load reports that goes unnoticed.
+BOOST_AUTO_TEST_CASE(RestartShowsInInstanceOrUptime) {
+  restart_detector detector;
+  const auto report = [&detector](const char* instance, int uptime) {
+    return detector.OnReport(
+        {.reachable = true, .instance = instance, .uptime = std::chrono::seconds(uptime)});
+  };
+  BOOST_TEST(!report("a", 10));
+  BOOST_TEST(!report("a", 11));
+  BOOST_TEST(!detector.OnReport({.reachable = false}));
+  BOOST_TEST(report("a", 1));
+  BOOST_TEST(report("b", 2));
+  BOOST_TEST(!report("b", 3));
+}
+
+}  // namespace
+}  // namespace berylbarrow
--- /dev/null
+++ b/tests/request/grant_key_test.cc
@@ -0,0 +1,34 @@
+#include "berylbarrow/request/execution/grant_key.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace berylbarrow {
+namespace {
+
+// Guards against entry and agent that read different grants from one key.
+BOOST_AUTO_TEST_CASE(KeyReadsAsWritten) {
+  const grant_key key{
+      .permission = {.agent = "pay-1", .incarnation = 0xfffffffffffffffe, .epoch = 12},
+      .nonce = "a/b"};
+  BOOST_TEST(FormatGrantKey(key) == "pay-1/fffffffffffffffe/12/a/b");
+  const auto read = ParseGrantKey(FormatGrantKey(key));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST((read.value() == key));
+}
+
+// Guards against two spellings of one grant, and against keys of any length in the records.
+BOOST_AUTO_TEST_CASE(OtherSpellingsAreRefused) {
+  for (const std::string& text :
+       {std::string(), std::string("pay-1/a9/1"), std::string("pay-1/a9/1/"),
+        std::string("/a9/1/n"), std::string("pay-1/A9/1/n"), std::string("pay-1/0a9/1/n"),
+        std::string("pay-1/a9/01/n"), std::string("pay-1/a9/-1/n"),
+        std::string("pay-1/a9/18446744073709551616/n"), std::string("pay-1/a9/1/n\n"),
+        "pay-1/a9/1/" + std::string(kMaxGrantKeyBytes, 'n')}) {
+    const auto read = ParseGrantKey(text);
+    BOOST_TEST(!read.has_value(), text);
+    BOOST_TEST(!read.error().empty());
+  }
+}
+
+}  // namespace
+}  // namespace berylbarrow
--- /dev/null
+++ b/tests/request/suspect_table_test.cc
@@ -0,0 +1,72 @@
+#include "berylbarrow/request/suspect/suspect_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace berylbarrow {
+namespace {
+
+struct fixture {
+  manual_clock clock;
+  suspect_table table;
+  suspect_table peer;
+
+  suspect_verdict Judge(std::uint64_t fingerprint, bool idempotent = true) const {
+    return table.Judge(fingerprint, idempotent, clock.Now());
+  }
+};
+
+// Guards against a request that goes on crashing upstreams, or a payment that is tried again.
+BOOST_FIXTURE_TEST_CASE(SecondDeathRefuses, fixture) {
+  table.OnDeath(7, clock.Now());
+  BOOST_TEST((Judge(7) == suspect_verdict::kAlone));
+  BOOST_TEST((Judge(7, false) == suspect_verdict::kRefused));
+  BOOST_TEST((Judge(8) == suspect_verdict::kClear));
+  peer.Merge(table.Reports(clock.Now()), clock.Now());
+  peer.OnDeath(7, clock.Now());
+  table.Merge(peer.Reports(clock.Now()), clock.Now());
+  BOOST_TEST((Judge(7) == suspect_verdict::kRefused));
+}
+
+// Guards against a cleared request that an older report of a peer makes a suspect again.
+BOOST_FIXTURE_TEST_CASE(ClearingOutlivesOlderReports, fixture) {
+  table.OnDeath(7, clock.Now());
+  const auto older = table.Reports(clock.Now());
+  peer.Merge(older, clock.Now());
+  table.OnCompletedAlone(7, clock.Now());
+  table.Merge(older, clock.Now());
+  table.Merge(peer.Reports(clock.Now()), clock.Now());
+  BOOST_TEST((Judge(7) == suspect_verdict::kClear));
+  peer.Merge(table.Reports(clock.Now()), clock.Now());
+  BOOST_TEST((peer.Judge(7, true, clock.Now()) == suspect_verdict::kClear));
+  table.OnDeath(7, clock.Now());
+  BOOST_TEST((Judge(7) == suspect_verdict::kAlone));
+}
+
+// Guards against entries that two peers keep alive for ever by repeating them to each other.
+BOOST_FIXTURE_TEST_CASE(RepeatedReportsDoNotRenewTheAge, fixture) {
+  table.OnDeath(7, clock.Now());
+  for (int second = 0; second < 601; ++second) {
+    peer.Merge(table.Reports(clock.Now()), clock.Now());
+    table.Merge(peer.Reports(clock.Now()), clock.Now());
+    clock.Advance(std::chrono::seconds(1));
+  }
+  table.Expire(clock.Now());
+  BOOST_TEST(table.Size() == 0U);
+  table.Merge(peer.Reports(clock.Now()), clock.Now());
+  BOOST_TEST((Judge(7) == suspect_verdict::kClear));
+}
+
+// Guards against a table that outgrows the datagram of a heartbeat.
+BOOST_FIXTURE_TEST_CASE(OldestEntryMakesRoom, fixture) {
+  for (std::uint64_t fingerprint = 1; fingerprint <= suspect_table::kMaxEntries + 1;
+       ++fingerprint) {
+    table.OnDeath(fingerprint, clock.Now());
+    clock.Advance(std::chrono::milliseconds(1));
+  }
+  BOOST_TEST(table.Size() == suspect_table::kMaxEntries);
+  BOOST_TEST((Judge(1) == suspect_verdict::kClear));
+  BOOST_TEST((Judge(2) == suspect_verdict::kAlone));
+}
+
+}  // namespace
+}  // namespace berylbarrow
