--- a/src/process/entry/entry_context.h
+++ b/src/process/entry/entry_context.h
@@ -27,6 +27,7 @@
   directory index;
   std::mt19937_64 random;
   process_state state = process_state::kStarting;
+  bool is_finished = false;  // the process may exit
   entry_counters counters;
 
   // Of the input being handled.
--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -74,7 +74,6 @@
   time_point next_sweep_;
   std::optional<time_point> stop_accepting_at_;  // set when the process leaves
   bool has_stopped_accepting_ = false;
-  bool has_finished_ = false;
 };
 
 void entry_core::parts::Begin(const moment& at, std::vector<entry_output>& outputs) {
@@ -193,8 +192,8 @@
     has_stopped_accepting_ = true;
     context_.Emit(callers_stop_accepting{});
   }
-  if (!has_finished_ && requests_.Count() == 0) {
-    has_finished_ = true;
+  if (!context_.is_finished && requests_.Count() == 0) {
+    context_.is_finished = true;
     context_.Emit(process_finished{});
   }
 }
--- a/src/process/entry/peers.cc
+++ b/src/process/entry/peers.cc
@@ -1,5 +1,6 @@
 #include "process/entry/peers.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "berylbarrow/process/membership/rendezvous.h"
@@ -22,22 +23,30 @@
   context_.Emit(peer_connect{.name = name, .address = address});
 }
 
+void entry_peers::Disconnect(const std::string& name, agent_link& link) {
+  if (link.connection) {
+    connections_.erase(*link.connection);
+    link.connection.reset();
+  }
+  context_.Emit(peer_disconnect{.name = name});
+}
+
 void entry_peers::OnVersion() {
   const configuration& document = context_.index.Document();
   for (auto& [name, link] : links_) {
     link.in_subset = false;
+    const upstream_options* upstream = context_.index.Upstream(name);
+    if (upstream != nullptr && upstream->agent_address != link.address) {
+      Disconnect(name, link);
+      Connect(name, link, upstream->agent_address);
+    }
   }
   for (const service_options& service : document.services) {
     for (const upstream_options* upstream : context_.index.Subset(service.name)) {
-      auto [place, is_new] = links_.try_emplace(upstream->name);
-      agent_link& link = place->second;
-      link.in_subset = true;
-      if (!is_new && link.address != upstream->agent_address) {
-        context_.Emit(peer_disconnect{.name = upstream->name});
-        is_new = true;
-      }
+      const auto [place, is_new] = links_.try_emplace(upstream->name);
+      place->second.in_subset = true;
       if (is_new) {
-        Connect(upstream->name, link, upstream->agent_address);
+        Connect(upstream->name, place->second, upstream->agent_address);
       }
     }
   }
@@ -117,7 +126,7 @@
 
 void entry_peers::Sweep() {
   for (auto place = links_.begin(); place != links_.end();) {
-    const agent_link& link = place->second;
+    agent_link& link = place->second;
     const bool lingers =
         link.on_demand && context_.Now() - link.last_used < context_.options.idle_link;
     // A link that left the subset stays until its requests are done.
@@ -125,14 +134,12 @@
       ++place;
       continue;
     }
-    if (link.connection) {
-      connections_.erase(*link.connection);
-    }
-    context_.Emit(peer_disconnect{.name = place->first});
+    Disconnect(place->first, link);
     place = links_.erase(place);
   }
   context_.fleet.Members().Retain([this](const member& known) {
-    return context_.Now() - known.last_heard < context_.options.forget_member;
+    const time_point heard = std::max(known.last_heard, context_.awake_since);
+    return context_.Now() - heard < context_.options.forget_member;
   });
 }
 
--- a/src/process/entry/peers.h
+++ b/src/process/entry/peers.h
@@ -63,6 +63,7 @@
 
  private:
   void Connect(const std::string& name, agent_link& link, const std::string& address);
+  void Disconnect(const std::string& name, agent_link& link);
 
   entry_context& context_;
   std::map<std::string, agent_link> links_;
--- a/src/process/entry/requests.cc
+++ b/src/process/entry/requests.cc
@@ -59,6 +59,10 @@
   held_bytes_ += event.request.body.size();
   table_.emplace(event.caller, std::move(added));
   waiting_.insert(event.caller);
+  if (context_.is_finished) {
+    Refuse(request, {.code = "leaving", .message = "this entry has shut down"});
+    return;
+  }
   if (is_full) {
     ++context_.counters.refused_requests;
     Refuse(request, {.code = "entry-full",
@@ -329,6 +333,11 @@
 }
 
 void entry_requests::OnVersion() {
+  // Services come and go; only those of the document are kept.
+  std::erase_if(context_.counters.requests, [this](const auto& item) {
+    const std::string& service = item.first.first;
+    return !service.empty() && context_.index.Service(service) == nullptr;
+  });
   std::erase_if(budgets_,
                 [this](const auto& item) { return context_.index.Service(item.first) == nullptr; });
 }
--- a/tests/process/entry/entry_fixture.h
+++ b/tests/process/entry/entry_fixture.h
@@ -12,7 +12,7 @@
 
 constexpr std::uint64_t kEntryIncarnation = 0xe1;
 
-/// Two failure domains with an entry, a drafting upstream and a payment upstream each. The text is
+/// Two failure domains, each with an entry, drafting upstreams and a payment upstream. The text is
 /// a list of words: "a-out" and "b-out" take a domain out, "no-p-2" removes an upstream.
 class entry_test_parser final : public configuration_parser {
  public:
@@ -33,7 +33,8 @@
                           .model = "m",
                           .operations = {{.method = "POST", .path = "/v1/completions"}},
                           .upstreams = {{.name = "d-1", .domain = "a", .agent_address = "d-1:1"},
-                                        {.name = "d-2", .domain = "b", .agent_address = "d-2:1"}}},
+                                        {.name = "d-2", .domain = "b", .agent_address = "d-2:1"},
+                                        {.name = "d-3", .domain = "b", .agent_address = "d-3:1"}}},
                          {.name = "payments",
                           .operations = {{.method = "POST", .path = "/pay", .idempotent = false},
                                          {.method = "GET", .path = "/status"}},
@@ -55,17 +56,17 @@
   std::vector<entry_output> outputs;
   std::uint64_t sequence = 0;
 
-  explicit entry_fixture(const process_limits& limits = {}) {
-    core = MakeEntryCore({.identity = {.name = "entry-1",
-                                       .domain = "a",
-                                       .incarnation = kEntryIncarnation,
-                                       .generation = 1},
-                          .limits = limits,
-                          .seeds = {"seed:1"},
-                          .seed = 7},
-                         parser);
+  static entry_core_options Options() {
+    return {.identity = {.name = "entry-1",
+                         .domain = "a",
+                         .incarnation = kEntryIncarnation,
+                         .generation = 1},
+            .seeds = {"seed:1"},
+            .seed = 7};
   }
 
+  entry_fixture() : core(MakeEntryCore(Options(), parser)) {}
+
   moment At() const { return {clock.Now(), clock.WallNow()}; }
   void Input(const entry_input& input) { core->Handle(input, At(), outputs); }
 
@@ -100,12 +101,12 @@
     Input(document_received{.number = number, .text = text});
   }
 
-  /// A document in force; all agents connected (10, 20, 30, 40 in order of name) and serving.
+  /// A document in force; all agents connected (10 to 50 in order of name) and serving.
   void Start() {
     core->Advance(At(), outputs);
     Document(1, "first");
     connection_id connection = 0;
-    for (const char* agent : {"d-1", "d-2", "p-1", "p-2"}) {
+    for (const char* agent : {"d-1", "d-2", "d-3", "p-1", "p-2"}) {
       Open(agent, connection += 10);
       Beat(agent);
     }
