Check that a changed answer ends incomplete

Cause: in trials that changed one rule of the relay at a time, two changes were not found: a head that is kept from the attempt before, and an answer of another agent that is shorter than what the caller has. Ruled out: answers that differ between agents in the generated schedules; their check of the bytes relies on one expected answer. Change: one test case for a different status, a part before the head, and a shorter answer after the answer moved to another agent. Conclusion: an answer is completed only by bytes that continue it.

--- a/tests/process/entry/entry_core_test.cc
+++ b/tests/process/entry/entry_core_test.cc
@@ -129,6 +129,26 @@
   BOOST_TEST(Take<caller_end>().at(0).complete);
 }
 
+// Guards against an answer put together from two different ones, with a clean end.
+BOOST_FIXTURE_TEST_CASE(ChangedAnswerEndsIncomplete, entry_fixture) {
+  Start();
+  for (const bool is_shorter : {false, true}) {
+    Draft(1);
+    const auto [connection, work] = Sent<dispatch>().at(0);
+    Receive(connection, answer_head{.id = work.id, .status = 200});
+    Receive(connection, answer_part{.id = work.id, .bytes = "abc"});
+    Receive(connection, answer_part{.id = work.id, .offset = 3, .end = answer_end::kBroken});
+    const auto [other, next] = Sent<dispatch>().at(0);
+    Receive(other, answer_part{.id = next.id, .offset = 3, .bytes = "before the head"});
+    Receive(other, answer_head{.id = next.id,
+                               .status = static_cast<std::uint16_t>(is_shorter ? 200 : 500)});
+    Receive(other, answer_part{.id = next.id, .bytes = "a", .end = answer_end::kComplete});
+    BOOST_TEST(Take<caller_part>().size() == 1U);
+    BOOST_TEST(!Take<caller_end>().at(0).complete);
+    Sent<acknowledgement>();
+  }
+}
+
 // Guards against an agent that keeps more of an answer than the entry may still ask for.
 BOOST_FIXTURE_TEST_CASE(LongAnswerIsAcknowledgedOnTheWay, entry_fixture) {
   Start();
