--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -89,6 +89,7 @@
   void ApplyVersion();
   void AdvanceEpoch();
   void SendHeartbeats();
+  std::set<std::string> HeardEntries() const;
   void FinishIfDone();
   void On(const peer_opened& event);
   void On(const peer_closed& event);
--- a/include/berylbarrow/version/configuration/configuration_follower.h
+++ b/include/berylbarrow/version/configuration/configuration_follower.h
@@ -19,8 +19,9 @@
   std::uint32_t watchers_per_domain = 2;
   duration pause_threshold = std::chrono::seconds(1);          // clock jump that means "was paused"
   duration refresh_interval = std::chrono::milliseconds(250);  // between attempts to refresh
-  duration fetch_interval = std::chrono::milliseconds(500);    // between requests to peers
-  std::size_t refresh_peers = 3;                               // asked in one refresh
+  duration watch_interval = std::chrono::seconds(5);         // between two choices of the watchers
+  duration fetch_interval = std::chrono::milliseconds(500);  // between requests to peers
+  std::size_t refresh_peers = 3;                             // asked in one refresh
   std::size_t refresh_quorum = 2;  // peer replies that end a refresh if the service is silent
 };
 
@@ -79,6 +80,7 @@
   std::set<connection_id> refresh_replies_;
   time_point next_refresh_;
   time_point next_fetch_;
+  time_point next_watch_choice_;
   std::optional<time_point> service_heard_;
   std::optional<watch_mode> mode_;
   std::uint64_t refused_documents_ = 0;
--- a/src/process/agent/agent_core.cc
+++ b/src/process/agent/agent_core.cc
@@ -80,6 +80,17 @@
   outputs_ = nullptr;
 }
 
+namespace {
+
+/// Empty if the document does not list the entry.
+std::string PeerAddress(const configuration& document, const std::string& entry) {
+  const auto place = std::find_if(document.entries.begin(), document.entries.end(),
+                                  [&entry](const auto& item) { return item.name == entry; });
+  return place == document.entries.end() ? std::string() : place->peer_address;
+}
+
+}  // namespace
+
 void agent_core::Apply(const fleet_changes& changes) {
   AppendTo(*outputs_, changes);
   heartbeat_due_ = heartbeat_due_ || changes.heartbeat_due;
@@ -151,23 +162,8 @@
   content.grant_epoch = epoch_;
   content.suspects = suspects_.Reports(Now());
 
-  std::set<std::string> names;
-  std::set<std::string> targets;
-  for (const auto& [name, known] : fleet_.Members().Members()) {
-    const bool is_entry = known.identity.role == process_role::kEntry;
-    const bool is_dead = fleet_.Members().Liveness(name, Now()) == liveness::kDead;
-    if (is_entry && !is_dead && !known.heartbeat_address.empty()) {
-      names.insert(name);
-      targets.insert(known.heartbeat_address);
-    }
-  }
-  if (current) {
-    for (const entry_options& entry : current->value.entries) {
-      if (!names.contains(entry.name) && !entry.peer_address.empty()) {
-        targets.insert(entry.peer_address);
-      }
-    }
-  } else {
+  std::set<std::string> targets = HeardEntries();
+  if (!current) {
     targets.insert(options_.seeds.begin(), options_.seeds.end());
   }
   for (const std::string& target : targets) {
@@ -178,6 +174,26 @@
   });
 }
 
+/// Addresses of the entries that chose this agent: those that are heard or connected. Heartbeats to
+/// all 340 entries of the planned size would take 115 KB/s of the 9 KB/s that a node may spend.
+std::set<std::string> agent_core::HeardEntries() const {
+  const auto current = fleet_.Current();
+  std::set<std::string> addresses;
+  for (const auto& [name, known] : fleet_.Members().Members()) {
+    const bool is_entry = known.identity.role == process_role::kEntry;
+    if (!is_entry || fleet_.Members().Liveness(name, Now()) == liveness::kDead) {
+      continue;
+    }
+    if (!known.heartbeat_address.empty()) {
+      addresses.insert(known.heartbeat_address);
+    } else if (known.connection && current) {
+      addresses.insert(PeerAddress(current->value, name));
+    }
+  }
+  addresses.erase("");
+  return addresses;
+}
+
 void agent_core::FinishIfDone() {
   const bool has_work = !running_.empty() || queue_.Size() > 0 || !held_.empty();
   if (has_work) {
--- a/src/process/membership/member_table.cc
+++ b/src/process/membership/member_table.cc
@@ -48,7 +48,9 @@
     known.last_heard = now;
     return heard_as::kKnown;
   }
-  if (identity.generation < known.identity.generation) {
+  // A wall clock that was set back must not shut a replacement out once the earlier run is silent.
+  const bool is_dead = now - known.last_heard >= options_.dead_after;
+  if (identity.generation < known.identity.generation && !is_dead) {
     return heard_as::kOutdated;
   }
   if (known.connection) {
--- a/src/version/configuration/configuration_follower.cc
+++ b/src/version/configuration/configuration_follower.cc
@@ -67,6 +67,9 @@
     StartRefresh(at, actions);
   } else if (stale_ && at.now >= next_refresh_) {
     StartRefresh(at, actions);
+  } else if (store_.Current() && at.now >= next_watch_choice_) {
+    // A watcher that has died must be replaced before the next document.
+    ChooseWatch(at, actions);
   }
   return actions;
 }
@@ -183,7 +186,12 @@
       RendezvousPick(options_.self.domain, candidates, options_.watchers_per_domain);
   const bool is_watcher =
       std::find(watchers.begin(), watchers.end(), options_.self.name) != watchers.end();
-  mode_ = is_watcher ? watch_mode::kWatch : watch_mode::kPoll;
+  const watch_mode chosen = is_watcher ? watch_mode::kWatch : watch_mode::kPoll;
+  next_watch_choice_ = at.now + options_.watch_interval;
+  if (mode_ == chosen && !actions.version_changed) {
+    return;
+  }
+  mode_ = chosen;
   actions.watch = configuration_watch{.mode = *mode_, .in_force = store_.Revision()};
 }
 
--- a/tests/process/membership/member_table_test.cc
+++ b/tests/process/membership/member_table_test.cc
@@ -28,6 +28,16 @@
   BOOST_TEST(table.Find("a")->identity.incarnation == 3U);
 }
 
+// Guards against a replacement that is shut out because the wall clock of its instance was set
+// back.
+BOOST_AUTO_TEST_CASE(LowerGenerationReplacesADeadRun) {
+  manual_clock clock;
+  member_table table(member_options{});
+  table.OnHeartbeat(Beat(7, 200, 9), "x", clock.Now());
+  clock.Advance(std::chrono::seconds(4));
+  BOOST_TEST((table.OnHeartbeat(Beat(8, 100, 1), "x", clock.Now()) == heard_as::kRestarted));
+}
+
 // Guards against load that goes back in time when datagrams overtake each other.
 BOOST_AUTO_TEST_CASE(OvertakenHeartbeatIsIgnored) {
   manual_clock clock;
--- a/tests/version/configuration_follower_test.cc
+++ b/tests/version/configuration_follower_test.cc
@@ -1,17 +1,25 @@
 #include "berylbarrow/version/configuration/configuration_follower.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "berylbarrow/process/membership/rendezvous.h"
 
 namespace berylbarrow {
 namespace {
 
 constexpr duration kTick = std::chrono::milliseconds(500);
 
+/// A document with the entries a, b, c and d in one failure domain, whatever the text is.
 class any_text_parser final : public configuration_parser {
  public:
   checked<configuration> Parse(std::string_view /*text*/,
                                std::string_view /*file*/) const override {
-    return configuration{};
+    configuration document;
+    for (const char* name : {"a", "b", "c", "d"}) {
+      document.entries.push_back({.name = name, .domain = "heredia"});
+    }
+    return document;
   }
 };
 
@@ -100,6 +108,25 @@
   BOOST_TEST((follower.View(clock.Now()) == view_state::kCurrent));
 }
 
+// Guards against a failure domain without a watcher after its watchers have died.
+BOOST_FIXTURE_TEST_CASE(DeadWatchersAreReplaced, fixture) {
+  const auto order = RendezvousPick("heredia", {"a", "b", "c", "d"}, 4);
+  configuration_follower last(
+      follower_options{.self = {.name = order[3], .domain = "heredia", .incarnation = 1}}, parser,
+      members);
+  for (std::size_t i = 0; i < 3; ++i) {
+    ConnectPeer(order[i], i + 1, 1);
+  }
+  last.OnTime(At());
+  last.OnDocument({.number = 1, .text = "document"}, At());
+  BOOST_TEST(!last.State(At())["watches"].get<bool>());
+  for (int i = 0; i < 30; ++i) {
+    clock.Advance(kTick);
+    last.OnTime(At());
+  }
+  BOOST_TEST(last.State(At())["watches"].get<bool>());
+}
+
 // Guards against a new process that waits for the service although a peer has the document.
 BOOST_FIXTURE_TEST_CASE(NewProcessFetchesFromAPeer, fixture) {
   follower.OnTime(At());
--- a/tests/version/document_parser_test.cc
+++ b/tests/version/document_parser_test.cc
@@ -413,5 +413,17 @@
   }
 }
 
+// Guards against a wrong document that fills the memory of every process with findings.
+BOOST_AUTO_TEST_CASE(NumberOfFindingsIsBounded) {
+  std::string text = "domains:\n";
+  for (int i = 0; i < 5000; ++i) {
+    text += "  - {}\n";
+  }
+  const auto result = document_parser().Parse(text, "file");
+  BOOST_REQUIRE(!result);
+  BOOST_TEST(result.error().size() == 1001U);
+  BOOST_TEST(result.error().back().message.ends_with("further findings omitted"));
+}
+
 }  // namespace
 }  // namespace berylbarrow
