Use one reader of grant keys in entries and agents

Cause: src/process/entry/grant.h and request/execution/grant_key.h both define berylbarrow::grant and FormatGrant. A program that links an entry core and an agent core does not link. The reader of the entry also took spellings that the agent refuses, such as upper-case hexadecimal digits.

Conclusion: one spelling of a grant is valid everywhere.

--- a/src/process/entry/addresses.cc
+++ b/src/process/entry/addresses.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "berylbarrow/process/membership/rendezvous.h"
-#include "process/entry/grant.h"
+#include "berylbarrow/request/execution/grant_key.h"
 #include "process/entry/replies.h"
 
 namespace berylbarrow {
