Keep the open connection when an older hello arrives late

Cause: an entry connects to a seed and, once it has a document, to the same agent by name, and closes the first connection.

Weighed: ordering connections by their id was ruled out, because ids follow the order in which this process learns of them, which is the order at fault.

Change: on the close of the newest connection of a peer, agent_core and member_table go back to another one that is open. A dispatch on an older open connection is dropped only if its request is known; then it is a late copy.

--- a/src/process/agent/agent_core.cc
+++ b/src/process/agent/agent_core.cc
@@ -216,10 +216,18 @@
     ++counters_.unexpected;
     return;
   }
-  if (IsLatest(event.connection)) {
-    latest_.erase(open->second);
-  }
+  const std::uint64_t incarnation = open->second;
+  const bool was_latest = IsLatest(event.connection);
   connections_.erase(open);
+  if (was_latest) {
+    latest_.erase(incarnation);
+    // The hello of an older connection may have arrived after that of a newer one, which is open.
+    for (const auto& [other, owner] : connections_) {
+      if (owner == incarnation) {
+        latest_[incarnation] = other;
+      }
+    }
+  }
   OnDetached(event.connection);
 }
 
--- a/src/process/agent/agent_dispatch.cc
+++ b/src/process/agent/agent_dispatch.cc
@@ -37,12 +37,14 @@
 }
 
 void agent_core::OnDispatch(const dispatch& work, connection_id connection) {
-  // On an older connection of the sender it is a late copy: the sender sends again on a new one.
-  if (!IsLatest(connection)) {
+  execution_record* known = table_.Find(work);
+  // On an older connection of the sender, a known request is a late copy: the answer goes over the
+  // new one. An unknown one may have been sent on a connection whose hello was overtaken.
+  const bool is_copy = known != nullptr && !IsLatest(connection);
+  if (is_copy || !connections_.contains(connection)) {
     ++counters_.unexpected;
     return;
   }
-  execution_record* known = table_.Find(work);
   const std::string key = work.idempotent ? "" : work.idempotency_key;
   if (known != nullptr && known->key != key) {
     ++counters_.unexpected;
--- a/src/process/membership/member_table.cc
+++ b/src/process/membership/member_table.cc
@@ -51,9 +51,8 @@
   if (identity.generation < known.identity.generation) {
     return heard_as::kOutdated;
   }
-  if (known.connection) {
-    connections_.erase(*known.connection);
-  }
+  std::erase_if(connections_,
+                [&identity](const auto& item) { return item.second == identity.name; });
   known = member{.identity = identity, .last_heard = now};
   return heard_as::kRestarted;
 }
@@ -86,9 +85,6 @@
     return effect;
   }
   member& known = members_.at(event.greeting.sender.name);
-  if (known.connection) {
-    connections_.erase(*known.connection);
-  }
   known.connection = event.connection;
   known.in_force = event.greeting.in_force;
   connections_[event.connection] = event.greeting.sender.name;
@@ -102,8 +98,18 @@
   }
   std::string name = place->second;
   connections_.erase(place);
-  members_.at(name).connection.reset();
-  return name;
+  member& known = members_.at(name);
+  if (known.connection != connection) {
+    return {};
+  }
+  known.connection.reset();
+  // The hello of an older connection may have arrived after that of a newer one, which is open.
+  for (const auto& [other, owner] : connections_) {
+    if (owner == name) {
+      known.connection = other;
+    }
+  }
+  return known.connection ? std::string() : name;
 }
 
 void member_table::OnMessage(connection_id connection, time_point now) {
--- a/tests/process/membership/member_table_test.cc
+++ b/tests/process/membership/member_table_test.cc
@@ -64,6 +64,18 @@
   BOOST_TEST(table.OnClosed(2) == "a");
 }
 
+// Guards against a peer that counts as disconnected because the hello of its older connection was
+// overtaken by that of the newer one.
+BOOST_AUTO_TEST_CASE(CloseOfAnOvertakenConnectionLeavesTheOpenOne) {
+  manual_clock clock;
+  member_table table(member_options{});
+  const hello greeting{.sender = Beat(7, 200, 0).sender};
+  table.OnOpened({.connection = 2, .greeting = greeting}, clock.Now());
+  table.OnOpened({.connection = 1, .greeting = greeting}, clock.Now());
+  BOOST_TEST(table.OnClosed(1).empty());
+  BOOST_TEST(table.Find("a")->connection.value() == 2U);
+}
+
 // Guards against a choice of watchers that moves more than needed when one name goes.
 BOOST_AUTO_TEST_CASE(RendezvousKeepsTheOtherChoices) {
   const std::vector<std::string> all{"a", "b", "c", "d", "e"};
