Let a leaving entry handle what arrived before it exits

On waking, its timers came first: it stopped accepting and finished in the same call, while two requests of callers that it had accepted waited to be handled. Without a pause the same happens to a request that is in the ring between the caller thread and the core when accepting stops.

Change: the entry finishes at the earliest 250 ms after it has stopped accepting, and 250 ms after it woke from a pause.

--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -17,6 +17,10 @@
 // core at least at every heartbeat.
 constexpr duration kPauseThreshold = std::chrono::seconds(1);
 
+// Requests that were read from their connections before accepting stopped reach the core within
+// this time.
+constexpr duration kLastRequests = std::chrono::milliseconds(250);
+
 const char* StateName(process_state state) {
   switch (state) {
     case process_state::kStarting:
@@ -64,6 +68,7 @@
   void Apply(const fleet_changes& changes);
   void OnVersion();
   void Leave();
+  time_point FinishAt() const;
 
   std::unique_ptr<routing_policy> policy_;
   std::unique_ptr<key_routing> keys_;
@@ -73,7 +78,7 @@
   entry_requests requests_;
   time_point next_sweep_;
   std::optional<time_point> stop_accepting_at_;  // set when the process leaves
-  bool has_stopped_accepting_ = false;
+  std::optional<time_point> stopped_accepting_;
   bool has_finished_ = false;
 };
 
@@ -189,16 +194,21 @@
   if (!stop_accepting_at_ || context_.Now() < *stop_accepting_at_) {
     return;
   }
-  if (!has_stopped_accepting_) {
-    has_stopped_accepting_ = true;
+  if (!stopped_accepting_) {
+    stopped_accepting_ = context_.Now();
     context_.Emit(callers_stop_accepting{});
   }
-  if (!has_finished_ && requests_.Count() == 0) {
+  if (!has_finished_ && requests_.Count() == 0 && context_.Now() >= FinishAt()) {
     has_finished_ = true;
     context_.Emit(process_finished{});
   }
 }
 
+time_point entry_core::parts::FinishAt() const {
+  // After a pause, what arrived before it has not been handled yet.
+  return std::max(*stopped_accepting_, context_.awake_since) + kLastRequests;
+}
+
 void entry_core::parts::On(const operator_query& event) {
   operator_reply reply{.query = event.query, .content_type = "application/json"};
   switch (event.kind) {
@@ -221,8 +231,10 @@
   if (requests_.Count() > 0) {
     next = std::min(next, next_sweep_);
   }
-  if (stop_accepting_at_ && !has_stopped_accepting_) {
+  if (stop_accepting_at_ && !stopped_accepting_) {
     next = std::min(next, *stop_accepting_at_);
+  } else if (stopped_accepting_ && !has_finished_ && context_.Now() < FinishAt()) {
+    next = std::min(next, FinishAt());
   }
   return next;
 }
@@ -234,7 +246,7 @@
           {"state", StateName(context_.state)},
           {"domain_out", addresses_.OutSince().has_value()},
           {"retired", addresses_.IsRetired()},
-          {"stopped_accepting", has_stopped_accepting_},
+          {"stopped_accepting", stopped_accepting_.has_value()},
           {"fleet", context_.fleet.State(context_.at)},
           {"peers", peers_.State()},
           {"work", requests_.State()},
--- a/tests/process/entry/entry_core_test.cc
+++ b/tests/process/entry/entry_core_test.cc
@@ -51,5 +51,20 @@
   BOOST_TEST((done[0].second.finished && done[0].second.offset == 5));
 }
 
+// Guards against a leaving entry that exits before it has handled what arrived during a pause.
+// Seed 21058 of the history test: entry shutdown and entry pause.
+BOOST_FIXTURE_TEST_CASE(PauseWhileLeavingLosesNoRequest, entry_fixture) {
+  Start();
+  Input(shutdown_requested{});
+  Wait(seconds(1));
+  clock.Advance(seconds(30));
+  core->Advance(At(), outputs);
+  BOOST_TEST(Take<process_finished>().empty());
+  Draft(1);
+  Wait(seconds(2));
+  BOOST_TEST(Take<caller_reply>().size() == 1U);
+  BOOST_TEST(Take<process_finished>().size() == 1U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
