--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -79,7 +79,6 @@
   time_point next_sweep_;
   std::optional<time_point> stop_accepting_at_;  // set when the process leaves
   std::optional<time_point> stopped_accepting_;
-  bool has_finished_ = false;
 };
 
 void entry_core::parts::Begin(const moment& at, std::vector<entry_output>& outputs) {
@@ -198,8 +197,8 @@
     stopped_accepting_ = context_.Now();
     context_.Emit(callers_stop_accepting{});
   }
-  if (!has_finished_ && requests_.Count() == 0 && context_.Now() >= FinishAt()) {
-    has_finished_ = true;
+  if (!context_.is_finished && requests_.Count() == 0 && context_.Now() >= FinishAt()) {
+    context_.is_finished = true;
     context_.Emit(process_finished{});
   }
 }
@@ -233,7 +232,7 @@
   }
   if (stop_accepting_at_ && !stopped_accepting_) {
     next = std::min(next, *stop_accepting_at_);
-  } else if (stopped_accepting_ && !has_finished_ && context_.Now() < FinishAt()) {
+  } else if (stopped_accepting_ && !context_.is_finished && context_.Now() < FinishAt()) {
     next = std::min(next, FinishAt());
   }
   return next;
