Fetch a valid revision below a refused one

Cause: history test, invalid document and agent shutdown: operators published an invalid revision 3. The new agent refused it and took every revision up to 3 for known, so it did not fetch revision 2 from its peers and served nothing until operators published again.

Change: only the refused revision itself is skipped.

--- a/src/version/configuration/configuration_follower.cc
+++ b/src/version/configuration/configuration_follower.cc
@@ -134,7 +134,8 @@
                                                         std::optional<connection_id> connection,
                                                         const moment& at) {
   follower_actions actions;
-  const bool is_known = theirs <= store_.Revision() || theirs <= store_.LastRefused();
+  // A revision below a refused one may be valid, and is the one to have in force then.
+  const bool is_known = theirs <= store_.Revision() || theirs == store_.LastRefused();
   if (is_known || at.now < next_fetch_) {
     return actions;
   }
--- a/tests/version/configuration_follower_test.cc
+++ b/tests/version/configuration_follower_test.cc
@@ -9,8 +9,10 @@
 
 class any_text_parser final : public configuration_parser {
  public:
-  checked<configuration> Parse(std::string_view /*text*/,
-                               std::string_view /*file*/) const override {
+  checked<configuration> Parse(std::string_view text, std::string_view /*file*/) const override {
+    if (text == "invalid") {
+      return findings{finding{.message = "invalid"}};
+    }
     return configuration{};
   }
 };
@@ -112,5 +114,17 @@
   BOOST_TEST(follower.Revision() == 4U);
 }
 
+// Guards against a new process that stays without a document because it has refused the newest one,
+// which its peers have refused as well. Seed 5802031002710125461 of the history test.
+BOOST_FIXTURE_TEST_CASE(RefusedRevisionDoesNotHideTheValidOneBelow, fixture) {
+  follower.OnTime(At());
+  follower.OnDocument({.number = 3, .text = "invalid"}, At());
+  ConnectPeer("b", 5, 2);
+  BOOST_TEST(follower.OnPeerRevision(3, 5, At()).sends.empty());
+  BOOST_TEST(follower.OnPeerRevision(2, 5, At()).sends.size() == 1U);
+  Reply({.number = 2, .text = "text"}, 5);
+  BOOST_TEST(follower.Revision() == 2U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
