Accept callers until no valid address response names the entry

Weighed: 2 s, the time to suspicion and one heartbeat interval. It does not cover a heartbeat from before the shutdown that arrives late.

Change: the entry accepts callers for the time after which a silent peer is dead (4 s) and then for the address lifetime. ShutdownServesWhatItPromised expects the end of accepting 4 s later, to the second as before.

--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -183,9 +183,13 @@
   }
   context_.state = process_state::kLeaving;
   // Without a document no address response has named this entry.
-  const duration lifetime =
-      context_.index.IsKnown() ? context_.index.Document().address_lifetime : duration::zero();
-  stop_accepting_at_ = context_.Now() + lifetime;
+  if (context_.index.IsKnown()) {
+    // Other entries name this one until they hear that it leaves or until they hear nothing more.
+    stop_accepting_at_ = context_.Now() + context_.options.members.dead_after +
+                         context_.index.Document().address_lifetime;
+  } else {
+    stop_accepting_at_ = context_.Now();
+  }
   peers_.SendHeartbeats();
 }
 
--- a/tests/process/entry/entry_core_test.cc
+++ b/tests/process/entry/entry_core_test.cc
@@ -333,7 +333,8 @@
   BOOST_TEST((Take<heartbeat_send>().at(0).content.state == process_state::kLeaving));
   Draft(1);
   const auto [connection, work] = Sent<dispatch>().at(0);
-  for (int i = 0; i < 10; ++i) {
+  // The address lifetime of 10 s, after 4 s in which other entries may still name this one.
+  for (int i = 0; i < 14; ++i) {
     BOOST_TEST(Take<callers_stop_accepting>().empty());
     Wait(seconds(1));
     Beat("d-" + std::to_string(connection / 10));
