--- a/tests/process/entry/entry_core_test.cc
+++ b/tests/process/entry/entry_core_test.cc
@@ -51,6 +51,21 @@
   BOOST_TEST((done[0].second.finished && done[0].second.offset == 5));
 }
 
+// Guards against a leaving entry that exits before it has handled what arrived during a pause.
+// Seed 21058 of the history test: entry shutdown and entry pause.
+BOOST_FIXTURE_TEST_CASE(PauseWhileLeavingLosesNoRequest, entry_fixture) {
+  Start();
+  Input(shutdown_requested{});
+  Wait(seconds(1));
+  clock.Advance(seconds(30));
+  core->Advance(At(), outputs);
+  BOOST_TEST(Take<process_finished>().empty());
+  Draft(1);
+  Wait(seconds(2));
+  BOOST_TEST(Take<caller_reply>().size() == 1U);
+  BOOST_TEST(Take<process_finished>().size() == 1U);
+}
+
 // Guards against a new entry that waits for the service although it knows of peers, and against
 // connections to agents that are no longer in the document.
 BOOST_FIXTURE_TEST_CASE(ConnectionsFollowTheDocument, entry_fixture) {
@@ -318,7 +333,8 @@
   BOOST_TEST((Take<heartbeat_send>().at(0).content.state == process_state::kLeaving));
   Draft(1);
   const auto [connection, work] = Sent<dispatch>().at(0);
-  for (int i = 0; i < 10; ++i) {
+  // The address lifetime of 10 s, after 4 s in which other entries may still name this one.
+  for (int i = 0; i < 14; ++i) {
     BOOST_TEST(Take<callers_stop_accepting>().empty());
     Wait(seconds(1));
     Beat("d-" + std::to_string(connection / 10));
@@ -327,6 +343,8 @@
   BOOST_TEST(Take<process_finished>().empty());
   Receive(connection, answer_head{.id = work.id, .status = 200});
   Receive(connection, answer_part{.id = work.id, .end = answer_end::kComplete});
+  BOOST_TEST(Take<process_finished>().empty());
+  Wait(milliseconds(250));
   BOOST_TEST(Take<process_finished>().size() == 1U);
 }
 
--- a/tests/version/configuration_follower_test.cc
+++ b/tests/version/configuration_follower_test.cc
@@ -10,11 +10,13 @@
 
 constexpr duration kTick = std::chrono::milliseconds(500);
 
-/// A document with the entries a, b, c and d in one failure domain, whatever the text is.
-class any_text_parser final : public configuration_parser {
+/// A document with the entries a, b, c and d in one failure domain, unless the text is "invalid".
+class fake_parser final : public configuration_parser {
  public:
-  checked<configuration> Parse(std::string_view /*text*/,
-                               std::string_view /*file*/) const override {
+  checked<configuration> Parse(std::string_view text, std::string_view /*file*/) const override {
+    if (text == "invalid") {
+      return findings{finding{.message = "invalid"}};
+    }
     configuration document;
     for (const char* name : {"a", "b", "c", "d"}) {
       document.entries.push_back({.name = name, .domain = "heredia"});
@@ -25,7 +27,7 @@
 
 struct fixture {
   manual_clock clock;
-  any_text_parser parser;
+  fake_parser parser;
   member_table members{member_options{}};
   configuration_follower follower{
       follower_options{.self = {.name = "a", .domain = "heredia", .incarnation = 1}}, parser,
@@ -139,5 +141,17 @@
   BOOST_TEST(follower.Revision() == 4U);
 }
 
+// Guards against a new process that stays without a document because it has refused the newest one,
+// which its peers have refused as well. Seed 5802031002710125461 of the history test.
+BOOST_FIXTURE_TEST_CASE(RefusedRevisionDoesNotHideTheValidOneBelow, fixture) {
+  follower.OnTime(At());
+  follower.OnDocument({.number = 3, .text = "invalid"}, At());
+  ConnectPeer("b", 5, 2);
+  BOOST_TEST(follower.OnPeerRevision(3, 5, At()).sends.empty());
+  BOOST_TEST(follower.OnPeerRevision(2, 5, At()).sends.size() == 1U);
+  Reply({.number = 2, .text = "text"}, 5);
+  BOOST_TEST(follower.Revision() == 2U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
