Send no work to wait at an upstream while another has a free slot

Two choices of power_of_two_policy that are both cold have the same ratio at very different waits: a cold slot is held four times as long, and the queue behind two slots grew to tens of seconds while the warm upstreams had free slots.

If the chosen candidate has no free slot, the policy now takes the less loaded of two random candidates that have one. If none has, a warm candidate is preferred to a cold one.

Ruled out: the least loaded of all candidates, because the entries would choose the same one until it reports again (baseline least reported).

The model of the engine sent no head for a resumed answer, which agents took for evidence of a cold upstream; it now does.

--- a/bench/service/engine.cc
+++ b/bench/service/engine.cc
@@ -72,7 +72,8 @@
     return;
   }
   run& current = place->second;
-  if (current.next == 0) {
+  if (!current.has_head) {
+    current.has_head = true;
     sink_(upstream_head{.execution = execution, .status = 200, .content_type = "text/plain"});
   }
   if (current.next < current.order.tokens) {
--- a/bench/service/engine.h
+++ b/bench/service/engine.h
@@ -68,6 +68,7 @@
   struct run {
     work_order order;
     std::uint32_t next = 0;  // token
+    bool has_head = false;
   };
   bool IsCold() const { return completions_ < options_.warm_after; }
   duration Scaled(duration value) const { return IsCold() ? value * options_.cold_factor : value; }
--- a/include/berylbarrow/request/routing/routing_policy.h
+++ b/include/berylbarrow/request/routing/routing_policy.h
@@ -47,7 +47,8 @@
 
 /// The less loaded of two random candidates. Source: the power of two choices, Mitzenmacher 1996.
 /// With prefix affinity, one of the two is the candidate that rendezvous hashing gives for the
-/// prefix, and it is preferred.
+/// prefix, and it is preferred. Work that would wait there goes to one that has a free slot, if any
+/// candidate has.
 class power_of_two_policy final : public routing_policy {
  public:
   explicit power_of_two_policy(const power_of_two_options& options = {}) : options_(options) {}
@@ -55,6 +56,11 @@
                      const routing_request& request, std::mt19937_64& random) override;
 
  private:
+  std::size_t ChooseOfTwo(const std::vector<routing_candidate>& candidates,
+                          const routing_request& request, std::mt19937_64& random) const;
+  static std::size_t ChooseWithoutWait(const std::vector<routing_candidate>& candidates,
+                                       std::size_t chosen, std::mt19937_64& random);
+
   power_of_two_options options_;
 };
 
--- a/src/request/routing/routing_policy.cc
+++ b/src/request/routing/routing_policy.cc
@@ -28,6 +28,17 @@
   return static_cast<std::size_t>(best - candidates.begin());
 }
 
+template <typename Predicate>
+std::vector<std::size_t> Where(const std::vector<routing_candidate>& candidates, Predicate holds) {
+  std::vector<std::size_t> found;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (holds(candidates[i])) {
+      found.push_back(i);
+    }
+  }
+  return found;
+}
+
 }  // namespace
 
 double LoadRatio(const routing_candidate& candidate) {
@@ -42,6 +53,16 @@
   if (candidates.size() == 1) {
     return 0;
   }
+  const std::size_t chosen = ChooseOfTwo(candidates, request, random);
+  if (LoadRatio(candidates[chosen]) < 1) {
+    return chosen;
+  }
+  return ChooseWithoutWait(candidates, chosen, random);
+}
+
+std::size_t power_of_two_policy::ChooseOfTwo(const std::vector<routing_candidate>& candidates,
+                                             const routing_request& request,
+                                             std::mt19937_64& random) const {
   const bool has_home = options_.prefix_affinity && request.prefix_hash != 0;
   const std::size_t first =
       has_home ? HomeOf(request.prefix_hash, candidates) : RandomIndex(candidates.size(), random);
@@ -56,6 +77,23 @@
   return first_ratio > bound ? second : first;
 }
 
+std::size_t power_of_two_policy::ChooseWithoutWait(const std::vector<routing_candidate>& candidates,
+                                                   std::size_t chosen, std::mt19937_64& random) {
+  std::vector<std::size_t> better = Where(
+      candidates, [](const routing_candidate& candidate) { return LoadRatio(candidate) < 1; });
+  if (better.empty() && !candidates[chosen].load.warm) {
+    // All have a queue. That of a cold upstream moves slowest for its ratio.
+    better =
+        Where(candidates, [](const routing_candidate& candidate) { return candidate.load.warm; });
+  }
+  if (better.empty()) {
+    return chosen;
+  }
+  const std::size_t first = better[RandomIndex(better.size(), random)];
+  const std::size_t second = better[RandomIndex(better.size(), random)];
+  return LoadRatio(candidates[second]) < LoadRatio(candidates[first]) ? second : first;
+}
+
 std::size_t round_robin_policy::Choose(const std::vector<routing_candidate>& candidates,
                                        const routing_request& /*request*/,
                                        std::mt19937_64& /*random*/) {
