Refresh the view of a process that was isolated

Cause: history test, partition and replica gone: draft-1 reached the service, but no peer, for 7 s. As it only polls every 30 s, it did not read the revision that took its domain out.

Weighed: watching the service while no peer is heard. It would hold a waiting watch for every process at once when entries are lost. A read at the start of the isolation, repeated until something answers, needs no lasting watch.

Change: a process that has heard neither the service nor a peer for isolation_timeout refreshes its view, as after a pause, before it acts again: one answer of the service, or of two peers. SilenceOfAllMakesTheViewIsolated expected a current view after the hello of one peer; it now expects it only after that peer has answered the refresh.

Conclusion: a process that is connected to the service hears of a drain even if it has lost all peers.

--- a/include/berylbarrow/version/configuration/configuration_follower.h
+++ b/include/berylbarrow/version/configuration/configuration_follower.h
@@ -26,7 +26,7 @@
 
 enum class view_state : std::uint8_t {
   kNone,      // no document yet
-  kStale,     // the process was paused and has not refreshed
+  kStale,     // the process was paused or isolated and has not refreshed
   kIsolated,  // neither the service nor a peer was heard for isolation_timeout
   kCurrent,
 };
@@ -66,7 +66,9 @@
  private:
   void Accept(revision number, const std::string& text, const moment& at,
               follower_actions& actions);
+  void MarkStale(const moment& at, follower_actions& actions);
   void StartRefresh(const moment& at, follower_actions& actions);
+  bool HearsNobody(time_point now) const;
   void ChooseWatch(const moment& at, follower_actions& actions);
 
   follower_options options_;
@@ -75,6 +77,7 @@
   time_point last_time_;
   bool started_ = false;
   bool stale_ = false;
+  bool was_isolated_ = false;  // why the view is stale
   std::uint64_t nonce_ = 0;
   std::set<connection_id> refresh_replies_;
   time_point next_refresh_;
--- a/src/version/configuration/configuration_follower.cc
+++ b/src/version/configuration/configuration_follower.cc
@@ -58,19 +58,29 @@
     mode_ = watch_mode::kWatch;
     return actions;
   }
+  // An isolated process may reach the service although it only polls it, and the first peer that it
+  // hears again may be as far behind.
+  const bool is_isolated = !stale_ && View(at.now) == view_state::kIsolated;
   if (was_paused) {
     ++pauses_;
-    stale_ = true;
-    // A new nonce makes replies to requests from before the pause worthless.
-    ++nonce_;
-    refresh_replies_.clear();
-    StartRefresh(at, actions);
+  }
+  if (was_paused || is_isolated) {
+    was_isolated_ = is_isolated && !was_paused;
+    MarkStale(at, actions);
   } else if (stale_ && at.now >= next_refresh_) {
     StartRefresh(at, actions);
   }
   return actions;
 }
 
+void configuration_follower::MarkStale(const moment& at, follower_actions& actions) {
+  stale_ = true;
+  // A new nonce makes replies to earlier requests worthless.
+  ++nonce_;
+  refresh_replies_.clear();
+  StartRefresh(at, actions);
+}
+
 void configuration_follower::StartRefresh(const moment& at, follower_actions& actions) {
   next_refresh_ = at.now + options_.refresh_interval;
   actions.watch = configuration_watch{
@@ -193,16 +203,18 @@
   if (!current) {
     return view_state::kNone;
   }
-  if (stale_) {
+  if (stale_ && !(was_isolated_ && HearsNobody(now))) {
     return view_state::kStale;
   }
+  return HearsNobody(now) ? view_state::kIsolated : view_state::kCurrent;
+}
+
+/// Neither the service nor a peer was heard for the isolation timeout.
+bool configuration_follower::HearsNobody(time_point now) const {
   const time_point none = time_point::min();
   const time_point heard =
       std::max(service_heard_.value_or(none), members_.LastHeard().value_or(none));
-  if (heard == none || now - heard > current->value.isolation_timeout) {
-    return view_state::kIsolated;
-  }
-  return view_state::kCurrent;
+  return heard == none || now - heard > store_.Current()->value.isolation_timeout;
 }
 
 time_point configuration_follower::NextDeadline() const {
--- a/tests/version/configuration_follower_test.cc
+++ b/tests/version/configuration_follower_test.cc
@@ -99,9 +99,32 @@
   }
   BOOST_TEST((follower.View(clock.Now()) == view_state::kIsolated));
   ConnectPeer("b", 5, 1);
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kStale));
+  clock.Advance(kTick);
+  const follower_actions actions = follower.OnTime(At());
+  BOOST_REQUIRE(actions.sends.size() == 1U);
+  const auto request = std::get<configuration_request>(actions.sends[0].message);
+  Reply({.number = 1, .nonce = request.nonce}, 5);
   BOOST_TEST((follower.View(clock.Now()) == view_state::kCurrent));
 }
 
+// Guards against a process that reaches the service but no peer, and goes on with an old document
+// as soon as it hears a peer that has been cut off as well. Seed 1089620498128800505 of the history
+// test: partition and replica gone.
+BOOST_FIXTURE_TEST_CASE(IsolatedProcessAsksTheService, fixture) {
+  Start(1);
+  std::optional<configuration_watch> refresh;
+  for (int i = 0; i < 9 && !refresh; ++i) {
+    clock.Advance(kTick);
+    refresh = follower.OnTime(At()).watch;
+  }
+  BOOST_REQUIRE(refresh.has_value());
+  BOOST_TEST((refresh->mode == watch_mode::kRefresh));
+  follower.OnDocument({.number = 2, .text = "newer", .nonce = refresh->nonce}, At());
+  BOOST_TEST((follower.View(clock.Now()) == view_state::kCurrent));
+  BOOST_TEST(follower.Revision() == 2U);
+}
+
 // Guards against a new process that waits for the service although a peer has the document.
 BOOST_FIXTURE_TEST_CASE(NewProcessFetchesFromAPeer, fixture) {
   follower.OnTime(At());
