Apply the log settings, flush at exit, publish all counters, and never send late work

Causes: settings.log was parsed and not applied; a finished process waited a fixed 500 ms, too short for a slow reader and too long otherwise; /metrics showed the counters of the core only; an agent paused between its decision to start work and the sending could still send it into a drained failure domain.

Change: the cores emit log_event for revisions, refused documents with their findings, lost connections, upstream deaths, cold resets and shutdown; the wiring logs them with start and finish. After process_finished the wiring polls the threads of the role and of the peers until rings, unfinished caller connections and unwritten bytes are zero, for 5 s at most. The operator thread adds the counters of callers, upstream client, peers, platform, rings and decision thread to the reply of /metrics. The entry core observes first-byte and total latency by service, failure domain and outcome in the class metrics, which bounds its label sets. upstream_start has not_after, the decision time plus 1 s; the upstream client answers kNotSent past it, without a connection, or before the first byte if the connection was being opened.

Weighed: a flush that counts bytes only would cut a request that reached the caller server just before the core finished, so unfinished connections count. A full input ring is now counted by the ring; the sinks had looked at its space before and so hid the rejections.

--- a/include/berylbarrow/connection/http/caller_server.h
+++ b/include/berylbarrow/connection/http/caller_server.h
@@ -26,6 +26,7 @@
   std::size_t max_outgoing_bytes = 5 << 20;
 };
 
+/// Counts since the start of the process.
 struct caller_server_counters {
   std::uint64_t requests = 0;             // passed to the sink
   std::uint64_t malformed = 0;            // answered with an error and not passed on
@@ -33,6 +34,8 @@
   std::uint64_t refused_connections = 0;  // 503 because of max_connections
   std::uint64_t slow_callers = 0;         // disconnected because of max_outgoing_bytes or a stall
   std::uint64_t abandoned = 0;            // callers that left before their answer was complete
+
+  auto operator<=>(const caller_server_counters&) const = default;
 };
 
 /// HTTP/1.1 server for callers. All functions and the sink run on the thread of the io_context,
@@ -58,7 +61,10 @@
 
   std::uint16_t Port() const;
   std::size_t ConnectionCount() const;
-  const caller_server_counters& Counters() const;
+  /// Connections that receive a request, wait for an answer, or have bytes of one to write.
+  std::size_t UnfinishedConnections() const;
+  /// May be called by any thread.
+  caller_server_counters Counters() const;
 
  private:
   class impl;
--- a/include/berylbarrow/connection/http/upstream_client.h
+++ b/include/berylbarrow/connection/http/upstream_client.h
@@ -22,6 +22,20 @@
   std::uint32_t max_head_bytes = 16 * 1024;
 };
 
+/// Counts since the start of the process. Polls of the load report count as reports only.
+struct upstream_client_counters {
+  std::uint64_t started = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t not_sent = 0;
+  std::uint64_t late = 0;             // of not_sent: after upstream_start::not_after
+  std::uint64_t refused_full = 0;     // of not_sent: because of max_connections
+  std::uint64_t reports = 0;          // usable load reports
+  std::uint64_t reports_missing = 0;  // load reports that failed or could not be read
+
+  auto operator<=>(const upstream_client_counters&) const = default;
+};
+
 /// HTTP/1.1 client of the agent's upstream. Every request has a connection of its own: on a reused
 /// one it cannot be known whether the upstream saw a request that failed. All functions and the
 /// sink run on the thread of the io_context, which must outlive the client.
@@ -32,8 +46,10 @@
   /// is no space. The client then stops reading and offers the same message again after 1 ms.
   using sink = std::function<bool(agent_input)>;
 
-  /// Throws std::runtime_error if the address is invalid. Starts to poll GET /load at once.
-  upstream_client(boost::asio::io_context& context, upstream_client_options options, sink sink);
+  /// Throws std::runtime_error if the address is invalid. Starts to poll GET /load at once. `clock`
+  /// must outlive the client.
+  upstream_client(boost::asio::io_context& context, upstream_client_options options,
+                  const runtime_clock& clock, sink sink);
   ~upstream_client();
   upstream_client(const upstream_client&) = delete;
   upstream_client& operator=(const upstream_client&) = delete;
@@ -41,8 +57,9 @@
   /// Handles upstream_start and upstream_cancel; ignores other outputs.
   ///
   /// Every upstream_start gets exactly one upstream_end, a cancelled one too: kNotSent if no byte
-  /// of the request has been handed to the socket, else kBroken. An answer without Content-Length
-  /// and chunked coding ends as kBroken, because its end looks the same as a crash.
+  /// of the request has been handed to the socket, else kBroken. A request whose `not_after` has
+  /// passed is not sent: it opens no connection, or closes the one just opened. An answer without
+  /// Content-Length and chunked coding ends as kBroken, because its end looks the same as a crash.
   void Deliver(const agent_output& output);
 
   /// Closes every connection and stops polling. Nothing is passed to the sink after this.
@@ -50,6 +67,9 @@
 
   std::size_t ConnectionCount() const;
 
+  /// May be called by any thread.
+  upstream_client_counters Counters() const;
+
  private:
   class impl;
   std::shared_ptr<impl> impl_;
--- a/include/berylbarrow/connection/peer/peer_manager.h
+++ b/include/berylbarrow/connection/peer/peer_manager.h
@@ -91,6 +91,9 @@
   /// Sets the revision in the hello of later connections.
   void SetRevision(revision in_force);
 
+  /// Bytes of frames that the sockets have not taken yet, over all connections.
+  std::size_t UnwrittenBytes() const;
+
   /// Closes every socket. No event is delivered afterwards.
   void Close();
 
--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -90,6 +90,7 @@
   void AdvanceEpoch();
   void SendHeartbeats();
   void FinishIfDone();
+  void LogUpstreamEvents();
   void On(const peer_opened& event);
   void On(const peer_closed& event);
   void On(const peer_received& event);
@@ -165,6 +166,8 @@
   restart_detector restarts_;
   std::mt19937_64 random_;
   agent_counters counters_;
+  std::uint64_t logged_deaths_ = 0;
+  std::uint64_t logged_cold_resets_ = 0;
 
   moment at_{};
   std::vector<agent_output>* outputs_ = nullptr;  // of the input being handled
--- a/include/berylbarrow/process/core/core.h
+++ b/include/berylbarrow/process/core/core.h
@@ -9,6 +9,7 @@
 
 #include "berylbarrow/connection/wire/message.h"
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/process/telemetry/log_types.h"
 
 namespace berylbarrow {
 
@@ -76,7 +77,7 @@
   operator_query_kind kind = operator_query_kind::kState;
 };
 
-// Outputs of both cores.
+// Outputs of both cores, besides log_event.
 
 /// Keep a connection to this peer open, reconnecting when it fails, until peer_disconnect.
 struct peer_connect {
@@ -112,6 +113,7 @@
 
 struct operator_reply {
   query_id query = 0;
+  operator_query_kind kind = operator_query_kind::kState;
   std::string content_type;
   std::string body;
 };
@@ -187,18 +189,20 @@
                                  operator_query, caller_request, caller_closed, address_query>;
 using entry_output =
     std::variant<peer_connect, peer_disconnect, peer_send, heartbeat_send, configuration_watch,
-                 operator_reply, process_finished, caller_reply, caller_head, caller_part,
-                 caller_end, callers_stop_accepting>;
+                 operator_reply, process_finished, log_event, caller_reply, caller_head,
+                 caller_part, caller_end, callers_stop_accepting>;
 
 // Agent only.
 
-/// Send this request to the upstream. `resume_offset` bytes of its answer are already known.
+/// Send this request to the upstream. `resume_offset` bytes of its answer are already known. Not
+/// sent after `not_after`: the process was paused in between, and its view may be out of date.
 struct upstream_start {
   execution_id execution = 0;
   request_id id;
   http_request request;
   std::uint64_t resume_offset = 0;
   std::uint32_t priority = 0;
+  time_point not_after = time_point::max();
 };
 
 struct upstream_cancel {
@@ -242,7 +246,7 @@
                  upstream_part, upstream_end, upstream_report>;
 using agent_output =
     std::variant<peer_connect, peer_disconnect, peer_send, heartbeat_send, configuration_watch,
-                 operator_reply, process_finished, upstream_start, upstream_cancel>;
+                 operator_reply, process_finished, log_event, upstream_start, upstream_cancel>;
 
 /// All decisions of a process. Holds no sockets, threads or clocks: a run is a function of the
 /// inputs, their times and the seed, so any schedule can be replayed.
--- a/include/berylbarrow/process/membership/fleet_view.h
+++ b/include/berylbarrow/process/membership/fleet_view.h
@@ -28,6 +28,7 @@
   std::vector<peer_send> sends;
   std::vector<heartbeat_send> heartbeats;
   std::vector<configuration_watch> watches;
+  std::vector<log_event> events;
   bool version_changed = false;  // another revision came into force
   bool plan_changed = false;     // a step of the move plan began
   bool heartbeat_due = false;    // the process is to send its heartbeats now
@@ -76,6 +77,7 @@
 
  private:
   void Merge(follower_actions actions, const moment& at, fleet_changes& changes);
+  void ReportRefusals(fleet_changes& changes);
 
   fleet_options options_;
   member_table members_;
@@ -84,6 +86,7 @@
   std::map<std::string, instance_record> instances_;
   time_point next_heartbeat_;
   std::uint64_t heartbeat_sequence_ = 0;
+  revision reported_refusal_ = 0;  // the last refused revision that was logged
 };
 
 /// Appends the messages of `changes` to the outputs of a core.
@@ -98,6 +101,9 @@
   for (const heartbeat_send& send : changes.heartbeats) {
     outputs.push_back(send);
   }
+  for (const log_event& event : changes.events) {
+    outputs.push_back(event);
+  }
 }
 
 }  // namespace berylbarrow
--- a/include/berylbarrow/process/runtime/ring.h
+++ b/include/berylbarrow/process/runtime/ring.h
@@ -45,6 +45,9 @@
     return true;
   }
 
+  /// Called by the consumer thread only: whether every value pushed so far has been consumed.
+  bool IsEmpty() const { return queue_.read_available() == 0; }
+
   /// Number of calls of Push that returned false. May be read by any thread.
   std::uint64_t Rejected() const { return rejected_.load(std::memory_order_relaxed); }
 
--- a/include/berylbarrow/process/settings/settings.h
+++ b/include/berylbarrow/process/settings/settings.h
@@ -10,10 +10,10 @@
 #include "berylbarrow/connection/wire/message.h"
 #include "berylbarrow/process/runtime/finding.h"
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/process/telemetry/log_types.h"
 
 namespace berylbarrow {
 
-enum class log_level : std::uint8_t { kDebug, kInfo, kWarning, kError };
 enum class log_format : std::uint8_t { kText, kJson };
 
 struct log_options {
--- a/include/berylbarrow/process/telemetry/log.h
+++ b/include/berylbarrow/process/telemetry/log.h
@@ -7,14 +7,10 @@
 
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/process/settings/settings.h"
+#include "berylbarrow/process/telemetry/log_types.h"
 
 namespace berylbarrow {
 
-struct log_field {
-  std::string key;
-  std::string value;
-};
-
 /// Log of the process, one line per event on standard error: time (UTC), level, module, process,
 /// failure domain, event name, then key=value fields; or the same as one JSON object per line, with
 /// the fields under "fields". Thread-safe.
--- a/include/berylbarrow/version/configuration/configuration_follower.h
+++ b/include/berylbarrow/version/configuration/configuration_follower.h
@@ -60,6 +60,9 @@
   view_state View(time_point now) const;
   std::shared_ptr<const configuration_version> Current() const { return store_.Current(); }
   revision Revision() const { return store_.Revision(); }
+  /// The last document that was refused, and why; see configuration_store.
+  revision LastRefused() const { return store_.LastRefused(); }
+  const findings& LastFindings() const { return store_.LastFindings(); }
   time_point NextDeadline() const;
   nlohmann::json State(const moment& at) const;
 
--- a/src/connection/http/caller_connection.cc
+++ b/src/connection/http/caller_connection.cc
@@ -299,11 +299,18 @@
                           });
 }
 
-void caller_connection::CloseIfIdle() {
+bool caller_connection::IsUnfinished() const {
+  if (phase_ != phase::kReading) {
+    return phase_ == phase::kWaiting || phase_ == phase::kFlushing;
+  }
   error_code ignored;
   const bool began = buffer_.size() > 0 || (parser_ && parser_->got_some());
   // Bytes that have arrived but are not read yet belong to a request that must not be cut off.
-  if (phase_ == phase::kReading && !began && socket_.available(ignored) == 0) {
+  return began || socket_.available(ignored) > 0;
+}
+
+void caller_connection::CloseIfIdle() {
+  if (phase_ == phase::kReading && !IsUnfinished()) {
     Close();
   }
 }
--- a/src/connection/http/caller_connection.h
+++ b/src/connection/http/caller_connection.h
@@ -12,18 +12,24 @@
 #include <string_view>
 
 #include "berylbarrow/connection/http/caller_server.h"
+#include "berylbarrow/process/runtime/shared_count.h"
 #include "connection/http/caller_request_parser.h"
 
 namespace berylbarrow {
 
 class caller_connection;
 
+/// caller_server_counters while they are being counted.
+struct caller_count_set {
+  shared_count requests, malformed, refused_full, refused_connections, slow_callers, abandoned;
+};
+
 /// What a connection needs of its server.
 class caller_host {
  public:
   virtual ~caller_host() = default;
   virtual const caller_server_options& Options() const = 0;
-  virtual caller_server_counters& Count() = 0;
+  virtual caller_count_set& Count() = 0;
   virtual bool Stopping() const = 0;
   /// Passes a message to the core. Returns the id given to it, or nothing if there is no space.
   virtual std::optional<caller_id> Begin(const std::shared_ptr<caller_connection>& connection,
@@ -47,6 +53,8 @@
   void Part(std::string_view bytes);
   void End(bool complete);
 
+  /// Whether a request has begun to arrive, or its answer is not completely written.
+  bool IsUnfinished() const;
   /// Closes the connection if no request has begun to arrive.
   void CloseIfIdle();
   void Close();
--- a/src/connection/http/caller_server.cc
+++ b/src/connection/http/caller_server.cc
@@ -99,8 +99,23 @@
   std::uint16_t Port() const { return port_; }
   std::size_t ConnectionCount() const { return connections_.size(); }
 
+  std::size_t UnfinishedConnections() const {
+    return static_cast<std::size_t>(
+        std::count_if(connections_.begin(), connections_.end(),
+                      [](const auto& item) { return item.second->IsUnfinished(); }));
+  }
+
+  caller_server_counters Counters() const {
+    return {.requests = counters_.requests,
+            .malformed = counters_.malformed,
+            .refused_full = counters_.refused_full,
+            .refused_connections = counters_.refused_connections,
+            .slow_callers = counters_.slow_callers,
+            .abandoned = counters_.abandoned};
+  }
+
   const caller_server_options& Options() const override { return options_; }
-  caller_server_counters& Count() override { return counters_; }
+  caller_count_set& Count() override { return counters_; }
   bool Stopping() const override { return stopping_; }
 
   std::optional<caller_id> Begin(const std::shared_ptr<caller_connection>& connection,
@@ -203,7 +218,7 @@
   std::unordered_map<caller_id, std::shared_ptr<caller_connection>> callers_;
   caller_id next_caller_ = 1;
   bool stopping_ = false;
-  caller_server_counters counters_;
+  caller_count_set counters_;
 };
 
 caller_server::caller_server(asio::io_context& context, caller_server_options options,
@@ -224,6 +239,8 @@
 
 std::size_t caller_server::ConnectionCount() const { return impl_->ConnectionCount(); }
 
-const caller_server_counters& caller_server::Counters() const { return impl_->Count(); }
+std::size_t caller_server::UnfinishedConnections() const { return impl_->UnfinishedConnections(); }
+
+caller_server_counters caller_server::Counters() const { return impl_->Counters(); }
 
 }  // namespace berylbarrow
--- a/src/connection/http/upstream_client.cc
+++ b/src/connection/http/upstream_client.cc
@@ -5,6 +5,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "berylbarrow/process/runtime/shared_count.h"
 #include "connection/http/endpoint.h"
 #include "connection/http/upstream_exchange.h"
 
@@ -39,9 +40,11 @@
 
 class upstream_client::impl : public std::enable_shared_from_this<upstream_client::impl> {
  public:
-  impl(asio::io_context& context, upstream_client_options options, upstream_client::sink sink)
+  impl(asio::io_context& context, upstream_client_options options, const runtime_clock& clock,
+       upstream_client::sink sink)
       : context_(context),
         options_(std::move(options)),
+        clock_(clock),
         sink_(std::move(sink)),
         endpoint_(ParseHttpEndpoint(options_.address)),
         poll_timer_(context) {}
@@ -51,20 +54,25 @@
       return;
     }
     const bool full = open_ >= options_.max_connections;
+    const bool late = clock_.Now() > start.not_after;
+    const bool rejected = full || late;
+    ++counts_.started;
     auto exchange = std::make_shared<upstream_exchange>(
         context_, options_, start.execution, MakeUpstreamRequest(start, options_.address),
         upstream_exchange::handlers{
             .head = [this](const upstream_head& head) { return sink_(head); },
             .part = [this](const upstream_part& part) { return sink_(part); },
-            .end = [this](const upstream_end& end) { return sink_(end); },
+            .end = [this](const upstream_end& end) { return PassEnd(end); },
             .closed =
-                [weak = weak_from_this(), execution = start.execution, full] {
+                [weak = weak_from_this(), execution = start.execution, rejected] {
                   if (const auto self = weak.lock()) {
-                    self->Remove(execution, full);
+                    self->Remove(execution, rejected);
                   }
-                }});
+                },
+            .may_send = [this, not_after = start.not_after] { return MaySend(not_after); }});
     exchanges_.emplace(start.execution, exchange);
-    if (full) {
+    if (rejected) {
+      ++(late ? counts_.late : counts_.refused_full);
       exchange->Reject();
       return;
     }
@@ -125,14 +133,15 @@
                 [this](const upstream_end& end) {
                   const bool usable =
                       end.outcome == upstream_outcome::kComplete && report_status_ == 200;
-                  return sink_(usable ? ParseReport(report_text_) : upstream_report{});
+                  return PassReport(usable ? ParseReport(report_text_) : upstream_report{});
                 },
             .closed =
                 [weak = weak_from_this()] {
                   if (const auto self = weak.lock()) {
                     self->WaitForNextPoll();
                   }
-                }});
+                },
+            .may_send = [] { return true; }});
     // An upstream that accepts connections but never answers counts as not reachable.
     poll_timer_.expires_after(options_.connect_timeout + options_.load_poll_interval);
     poll_timer_.async_wait([poll = poll_](error_code cancelled) {
@@ -143,7 +152,56 @@
     poll_->Start(endpoint_);
   }
 
+  upstream_client_counters Counters() const {
+    return {.started = counts_.started,
+            .completed = counts_.completed,
+            .broken = counts_.broken,
+            .not_sent = counts_.not_sent,
+            .late = counts_.late,
+            .refused_full = counts_.refused_full,
+            .reports = counts_.reports,
+            .reports_missing = counts_.reports_missing};
+  }
+
  private:
+  struct count_set {
+    shared_count started, completed, broken, not_sent, late, refused_full, reports, reports_missing;
+  };
+
+  bool MaySend(time_point not_after) {
+    const bool in_time = clock_.Now() <= not_after;
+    if (!in_time) {
+      ++counts_.late;
+    }
+    return in_time;
+  }
+
+  bool PassEnd(const upstream_end& end) {
+    if (!sink_(end)) {
+      return false;
+    }
+    switch (end.outcome) {
+      case upstream_outcome::kComplete:
+        ++counts_.completed;
+        break;
+      case upstream_outcome::kNotSent:
+        ++counts_.not_sent;
+        break;
+      case upstream_outcome::kBroken:
+        ++counts_.broken;
+        break;
+    }
+    return true;
+  }
+
+  bool PassReport(const upstream_report& report) {
+    if (!sink_(report)) {
+      return false;
+    }
+    ++(report.reachable ? counts_.reports : counts_.reports_missing);
+    return true;
+  }
+
   void WaitForNextPoll() {
     if (closed_) {
       return;
@@ -163,6 +221,7 @@
 
   asio::io_context& context_;
   upstream_client_options options_;
+  const runtime_clock& clock_;
   upstream_client::sink sink_;
   asio::ip::tcp::endpoint endpoint_;
   asio::steady_timer poll_timer_;
@@ -172,11 +231,12 @@
   std::unordered_map<execution_id, std::shared_ptr<upstream_exchange>> exchanges_;
   std::size_t open_ = 0;
   bool closed_ = false;
+  count_set counts_;
 };
 
 upstream_client::upstream_client(asio::io_context& context, upstream_client_options options,
-                                 upstream_client::sink sink)
-    : impl_(std::make_shared<impl>(context, std::move(options), std::move(sink))) {
+                                 const runtime_clock& clock, upstream_client::sink sink)
+    : impl_(std::make_shared<impl>(context, std::move(options), clock, std::move(sink))) {
   impl_->Poll();
 }
 
@@ -190,4 +250,6 @@
 
 std::size_t upstream_client::ConnectionCount() const { return impl_->ConnectionCount(); }
 
+upstream_client_counters upstream_client::Counters() const { return impl_->Counters(); }
+
 }  // namespace berylbarrow
--- a/src/connection/http/upstream_exchange.cc
+++ b/src/connection/http/upstream_exchange.cc
@@ -74,7 +74,8 @@
     return;
   }
   connect_timer_.cancel();
-  if (error) {
+  // The process may have been paused while the connection was being opened.
+  if (error || !handlers_.may_send()) {
     Finish(upstream_outcome::kNotSent);
     return;
   }
--- a/src/connection/http/upstream_exchange.h
+++ b/src/connection/http/upstream_exchange.h
@@ -27,7 +27,8 @@
     std::function<bool(const upstream_head&)> head;
     std::function<bool(const upstream_part&)> part;
     std::function<bool(const upstream_end&)> end;
-    std::function<void()> closed;  // after the end was taken
+    std::function<void()> closed;    // after the end was taken
+    std::function<bool()> may_send;  // asked once, before the first byte is written
   };
 
   upstream_exchange(boost::asio::io_context& context, const upstream_client_options& options,
--- a/src/connection/peer/peer_manager.cc
+++ b/src/connection/peer/peer_manager.cc
@@ -1,7 +1,6 @@
 #include "berylbarrow/connection/peer/peer_manager.h"
 
 #include <algorithm>
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "berylbarrow/connection/wire/codec.h"
+#include "berylbarrow/process/runtime/shared_count.h"
 #include "connection/peer/heartbeat_socket.h"
 #include "connection/peer/peer_session.h"
 #include "connection/wire/endpoint.h"
@@ -32,19 +32,6 @@
 // A free TCP port chosen by the kernel may be in use for UDP.
 constexpr int kPortAttempts = 16;
 
-/// A count that the owner's thread writes and any thread reads.
-class shared_count {
- public:
-  void operator++() { value_.fetch_add(1, std::memory_order_relaxed); }
-  void operator--() { value_.fetch_sub(1, std::memory_order_relaxed); }
-  operator std::uint64_t() const {  // NOLINT(google-explicit-constructor)
-    return value_.load(std::memory_order_relaxed);
-  }
-
- private:
-  std::atomic<std::uint64_t> value_{0};
-};
-
 struct count_set {
   shared_count open, opened, connect_failures, closed_by_peer, closed_silent, closed_without_hello,
       closed_queue_full, closed_malformed, refused_connections, bad_addresses, events_delayed,
@@ -93,6 +80,7 @@
   void Send(const peer_send& send);
   void SendHeartbeat(const heartbeat_send& send);
   void SetRevision(revision in_force) { in_force_ = in_force; }
+  std::size_t UnwrittenBytes() const;
   void Close();
   peer_counters Counters() const;
 
@@ -384,6 +372,15 @@
   }
 }
 
+std::size_t peer_manager::impl::UnwrittenBytes() const {
+  std::size_t sum = 0;
+  for (const auto& [id, entry] : sessions_) {
+    // The hello to a peer that does not answer is not worth waiting for.
+    if (entry.session->Greeted()) sum += entry.session->QueuedBytes();
+  }
+  return sum;
+}
+
 void peer_manager::impl::Close() {
   if (closing_) return;
   closing_ = true;
@@ -432,6 +429,8 @@
 void peer_manager::Send(const peer_send& send) { impl_->Send(send); }
 void peer_manager::SendHeartbeat(const heartbeat_send& send) { impl_->SendHeartbeat(send); }
 void peer_manager::SetRevision(revision in_force) { impl_->SetRevision(in_force); }
+std::size_t peer_manager::UnwrittenBytes() const { return impl_->UnwrittenBytes(); }
+
 void peer_manager::Close() { impl_->Close(); }
 peer_counters peer_manager::Counters() const { return impl_->Counters(); }
 
--- a/src/connection/peer/peer_session.h
+++ b/src/connection/peer/peer_session.h
@@ -63,6 +63,7 @@
 
   connection_id Id() const { return id_; }
   bool Greeted() const { return greeted_; }
+  std::size_t QueuedBytes() const { return queued_bytes_; }
 
  private:
   using steady_time = std::chrono::steady_clock::time_point;
--- a/src/main.cc
+++ b/src/main.cc
@@ -18,6 +18,7 @@
 #include "berylbarrow/process/entry/run_entry.h"
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/process/settings/settings.h"
+#include "berylbarrow/process/telemetry/log.h"
 #include "berylbarrow/version/configuration/document_parser.h"
 #include "process/cli/show.h"
 
@@ -91,6 +92,7 @@
   const auto settings = ReadSettings(process_role::kEntry, path, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
+  logger::Configure(settings->log, settings->name, settings->domain, clock);
   const process_identity identity = MakeIdentity(*settings, clock);
   const document_parser parser;
   auto core = MakeEntryCore({.identity = identity,
@@ -106,6 +108,7 @@
   const auto settings = ReadSettings(process_role::kAgent, path, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
+  logger::Configure(settings->log, settings->name, settings->domain, clock);
   const process_identity identity = MakeIdentity(*settings, clock);
   const document_parser parser;
   auto core = MakeAgentCore({.identity = identity,
--- a/src/process/agent/agent_core.cc
+++ b/src/process/agent/agent_core.cc
@@ -72,6 +72,7 @@
   if (heartbeat_due_) {
     SendHeartbeats();
   }
+  LogUpstreamEvents();
   FinishIfDone();
   outputs_ = nullptr;
 }
@@ -193,6 +194,23 @@
   }
 }
 
+void agent_core::LogUpstreamEvents() {
+  if (counters_.upstream_deaths != std::exchange(logged_deaths_, counters_.upstream_deaths)) {
+    Emit(log_event{.level = log_level::kWarning,
+                   .module = "upstream",
+                   .name = "upstream_died",
+                   .fields = {{"deaths", std::to_string(counters_.upstream_deaths)}}});
+  }
+  const std::uint64_t resets = limit_->ColdResets();
+  if (resets != std::exchange(logged_cold_resets_, resets)) {
+    Emit(log_event{.level = log_level::kWarning,
+                   .module = "admission",
+                   .name = "cold_reset",
+                   .fields = {{"resets", std::to_string(resets)},
+                              {"limit", std::to_string(limit_->Limit())}}});
+  }
+}
+
 bool agent_core::IsLatest(connection_id connection) const {
   const auto open = connections_.find(connection);
   if (open == connections_.end()) {
@@ -251,6 +269,7 @@
     return;
   }
   leaving_since_ = Now();
+  Emit(log_event{.module = "process", .name = "shutdown_requested", .fields = {}});
   heartbeat_due_ = true;
 }
 
--- a/src/process/agent/agent_report.cc
+++ b/src/process/agent/agent_report.cc
@@ -45,7 +45,8 @@
 }
 
 void agent_core::On(const operator_query& event) {
-  operator_reply reply{.query = event.query, .content_type = "application/json"};
+  operator_reply reply{
+      .query = event.query, .kind = event.kind, .content_type = "application/json"};
   switch (event.kind) {
     case operator_query_kind::kState:
       reply.body = State().dump();
--- a/src/process/agent/agent_upstream.cc
+++ b/src/process/agent/agent_upstream.cc
@@ -10,6 +10,9 @@
 // A broken connection counts as a death of the upstream if that is confirmed within this time.
 constexpr duration kConfirmDeath = std::chrono::seconds(10);
 constexpr std::size_t kMaxBroken = 256;
+// Between a decision to start work and its sending lie two thread switches; a longer time means
+// that the process was paused.
+constexpr duration kStartWindow = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -76,7 +79,8 @@
                       .id = record.work.id,
                       .request = table_.TakeRequest(record),
                       .resume_offset = record.answer.End(),
-                      .priority = record.work.priority});
+                      .priority = record.work.priority,
+                      .not_after = Now() + kStartWindow});
 }
 
 execution_record* agent_core::Running(execution_id id) {
--- a/src/process/agent/run_agent.cc
+++ b/src/process/agent/run_agent.cc
@@ -14,11 +14,14 @@
   try {
     process_wiring<agent_decisions> wiring(settings, std::move(core), clock, identity);
     duty upstream("upstream");
-    upstream_client client(upstream.Context(), {settings.upstream_address},
-                           wiring.MakeSink<agent_input>());
+    upstream_client client(upstream.Context(), {settings.upstream_address}, clock,
+                           wiring.MakeSink<agent_input>("upstream"));
     ring<agent_output> to_upstream(upstream.Context(), wiring.RingCapacity(),
                                    [&](agent_output&& output) { client.Deliver(output); });
-    wiring.Run(upstream, to_upstream);
+    wiring.Run(upstream, to_upstream,
+               {.is_flushed = [] { return true; },
+                .counters = [&client] { return CountersText(client.Counters()); },
+                .addresses = {{"upstream", settings.upstream_address}}});
     return 0;
   } catch (const std::exception& error) {
     std::cerr << "berylbarrow agent " << settings.name << ": " << error.what() << "\n";
--- a/src/process/entry/answers.cc
+++ b/src/process/entry/answers.cc
@@ -91,7 +91,7 @@
   }
   // The head waits for the first bytes: until then the request can go to another agent.
   request.sent_head = request.head;
-  context_.counters.first_byte.Add(context_.Now() - request.arrived);
+  request.first_byte = context_.Now() - request.arrived;
   context_.Emit(
       caller_head{.caller = request.input.caller,
                   .status = request.head->status,
--- a/src/process/entry/entry_context.h
+++ b/src/process/entry/entry_context.h
@@ -10,6 +10,7 @@
 
 #include "berylbarrow/process/entry/entry_core.h"
 #include "berylbarrow/process/membership/fleet_view.h"
+#include "berylbarrow/process/telemetry/metrics.h"
 #include "process/entry/directory.h"
 #include "process/entry/entry_counters.h"
 
@@ -28,6 +29,7 @@
   std::mt19937_64 random;
   process_state state = process_state::kStarting;
   entry_counters counters;
+  metrics latencies;  // of requests, by service, failure domain of the upstream and outcome
 
   // Of the input being handled.
   moment at;
--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -178,6 +178,7 @@
     return;
   }
   context_.state = process_state::kLeaving;
+  context_.Emit(log_event{.module = "process", .name = "shutdown_requested", .fields = {}});
   // Without a document no address response has named this entry.
   const duration lifetime =
       context_.index.IsKnown() ? context_.index.Document().address_lifetime : duration::zero();
@@ -200,7 +201,8 @@
 }
 
 void entry_core::parts::On(const operator_query& event) {
-  operator_reply reply{.query = event.query, .content_type = "application/json"};
+  operator_reply reply{
+      .query = event.query, .kind = event.kind, .content_type = "application/json"};
   switch (event.kind) {
     case operator_query_kind::kState:
       reply.body = Dump(State());
@@ -210,7 +212,8 @@
       break;
     case operator_query_kind::kMetrics:
       reply.content_type = "text/plain; version=0.0.4";
-      reply.body = CountersText(context_.counters, requests_.Count());
+      reply.body =
+          CountersText(context_.counters, requests_.Count()) + context_.latencies.Exposition();
       break;
   }
   context_.Emit(std::move(reply));
@@ -238,7 +241,8 @@
           {"fleet", context_.fleet.State(context_.at)},
           {"peers", peers_.State()},
           {"work", requests_.State()},
-          {"counters", CountersJson(context_.counters)}};
+          {"counters", CountersJson(context_.counters)},
+          {"latencies", context_.latencies.Json().at("latencies")}};
 }
 
 entry_core::entry_core(const entry_core_options& options, const configuration_parser& parser,
--- a/src/process/entry/entry_counters.cc
+++ b/src/process/entry/entry_counters.cc
@@ -1,7 +1,5 @@
 #include "process/entry/entry_counters.h"
 
-#include <algorithm>
-
 namespace berylbarrow {
 
 std::string_view OutcomeName(request_outcome outcome) {
@@ -20,12 +18,4 @@
   return "";
 }
 
-void latency_counts::Add(duration latency) {
-  const double seconds = std::chrono::duration<double>(latency).count();
-  const auto bound = std::lower_bound(kBoundsSeconds.begin(), kBoundsSeconds.end(), seconds);
-  ++buckets.at(static_cast<std::size_t>(bound - kBoundsSeconds.begin()));
-  sum_seconds += seconds;
-  ++count;
-}
-
 }  // namespace berylbarrow
--- a/src/process/entry/entry_counters.h
+++ b/src/process/entry/entry_counters.h
@@ -1,15 +1,12 @@
 #ifndef BERYLBARROW_SRC_PROCESS_ENTRY_ENTRY_COUNTERS_H_
 #define BERYLBARROW_SRC_PROCESS_ENTRY_ENTRY_COUNTERS_H_
 
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 #include <utility>
 
-#include "berylbarrow/process/runtime/time.h"
-
 namespace berylbarrow {
 
 /// How a request of a caller ended.
@@ -23,17 +20,6 @@
 
 std::string_view OutcomeName(request_outcome outcome);
 
-/// Number of requests whose latency was at most the bound of the bucket; the last has no bound.
-struct latency_counts {
-  static constexpr std::array<double, 9> kBoundsSeconds{0.01, 0.05, 0.1,  0.25, 0.55,
-                                                        1.0,  2.5,  10.0, 60.0};
-  std::array<std::uint64_t, kBoundsSeconds.size() + 1> buckets{};
-  double sum_seconds = 0.0;
-  std::uint64_t count = 0;
-
-  void Add(duration latency);
-};
-
 /// Everything an entry counts. Services are those of the document, so the map is bounded.
 struct entry_counters {
   std::map<std::pair<std::string, request_outcome>, std::uint64_t> requests;
@@ -48,8 +34,6 @@
   std::uint64_t refused_requests = 0;  // by the entry's own bounds
   std::uint64_t refused_keys = 0;
   std::uint64_t ignored_heartbeats = 0;
-  latency_counts first_byte;
-  latency_counts total;
 };
 
 }  // namespace berylbarrow
--- a/src/process/entry/requests.cc
+++ b/src/process/entry/requests.cc
@@ -208,8 +208,15 @@
 void entry_requests::Finish(entry_request& request, request_outcome outcome) {
   const caller_id caller = request.input.caller;
   ++context_.counters.requests[{request.service, outcome}];
-  if (outcome == request_outcome::kComplete) {
-    context_.counters.total.Add(context_.Now() - request.arrived);
+  const request_attempt* last = request.Current();
+  const upstream_options* upstream =
+      last == nullptr ? nullptr : context_.index.Upstream(last->run.name);
+  const metric_labels labels{.service = request.service,
+                             .domain = upstream == nullptr ? "" : upstream->domain,
+                             .outcome = std::string(OutcomeName(outcome))};
+  context_.latencies.Observe("request_total", labels, context_.Now() - request.arrived);
+  if (request.first_byte) {
+    context_.latencies.Observe("request_first_byte", labels, *request.first_byte);
   }
   for (const request_attempt& attempt : request.attempts) {
     attempts_.erase(attempt.id.sequence);
--- a/src/process/entry/requests.h
+++ b/src/process/entry/requests.h
@@ -74,6 +74,7 @@
   // The answer.
   std::optional<answer_head> head;  // of the current attempt
   std::optional<answer_head> sent_head;
+  std::optional<duration> first_byte;  // from the arrival to sent_head
   std::uint64_t received = 0;
   std::uint64_t acknowledged = 0;
 
--- a/src/process/entry/run_entry.cc
+++ b/src/process/entry/run_entry.cc
@@ -17,10 +17,13 @@
     caller_server server(callers.Context(),
                          {settings.callers_address, settings.limits.max_connections,
                           settings.limits.max_request_bytes},
-                         wiring.MakeSink<entry_input>());
+                         wiring.MakeSink<entry_input>("callers"));
     ring<entry_output> to_callers(callers.Context(), wiring.RingCapacity(),
                                   [&](entry_output&& output) { server.Deliver(output); });
-    wiring.Run(callers, to_callers);
+    wiring.Run(callers, to_callers,
+               {.is_flushed = [&server] { return server.UnfinishedConnections() == 0; },
+                .counters = [&server] { return CountersText(server.Counters()); },
+                .addresses = {{"callers", settings.callers_address}}});
     return 0;
   } catch (const std::exception& error) {
     std::cerr << "berylbarrow entry " << settings.name << ": " << error.what() << "\n";
--- a/src/process/entry/status.cc
+++ b/src/process/entry/status.cc
@@ -42,19 +42,6 @@
   return "";
 }
 
-void WriteLatency(std::ostream& out, const std::string& name, const latency_counts& counts) {
-  out << "# TYPE berylbarrow_" << name << "_seconds histogram\n";
-  std::uint64_t sum = 0;
-  for (std::size_t i = 0; i < latency_counts::kBoundsSeconds.size(); ++i) {
-    sum += counts.buckets.at(i);
-    out << "berylbarrow_" << name << "_seconds_bucket{le=\"" << latency_counts::kBoundsSeconds.at(i)
-        << "\"} " << sum << '\n';
-  }
-  out << "berylbarrow_" << name << "_seconds_bucket{le=\"+Inf\"} " << counts.count << '\n'
-      << "berylbarrow_" << name << "_seconds_sum " << counts.sum_seconds << '\n'
-      << "berylbarrow_" << name << "_seconds_count " << counts.count << '\n';
-}
-
 }  // namespace
 
 nlohmann::json FleetStatus(const entry_context& context) {
@@ -125,8 +112,6 @@
   }
   out << "# TYPE berylbarrow_requests_in_flight gauge\n"
       << "berylbarrow_requests_in_flight " << in_flight << '\n';
-  WriteLatency(out, "first_byte", counters.first_byte);
-  WriteLatency(out, "total", counters.total);
   return out.str();
 }
 
--- a/src/process/membership/fleet_view.cc
+++ b/src/process/membership/fleet_view.cc
@@ -27,15 +27,35 @@
   if (actions.watch) {
     changes.watches.push_back(*actions.watch);
   }
+  ReportRefusals(changes);
   if (!actions.version_changed) {
     return;
   }
   changes.version_changed = true;
+  changes.events.push_back({.module = "configuration",
+                            .name = "revision_in_force",
+                            .fields = {{"revision", std::to_string(follower_.Revision())}}});
   plan_.Restart(*follower_.Current(), at);
   // Peers must not wait for the next interval to hear of the new revision.
   next_heartbeat_ = at.now;
 }
 
+void fleet_view::ReportRefusals(fleet_changes& changes) {
+  const std::string refused = std::to_string(follower_.LastRefused());
+  if (std::exchange(reported_refusal_, follower_.LastRefused()) == follower_.LastRefused()) {
+    return;
+  }
+  for (const finding& item : follower_.LastFindings()) {
+    changes.events.push_back({.level = log_level::kError,
+                              .module = "configuration",
+                              .name = "document_refused",
+                              .fields = {{"revision", refused},
+                                         {"line", std::to_string(item.line)},
+                                         {"column", std::to_string(item.column)},
+                                         {"finding", item.message}}});
+  }
+}
+
 fleet_changes fleet_view::OnTime(const moment& at) {
   fleet_changes changes;
   Merge(follower_.OnTime(at), at, changes);
@@ -70,7 +90,15 @@
 }
 
 fleet_changes fleet_view::On(const peer_closed& event, const moment& /*at*/) {
-  return {.closed_peer = members_.OnClosed(event.connection)};
+  fleet_changes changes;
+  changes.closed_peer = members_.OnClosed(event.connection);
+  if (!changes.closed_peer.empty()) {
+    changes.events.push_back({.level = log_level::kWarning,
+                              .module = "peers",
+                              .name = "connection_lost",
+                              .fields = {{"peer", changes.closed_peer}}});
+  }
+  return changes;
 }
 
 fleet_changes fleet_view::On(const peer_received& event, const moment& at) {
--- a/src/process/runtime/process_wiring.h
+++ b/src/process/runtime/process_wiring.h
@@ -15,6 +15,7 @@
 #include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "berylbarrow/connection/http/operator_server.h"
 #include "berylbarrow/connection/http/platform_client.h"
@@ -24,12 +25,21 @@
 #include "berylbarrow/process/runtime/duty.h"
 #include "berylbarrow/process/runtime/ring.h"
 #include "berylbarrow/process/settings/settings.h"
+#include "berylbarrow/process/telemetry/log.h"
+#include "process/runtime/process_counters.h"
 
 namespace berylbarrow {
 
 template <typename Wanted, typename... Listed>
 inline constexpr bool kIsOneOf = (std::is_same_v<Wanted, Listed> || ...);
 
+/// What the wiring needs to know of the role's duty.
+struct role_hooks {
+  std::function<bool()> is_flushed;       // nothing is left to write; on the role's thread
+  std::function<std::string()> counters;  // text exposition; on any thread
+  std::vector<log_field> addresses;       // for the log
+};
+
 /// The duties that entries and agents have in common, and the rings between them and the decisions.
 /// The duty of the role (callers or upstream) is added by its setup function.
 template <typename Core>
@@ -41,28 +51,30 @@
   process_wiring(const process_settings& settings, std::unique_ptr<Core> core,
                  const runtime_clock& clock, const process_identity& identity)
       : capacity_(settings.limits.ring_capacity),
+        settings_(settings),
+        identity_(identity),
         decisions_(std::move(core), clock, [this](output_type& output) { return Route(output); }),
         signal_input_(decisions_.AddInput(capacity_)),
-        peers_(peer_duty_.Context(), PeerOptions(settings, identity), MakeSink<peer_event>()),
+        peers_(peer_duty_.Context(), PeerOptions(settings, identity),
+               MakeSink<peer_event>("peers")),
         platform_(platform_duty_.Context(), PlatformOptions(settings, identity),
-                  MakeSink<platform_event>()),
+                  MakeSink<platform_event>("platform")),
         operators_(operator_duty_.Context(), settings.operators_address,
-                   MakeSink<operator_query>()),
+                   MakeSink<operator_query>("operators")),
         to_peers_(peer_duty_.Context(), capacity_,
                   [this](output_type&& output) { HandlePeerOutput(output); }),
         to_platform_(platform_duty_.Context(), capacity_,
                      [this](configuration_watch&& watch) { platform_.Watch(watch); }),
         to_operators_(operator_duty_.Context(), capacity_,
-                      [this](operator_reply&& reply) { operators_.Deliver(reply); }) {}
+                      [this](operator_reply&& reply) { HandleOperatorReply(std::move(reply)); }) {}
 
-  /// A sink with its own ring to the decisions. Each thread needs one of its own.
+  /// A sink with its own ring to the decisions. Each thread needs one of its own. `name` labels the
+  /// ring in the metrics.
   template <typename Event>
-  std::function<bool(Event)> MakeSink() {
+  std::function<bool(Event)> MakeSink(const std::string& name) {
     ring<input_type>& input = decisions_.AddInput(capacity_);
-    return [&input](Event event) {
-      if (!input.HasSpace()) return false;
-      return input.Push(ToInput(std::move(event)));
-    };
+    inputs_.emplace_back(name, &input);
+    return [&input](Event event) { return input.Push(ToInput(std::move(event))); };
   }
 
   std::size_t RingCapacity() const { return capacity_; }
@@ -70,10 +82,13 @@
   /// Starts every duty and returns when the core has finished; all duties have ended then. Outputs
   /// of the role go to `to_role`, which `role` consumes. Throws std::runtime_error if the peer
   /// address cannot be used.
-  void Run(duty& role, ring<output_type>& to_role) {
+  void Run(duty& role, ring<output_type>& to_role, role_hooks hooks) {
     const checked<std::string> bound = peers_.Listen();
     if (!bound) throw std::runtime_error(bound.error().front().message);
     to_role_ = &to_role;
+    role_ = &role;
+    hooks_ = std::move(hooks);
+    LogStart(bound.value());
     platform_.Start();
     WaitForSignal();
     for (duty* each : {&peer_duty_, &platform_duty_, &operator_duty_, &role}) each->Start();
@@ -82,11 +97,14 @@
     // The other threads end first: the decisions may wait for space in one of their rings.
     for (duty* each : {&role, &operator_duty_, &platform_duty_, &peer_duty_}) each->Stop();
     decisions_.Stop();
+    logger::Flush();
   }
 
  private:
-  // Time for the I/O threads to write what the decisions sent last.
-  static constexpr std::chrono::milliseconds kFlushTime{500};
+  // Longest time for the I/O threads to write what the decisions sent last. A caller or peer that
+  // reads nothing for so long has most likely gone.
+  static constexpr std::chrono::seconds kMaxFlushTime{5};
+  static constexpr std::chrono::milliseconds kFlushPoll{5};
   static constexpr std::chrono::milliseconds kSignalRetry{1};
   static constexpr std::size_t kMinQueuedBytes = 8U << 20;
 
@@ -138,6 +156,9 @@
           } else if constexpr (kIsOneOf<value_type, process_finished>) {
             boost::asio::post(main_, [this] { HandleFinished(); });
             return true;
+          } else if constexpr (kIsOneOf<value_type, log_event>) {
+            logger::Event(value.level, value.module, value.name, value.fields);
+            return true;
           } else {
             return Pass(*to_role_, output);
           }
@@ -181,16 +202,77 @@
   }
 
   void HandleFinished() {
-    finish_timer_.expires_after(kFlushTime);
-    finish_timer_.async_wait(
-        [this](const boost::system::error_code& /*cancelled*/) { main_.stop(); });
+    finish_timer_.expires_after(kMaxFlushTime);
+    finish_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) Finish(false);
+    });
+    CheckFlushed();
+  }
+
+  /// Asks the threads that write to callers and peers, one after the other, for what is left. What
+  /// the decisions sent before process_finished is then in the rings or further.
+  void CheckFlushed() {
+    boost::asio::post(role_->Context(), [this] {
+      const bool role_flushed = to_role_->IsEmpty() && hooks_.is_flushed();
+      boost::asio::post(peer_duty_.Context(), [this, role_flushed] {
+        const bool peers_flushed = to_peers_.IsEmpty() && peers_.UnwrittenBytes() == 0;
+        boost::asio::post(main_, [this, flushed = role_flushed && peers_flushed] {
+          flushed ? Finish(true) : CheckFlushedLater();
+        });
+      });
+    });
+  }
+
+  void CheckFlushedLater() {
+    flush_timer_.expires_after(kFlushPoll);
+    flush_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) CheckFlushed();
+    });
+  }
+
+  void Finish(bool flushed) {
+    logger::Event(flushed ? log_level::kInfo : log_level::kWarning, "process", "process_finished",
+                  {{"flushed", flushed ? "true" : "false"}});
+    main_.stop();
+  }
+
+  void LogStart(const std::string& bound) const {
+    std::vector<log_field> fields{
+        {"role", identity_.role == process_role::kEntry ? "entry" : "agent"},
+        {"version", BERYLBARROW_VERSION},
+        {"incarnation", std::to_string(identity_.incarnation)},
+        {"peers", bound},
+        {"operators", settings_.operators_address}};
+    fields.insert(fields.end(), hooks_.addresses.begin(), hooks_.addresses.end());
+    logger::Event(log_level::kInfo, "process", "process_started", fields);
+  }
+
+  /// Runs on the operator thread.
+  void HandleOperatorReply(operator_reply&& reply) {
+    if (reply.kind == operator_query_kind::kMetrics) reply.body += ProcessMetrics();
+    operators_.Deliver(reply);
+  }
+
+  std::string ProcessMetrics() const {
+    std::string text = hooks_.counters() + CountersText(peers_.Counters()) +
+                       CountersText(platform_.Counters()) +
+                       "# TYPE berylbarrow_ring_rejections_total counter\n";
+    for (const auto& [name, input] : inputs_) {
+      text += CounterLine("ring_rejections", "ring=\"" + name + "\"", input->Rejected());
+    }
+    return text + "# TYPE berylbarrow_decision_output_waits_total counter\n" +
+           CounterLine("decision_output_waits", "", decisions_.OutputWaits());
   }
 
   std::size_t capacity_;
+  const process_settings& settings_;
+  process_identity identity_;
+  std::vector<std::pair<std::string, const ring<input_type>*>> inputs_;  // in the order of AddInput
   boost::asio::io_context main_{1};
   boost::asio::signal_set signals_{main_, SIGTERM, SIGINT};
   boost::asio::steady_timer signal_timer_{main_};
   boost::asio::steady_timer finish_timer_{main_};
+  boost::asio::steady_timer flush_timer_{main_};
   duty peer_duty_{"peers"};
   duty platform_duty_{"platform"};
   duty operator_duty_{"operators"};
@@ -203,6 +285,8 @@
   ring<configuration_watch> to_platform_;
   ring<operator_reply> to_operators_;
   ring<output_type>* to_role_ = nullptr;
+  duty* role_ = nullptr;
+  role_hooks hooks_;
 };
 
 }  // namespace berylbarrow
--- a/tests/connection/upstream_client_test.cc
+++ b/tests/connection/upstream_client_test.cc
@@ -16,7 +16,7 @@
   explicit fixture(upstream_client_options options = {}) {
     Accept();
     options.address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
-    client.emplace(context, options, [this](const agent_input& input) {
+    client.emplace(context, options, clock, [this](const agent_input& input) {
       if (full) {
         ++refused;
         return false;
@@ -51,7 +51,8 @@
                                                .target = "/pay",
                                                .content_type = "application/json",
                                                .body = "{}"},
-                                   .resume_offset = offset});
+                                   .resume_offset = offset,
+                                   .not_after = not_after});
   }
 
   /// The connection whose request contains the text.
@@ -72,6 +73,8 @@
   }
 
   boost::asio::io_context context;
+  manual_clock clock;
+  time_point not_after = time_point::max();
   tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
   std::vector<std::shared_ptr<raw_socket>> sockets;
   std::optional<upstream_client> client;
@@ -180,6 +183,37 @@
   BOOST_TEST((Of(f.ends[1]) == End(upstream_outcome::kNotSent, 2)));
 }
 
+// Guards against work that an agent paused after its decision still sends when it resumes: the
+// failure domain may have been drained in the meantime.
+BOOST_AUTO_TEST_CASE(LateStartIsNotSent) {
+  fixture f({.load_poll_interval = std::chrono::hours(1)});
+  f.Receiving("GET /load");
+  f.not_after = f.clock.Now() + std::chrono::seconds(1);
+  f.clock.Advance(std::chrono::seconds(1));
+  f.Start(1);
+  f.Receiving("POST /pay");
+  f.clock.Advance(duration(1));
+  f.Start(2);
+  BOOST_REQUIRE(f.Until([&] { return !f.ends.empty(); }));
+  BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kNotSent, 2)));
+  BOOST_TEST(f.client->ConnectionCount() == 1U);
+  BOOST_TEST(f.sockets.size() == 2U);  // the load report and the first request
+  BOOST_TEST(f.client->Counters().late == 1U);
+}
+
+// Guards against the same when the pause falls between the opening of the connection and the write.
+BOOST_AUTO_TEST_CASE(StartThatBecomesLateWhileConnectingIsNotSent) {
+  fixture f({.load_poll_interval = std::chrono::hours(1)});
+  f.Receiving("GET /load");
+  f.not_after = f.clock.Now();
+  f.Start(1);
+  f.clock.Advance(duration(1));
+  BOOST_REQUIRE(f.Until([&] { return !f.ends.empty(); }));
+  BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kNotSent)));
+  BOOST_TEST(f.Until([&] { return f.sockets.size() == 2 && f.sockets[1]->Closed(); }));
+  BOOST_TEST(f.sockets[1]->Received().empty());
+}
+
 // Guards against load reports that are misread, and polling that stops after a bad answer.
 BOOST_AUTO_TEST_CASE(LoadIsPolled) {
   fixture f({.load_poll_interval = std::chrono::milliseconds(1)});
