End the processes of a fixture that fails to start

Cause: a constructor that throws runs no destructor, so the processes of a fleet that did not serve stayed behind; three such fleets were seen. The constructor now delegates, so the destructor runs. system.request_test builds and its payment case was run after the change.

--- a/tests/support/process_fleet.cc
+++ b/tests/support/process_fleet.cc
@@ -102,10 +102,14 @@
       .dump();
 }
 
-process_fleet::process_fleet(const process_fleet_options& options) {
-  const char* build = std::getenv("BERYLBARROW_BUILD");  // NOLINT(concurrency-mt-unsafe)
+process_fleet::process_fleet(const char* build) {
   if (build == nullptr) throw std::runtime_error("BERYLBARROW_BUILD is not set");
   build_ = build;
+}
+
+// Delegates, so that the destructor ends the processes if the rest of the constructor throws.
+process_fleet::process_fleet(const process_fleet_options& options)
+    : process_fleet(std::getenv("BERYLBARROW_BUILD")) {  // NOLINT(concurrency-mt-unsafe)
   std::string pattern = std::filesystem::temp_directory_path() / "berylbarrow-XXXXXX";
   if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("cannot make " + pattern);
   folder_ = pattern;
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -99,6 +99,8 @@
     int exit_code = -1;
   };
 
+  explicit process_fleet(const char* build);
+
   std::string FreeAddress();
   void Add(const std::string& name, std::vector<std::string> command);
   void AddAgent(const std::string& domain, const std::string& service,
