--- a/bench/capacity/fleet.h
+++ b/benchmarks/capacity/fleet.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_CAPACITY_FLEET_H_
-#define BERYLBARROW_BENCH_CAPACITY_FLEET_H_
+#ifndef BERYLBARROW_BENCHMARKS_CAPACITY_FLEET_H_
+#define BERYLBARROW_BENCHMARKS_CAPACITY_FLEET_H_
 
 #include <chrono>
 #include <ctime>
@@ -81,4 +81,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_CAPACITY_FLEET_H_
+#endif  // BERYLBARROW_BENCHMARKS_CAPACITY_FLEET_H_
--- a/bench/capacity/measures.h
+++ b/benchmarks/capacity/measures.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_CAPACITY_MEASURES_H_
-#define BERYLBARROW_BENCH_CAPACITY_MEASURES_H_
+#ifndef BERYLBARROW_BENCHMARKS_CAPACITY_MEASURES_H_
+#define BERYLBARROW_BENCHMARKS_CAPACITY_MEASURES_H_
 
 #include <string>
 #include <vector>
@@ -60,4 +60,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_CAPACITY_MEASURES_H_
+#endif  // BERYLBARROW_BENCHMARKS_CAPACITY_MEASURES_H_
--- a/bench/common/table.h
+++ b/benchmarks/common/table.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_COMMON_TABLE_H_
-#define BERYLBARROW_BENCH_COMMON_TABLE_H_
+#ifndef BERYLBARROW_BENCHMARKS_COMMON_TABLE_H_
+#define BERYLBARROW_BENCHMARKS_COMMON_TABLE_H_
 
 #include <array>
 #include <cstdio>
@@ -69,4 +69,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_COMMON_TABLE_H_
+#endif  // BERYLBARROW_BENCHMARKS_COMMON_TABLE_H_
--- a/bench/idle.sh
+++ b/benchmarks/idle.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Prints memory and CPU time of the idle entries and agents of examples/solano as a Markdown table.
-#   bench/idle.sh [SECONDS]     default 20
+#   benchmarks/idle.sh [SECONDS]     default 20
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seconds=${1:-20}
--- a/bench/latency.sh
+++ b/benchmarks/latency.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Prints the latency that the path through entry and agent adds over a direct call to the upstream
 # stand-in, as a Markdown table. Both are measured in the same run, one after the other, three times.
-#   bench/latency.sh [SECONDS] [SEED]     SECONDS of each part, default 8
+#   benchmarks/latency.sh [SECONDS] [SEED]     SECONDS of each part, default 8
 # Needs berylbarrow, berylbarrow-platform, berylbarrow-upstream and berylbarrow-load in the build
 # folder, and the ports of examples/solano.
 set -euo pipefail
--- a/bench/service/callers.h
+++ b/benchmarks/service/callers.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_SERVICE_CALLERS_H_
-#define BERYLBARROW_BENCH_SERVICE_CALLERS_H_
+#ifndef BERYLBARROW_BENCHMARKS_SERVICE_CALLERS_H_
+#define BERYLBARROW_BENCHMARKS_SERVICE_CALLERS_H_
 
 #include <map>
 #include <optional>
@@ -114,4 +114,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_SERVICE_CALLERS_H_
+#endif  // BERYLBARROW_BENCHMARKS_SERVICE_CALLERS_H_
--- a/bench/service/engine.h
+++ b/benchmarks/service/engine.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_SERVICE_ENGINE_H_
-#define BERYLBARROW_BENCH_SERVICE_ENGINE_H_
+#ifndef BERYLBARROW_BENCHMARKS_SERVICE_ENGINE_H_
+#define BERYLBARROW_BENCHMARKS_SERVICE_ENGINE_H_
 
 #include <cstdint>
 #include <deque>
@@ -95,4 +95,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_SERVICE_ENGINE_H_
+#endif  // BERYLBARROW_BENCHMARKS_SERVICE_ENGINE_H_
--- a/bench/service/figures.h
+++ b/benchmarks/service/figures.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_SERVICE_FIGURES_H_
-#define BERYLBARROW_BENCH_SERVICE_FIGURES_H_
+#ifndef BERYLBARROW_BENCHMARKS_SERVICE_FIGURES_H_
+#define BERYLBARROW_BENCHMARKS_SERVICE_FIGURES_H_
 
 #include <string>
 #include <vector>
@@ -44,4 +44,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_SERVICE_FIGURES_H_
+#endif  // BERYLBARROW_BENCHMARKS_SERVICE_FIGURES_H_
--- a/bench/service/runs.h
+++ b/benchmarks/service/runs.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_SERVICE_RUNS_H_
-#define BERYLBARROW_BENCH_SERVICE_RUNS_H_
+#ifndef BERYLBARROW_BENCHMARKS_SERVICE_RUNS_H_
+#define BERYLBARROW_BENCHMARKS_SERVICE_RUNS_H_
 
 #include <future>
 #include <string>
@@ -36,4 +36,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_SERVICE_RUNS_H_
+#endif  // BERYLBARROW_BENCHMARKS_SERVICE_RUNS_H_
--- a/bench/service/scenarios.h
+++ b/benchmarks/service/scenarios.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_SERVICE_SCENARIOS_H_
-#define BERYLBARROW_BENCH_SERVICE_SCENARIOS_H_
+#ifndef BERYLBARROW_BENCHMARKS_SERVICE_SCENARIOS_H_
+#define BERYLBARROW_BENCHMARKS_SERVICE_SCENARIOS_H_
 
 #include <string>
 #include <vector>
@@ -27,4 +27,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_SERVICE_SCENARIOS_H_
+#endif  // BERYLBARROW_BENCHMARKS_SERVICE_SCENARIOS_H_
--- a/bench/service/schedule.h
+++ b/benchmarks/service/schedule.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_SERVICE_SCHEDULE_H_
-#define BERYLBARROW_BENCH_SERVICE_SCHEDULE_H_
+#ifndef BERYLBARROW_BENCHMARKS_SERVICE_SCHEDULE_H_
+#define BERYLBARROW_BENCHMARKS_SERVICE_SCHEDULE_H_
 
 #include <algorithm>
 #include <functional>
@@ -36,4 +36,4 @@
 
 }  // namespace berylbarrow::bench
 
-#endif  // BERYLBARROW_BENCH_SERVICE_SCHEDULE_H_
+#endif  // BERYLBARROW_BENCHMARKS_SERVICE_SCHEDULE_H_
--- a/bench/skew/load_model.h
+++ b/benchmarks/skew/load_model.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_BENCH_SKEW_LOAD_MODEL_H_
-#define BERYLBARROW_BENCH_SKEW_LOAD_MODEL_H_
+#ifndef BERYLBARROW_BENCHMARKS_SKEW_LOAD_MODEL_H_
+#define BERYLBARROW_BENCHMARKS_SKEW_LOAD_MODEL_H_
 
 #include <random>
 #include <vector>
@@ -36,4 +36,4 @@
 
 }  // namespace berylbarrow
 
-#endif  // BERYLBARROW_BENCH_SKEW_LOAD_MODEL_H_
+#endif  // BERYLBARROW_BENCHMARKS_SKEW_LOAD_MODEL_H_
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -22,8 +22,8 @@
                  address_query, upstream_head, upstream_part, upstream_end, upstream_report>;
 using fleet_output =
     std::variant<peer_connect, peer_disconnect, peer_send, heartbeat_send, configuration_watch,
-                 operator_reply, process_finished, caller_reply, caller_head, caller_part,
-                 caller_end, callers_stop_accepting, upstream_start, upstream_cancel>;
+                 operator_reply, process_finished, log_event, caller_reply, caller_head,
+                 caller_part, caller_end, callers_stop_accepting, upstream_start, upstream_cancel>;
 
 /// Parts of the cores that a test may replace.
 struct fleet_parts {
--- a/tests/support/fleet_run.h
+++ b/tests/support/fleet_run.h
@@ -39,6 +39,7 @@
   void On(fleet_process& /*from*/, const caller_head& output) { callers_.OnHead(output); }
   void On(fleet_process& /*from*/, const caller_part& output) { callers_.OnPart(output); }
   void On(fleet_process& /*from*/, const caller_end& output) { callers_.OnEnd(output); }
+  void On(fleet_process& /*from*/, const log_event& /*output*/) {}
   void On(fleet_process& from, const callers_stop_accepting& /*output*/) { from.accepts = false; }
   void On(fleet_process& from, const upstream_start& output) {
     upstreams_.at(from.place.name)->Start(from, output);
--- a/tools/load/caller.cc
+++ b/tools/load/caller.cc
@@ -40,6 +40,7 @@
   key_.clear();
   failed_address_.clear();
   attempts_ = 0;
+  refusals_ = 0;
   result_ = {.kind = kind, .gaps_ms = {}, .payment = {}};
   ++calls_;
   if (kind == call_kind::kDraft) {
@@ -153,7 +154,8 @@
   }
   if (kind_ == call_kind::kPayment && !options_.Direct()) {
     if (key_.empty()) {
-      key_ = services_[Service()].grant + "/" + name_ + "-" + std::to_string(calls_);
+      key_ = services_[Service()].grant + "/" + name_ + "-" + std::to_string(calls_) + "-" +
+             std::to_string(refusals_);
     }
     request_.headers.emplace_back("Idempotency-Key", key_);
     request_.headers.emplace_back("Berylbarrow-Attempt", std::to_string(attempts_));
@@ -187,7 +189,7 @@
   // A refusal can mean that the address or the grant is out of date.
   services_.erase(Service());
   if (answer.outcome == "not-run") {
-    Finish(call_outcome::kRefused);
+    StartAnew();
   } else if (answer.outcome == "unknown" || answer.status == 502 || answer.status == 504) {
     Finish(call_outcome::kUnknown);
   } else {
@@ -195,6 +197,23 @@
   }
 }
 
+/// A call that was refused as not run is made again, a payment with a new key.
+void caller::StartAnew() {
+  constexpr auto kPause = std::chrono::milliseconds(100);
+  if (options_.Direct() || ++refusals_ >= options_.max_attempts || Remaining() <= kPause) {
+    Finish(call_outcome::kRefused);
+    return;
+  }
+  key_.clear();
+  attempts_ = 0;
+  ask_timer_.expires_after(kPause * refusals_);
+  ask_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      FindAddress();
+    }
+  });
+}
+
 void caller::Resend() {
   failed_address_ = sent_to_;
   if (options_.Direct() || attempts_ >= options_.max_attempts ||
--- a/tools/load/caller.h
+++ b/tools/load/caller.h
@@ -40,6 +40,7 @@
   void Send(const std::string& address);
   void OnAnswer(const link_answer& answer);
   void Resend();
+  void StartAnew();
   void Finish(call_outcome outcome);
   const std::string& Service() const;
   load_clock::duration Remaining() const { return give_up_ - load_clock::now(); }
@@ -67,6 +68,7 @@
   std::string failed_address_;  // not used again for this call while there is another
   std::string sent_to_;
   std::uint32_t attempts_ = 0;
+  std::uint32_t refusals_ = 0;  // of the call as not run
   finished_call result_;
 };
 
