Let a stale process still replace dead watchers

A process whose peers are all dead is isolated and refreshes at every turn, so the choice of watchers behind it was never reached. version.configuration_follower_test, DeadWatchersAreReplaced, failed. Ruled out: weakening the test; all watchers of a domain can be dead at once. Change: the choice of watchers comes first and does not depend on the refresh.

--- a/src/version/configuration/configuration_follower.cc
+++ b/src/version/configuration/configuration_follower.cc
@@ -67,12 +67,15 @@
   if (was_paused || is_isolated) {
     was_isolated_ = is_isolated && !was_paused;
     MarkStale(at, actions);
-  } else if (stale_ && at.now >= next_refresh_) {
-    StartRefresh(at, actions);
-  } else if (store_.Current() && at.now >= next_watch_choice_) {
-    // A watcher that has died must be replaced before the next document.
+    return actions;
+  }
+  // A watcher that has died must be replaced before the next document, also by a stale process.
+  if (store_.Current() && at.now >= next_watch_choice_) {
     ChooseWatch(at, actions);
   }
+  if (stale_ && !actions.watch && at.now >= next_refresh_) {
+    StartRefresh(at, actions);
+  }
   return actions;
 }
 
