Let a full queue give up work of the account over its share

Weighed: a limit per account in the queue; it leaves places empty when few accounts are active. Longest queue drop (Suter et al. 1998) does not. Change: fair_queue::Displaced; the agent refuses the displaced work as not run.

--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -117,6 +117,8 @@
   void Join(execution_record& record, const dispatch& work, connection_id connection);
   void Admit(const dispatch& work, connection_id connection);
   void Enqueue(const dispatch& work, connection_id connection);
+  std::uint32_t WeightOf(const std::string& account) const;
+  bool MakePlace(const std::string& account, std::uint32_t weight);
   std::optional<refusal_reason> ReasonAgainst(const dispatch& work);
   gate Gate(revision needed) const;
   bool InService() const;
--- a/include/berylbarrow/request/admission/fair_queue.h
+++ b/include/berylbarrow/request/admission/fair_queue.h
@@ -35,6 +35,10 @@
   /// The work that Pop would return.
   const queued_work* Peek() const;
   std::optional<queued_work> Pop();
+  /// The work that a full queue gives up for one more item of `account`: the last of the account
+  /// with the most items for its weight. Null if `account` itself would then have the most. Source:
+  /// longest queue drop, Suter et al. 1998.
+  const queued_work* Displaced(const std::string& account, std::uint32_t weight) const;
   bool Remove(execution_id execution);
   /// Takes out the work whose deadline has been reached.
   std::vector<queued_work> Expire(time_point now);
--- a/src/process/agent/agent_dispatch.cc
+++ b/src/process/agent/agent_dispatch.cc
@@ -197,6 +197,28 @@
   return std::nullopt;
 }
 
+std::uint32_t agent_core::WeightOf(const std::string& account) const {
+  const auto& accounts = fleet_.Current()->value.accounts;
+  const auto place = std::find_if(accounts.begin(), accounts.end(),
+                                  [&account](const auto& item) { return item.name == account; });
+  return place == accounts.end() ? 1 : place->weight;
+}
+
+/// A full queue gives up work of an account over its share before it refuses one below it.
+bool agent_core::MakePlace(const std::string& account, std::uint32_t weight) {
+  if (!queue_.IsFull()) {
+    return true;
+  }
+  const queued_work* displaced = queue_.Displaced(account, weight);
+  if (displaced == nullptr) {
+    return false;
+  }
+  const execution_id execution = displaced->execution;
+  queue_.Remove(execution);
+  RefuseRecord(*table_.FindById(execution), refusal_reason::kOverload);
+  return !queue_.IsFull();
+}
+
 void agent_core::Enqueue(const dispatch& work, connection_id connection) {
   if (const auto reason = ReasonAgainst(work)) {
     RefuseNew(work, connection, *reason);
@@ -205,19 +227,16 @@
   const std::size_t limit = limit_->Limit();
   const std::size_t free_slots = limit - std::min(limit, running_.size());
   queue_.SetCapacity(Service()->limits.queue + free_slots);
-  if (queue_.IsFull() || !table_.MakeRoom(RequestBytes(work))) {
+  const std::uint32_t weight = WeightOf(work.account);
+  if (!table_.MakeRoom(RequestBytes(work)) || !MakePlace(work.account, weight)) {
     RefuseNew(work, connection, refusal_reason::kOverload);
     return;
   }
-  const auto& accounts = fleet_.Current()->value.accounts;
-  const auto account = std::find_if(accounts.begin(), accounts.end(), [&work](const auto& item) {
-    return item.name == work.account;
-  });
   execution_record& record = table_.Add(work, EpochOf(work), Now());
   table_.Attach(record, work, connection, Now());
   queue_.Push({.execution = record.id,
                .account = work.account,
-               .weight = account == accounts.end() ? 1 : account->weight,
+               .weight = weight,
                .priority = work.priority,
                .deadline = record.deadline});
 }
--- a/src/request/admission/fair_queue.cc
+++ b/src/request/admission/fair_queue.cc
@@ -54,6 +54,22 @@
   return work;
 }
 
+const queued_work* fair_queue::Displaced(const std::string& account, std::uint32_t weight) const {
+  const auto own = accounts_.find(account);
+  const std::size_t own_items = own == accounts_.end() ? 0 : own->second.items.size();
+  double highest = static_cast<double>(own_items + 1) / std::max<std::uint32_t>(weight, 1);
+  const queued_work* displaced = nullptr;
+  for (const auto& [name, queue] : accounts_) {
+    const queued_work& last = queue.items.rbegin()->second;
+    const double load = static_cast<double>(queue.items.size()) * ShareOf(last);
+    if (name != account && load > highest) {
+      highest = load;
+      displaced = &last;
+    }
+  }
+  return displaced;
+}
+
 bool fair_queue::Remove(execution_id execution) {
   for (auto account = accounts_.begin(); account != accounts_.end(); ++account) {
     auto& items = account->second.items;
--- a/tests/request/fair_queue_test.cc
+++ b/tests/request/fair_queue_test.cc
@@ -68,5 +68,19 @@
   BOOST_TEST(queue.Size() == 0U);
 }
 
+// Guards against an account that fills the queue and shuts out accounts below their share.
+BOOST_AUTO_TEST_CASE(FullQueueGivesUpWorkOfTheAccountOverItsShare) {
+  fair_queue queue(3);
+  for (execution_id id = 1; id <= 3; ++id) {
+    queue.Push({.execution = id, .account = "hot", .weight = 1});
+  }
+  BOOST_REQUIRE(queue.Displaced("small", 1) != nullptr);
+  BOOST_TEST(queue.Displaced("small", 1)->execution == 3U);
+  BOOST_TEST((queue.Displaced("hot", 1) == nullptr));
+  queue.Remove(3);
+  queue.Push({.execution = 4, .account = "small", .weight = 1});
+  BOOST_TEST((queue.Displaced("small", 1) == nullptr));
+}
+
 }  // namespace
 }  // namespace berylbarrow
