--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
 # Checks format and lint; any finding is a failure. Needs a configured build folder.
+#   tools/lint.sh [SOURCE...]    lints these sources only; format is checked for all
 # A file whose contents and includes are unchanged since its last clean run is skipped.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -21,6 +22,7 @@
   touch "$2/$key"
 }
 export -f lint_one
+[ $# -gt 0 ] && sources=("$@")
 printf '%s\0' "${sources[@]}" |
   xargs -0 -P "${JOBS:-$(nproc)}" -I '{}' bash -c 'lint_one "$1" "$2" || { echo "lint: $1"; exit 255; }' _ '{}' "$cache"
 echo "format and lint clean: ${#sources[@]} sources, ${#headers[@]} headers"
