Name liveness and process state in one place

Cause: the words for the state dump stood twice, in member_table and in the status and core of the entry, so a new state could be named in one place only. Ruled out: putting them into member_table.h, which most sources include. Change: member_names.h; the three sources call it. The words are the same. Checks: member_table, fleet_view, entry_core and entry_property tests pass; format and clang-tidy are clean on the three sources. The full test run was not repeated.

--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "berylbarrow/process/membership/member_names.h"
 #include "process/entry/addresses.h"
 #include "process/entry/entry_context.h"
 #include "process/entry/peers.h"
@@ -21,18 +22,6 @@
 // this time.
 constexpr duration kLastRequests = std::chrono::milliseconds(250);
 
-const char* StateName(process_state state) {
-  switch (state) {
-    case process_state::kStarting:
-      return "starting";
-    case process_state::kServing:
-      return "serving";
-    case process_state::kLeaving:
-      return "leaving";
-  }
-  return "";
-}
-
 }  // namespace
 
 class entry_core::parts {
--- a/src/process/entry/status.cc
+++ b/src/process/entry/status.cc
@@ -6,6 +6,8 @@
 #include <sstream>
 #include <string_view>
 
+#include "berylbarrow/process/membership/member_names.h"
+
 namespace berylbarrow {
 namespace {
 
@@ -28,20 +30,6 @@
     named_counter{"ignored_heartbeats", &entry_counters::ignored_heartbeats},
 };
 
-std::string_view LivenessName(liveness value) {
-  switch (value) {
-    case liveness::kUnknown:
-      return "unknown";
-    case liveness::kAlive:
-      return "alive";
-    case liveness::kSuspect:
-      return "suspect";
-    case liveness::kDead:
-      return "dead";
-  }
-  return "";
-}
-
 }  // namespace
 
 nlohmann::json FleetStatus(const entry_context& context) {
--- a/src/process/membership/member_table.cc
+++ b/src/process/membership/member_table.cc
@@ -2,37 +2,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "berylbarrow/process/membership/member_names.h"
+
 namespace berylbarrow {
 namespace {
 
 constexpr double kSecondsPerNanosecond = 1e-9;
 
-const char* LivenessName(liveness value) {
-  switch (value) {
-    case liveness::kUnknown:
-      return "unknown";
-    case liveness::kAlive:
-      return "alive";
-    case liveness::kSuspect:
-      return "suspect";
-    case liveness::kDead:
-      return "dead";
-  }
-  return "";
-}
-
-const char* StateName(process_state value) {
-  switch (value) {
-    case process_state::kStarting:
-      return "starting";
-    case process_state::kServing:
-      return "serving";
-    case process_state::kLeaving:
-      return "leaving";
-  }
-  return "";
-}
-
 }  // namespace
 
 heard_as member_table::Admit(const process_identity& identity, time_point now) {
