Share the error handling of the tools, the counter tables and the wrapped core

Ruled out: one table type for both counter structs; their metric names have different prefixes and the entry's carry TYPE lines.

Change: tools/common/tool_main.h, a counter table in the agent's report, and tests/support/wrapped_core.h.

--- a/benchmarks/capacity/main.cc
+++ b/benchmarks/capacity/main.cc
@@ -1,7 +1,7 @@
 #include <cxxopts.hpp>
-#include <exception>
 #include <iostream>
 
+#include "common/tool_main.h"
 #include "measures.h"
 
 namespace berylbarrow::bench {
@@ -35,10 +35,5 @@
 }  // namespace berylbarrow::bench
 
 int main(int argc, char** argv) {
-  try {
-    return berylbarrow::bench::Run(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "berylbarrow-capacity: " << error.what() << "\n";
-    return 2;
-  }
+  return berylbarrow::tools::ToolMain("berylbarrow-capacity", berylbarrow::bench::Run, argc, argv);
 }
--- a/benchmarks/service/main.cc
+++ b/benchmarks/service/main.cc
@@ -1,8 +1,8 @@
 #include <cxxopts.hpp>
-#include <exception>
 #include <iostream>
 #include <map>
 
+#include "common/tool_main.h"
 #include "scenarios.h"
 
 namespace berylbarrow::bench {
@@ -53,10 +53,5 @@
 }  // namespace berylbarrow::bench
 
 int main(int argc, char** argv) {
-  try {
-    return berylbarrow::bench::Run(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "berylbarrow-service: " << error.what() << "\n";
-    return 2;
-  }
+  return berylbarrow::tools::ToolMain("berylbarrow-service", berylbarrow::bench::Run, argc, argv);
 }
--- a/benchmarks/skew/main.cc
+++ b/benchmarks/skew/main.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <cstdio>
 #include <cxxopts.hpp>
-#include <exception>
 #include <fstream>
 #include <iostream>
 #include <memory>
@@ -10,6 +9,7 @@
 
 #include "berylbarrow/version/expert/placement_policy.h"
 #include "berylbarrow/version/expert/rebalancer.h"
+#include "common/tool_main.h"
 #include "load_model.h"
 
 namespace berylbarrow {
@@ -177,7 +177,8 @@
                         cxxopts::value<std::uint64_t>()->default_value("20000"))(
       "seed", "seed of the load", cxxopts::value<std::uint64_t>()->default_value("1"))(
       "spare", "spare slots per rank", cxxopts::value<std::uint32_t>()->default_value("1"))(
-      "csv", "file for the results", cxxopts::value<std::string>()->default_value(""))("help", "");
+      "csv", "file for the results", cxxopts::value<std::string>()->default_value(""))(
+      "help", "print this text");
   const auto arguments = options.parse(argc, argv);
   if (arguments.count("help") != 0) {
     std::cout << options.help();
@@ -209,10 +210,5 @@
 }  // namespace berylbarrow
 
 int main(int argc, char** argv) {
-  try {
-    return berylbarrow::Main(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << '\n';
-    return 2;
-  }
+  return berylbarrow::tools::ToolMain("berylbarrow-skew", berylbarrow::Main, argc, argv);
 }
--- a/src/process/agent/agent_report.cc
+++ b/src/process/agent/agent_report.cc
@@ -1,11 +1,34 @@
+#include <array>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <string_view>
 
 #include "berylbarrow/process/agent/agent_core.h"
 
 namespace berylbarrow {
 namespace {
 
+struct named_counter {
+  std::string_view name;
+  std::uint64_t agent_counters::*value;
+};
+
+constexpr std::array kCounters{
+    named_counter{"started", &agent_counters::started},
+    named_counter{"completed", &agent_counters::completed},
+    named_counter{"broken", &agent_counters::broken},
+    named_counter{"not_sent", &agent_counters::not_sent},
+    named_counter{"cancelled", &agent_counters::cancelled},
+    named_counter{"joins", &agent_counters::joins},
+    named_counter{"reattached", &agent_counters::reattached},
+    named_counter{"duplicates", &agent_counters::duplicates},
+    named_counter{"tombstone_hits", &agent_counters::tombstone_hits},
+    named_counter{"held", &agent_counters::held},
+    named_counter{"parts_dropped", &agent_counters::parts_dropped},
+    named_counter{"upstream_deaths", &agent_counters::upstream_deaths},
+    named_counter{"unexpected", &agent_counters::unexpected},
+};
+
 const char* CertaintyName(run_certainty certainty) {
   return certainty == run_certainty::kNotRun ? "not-run" : "unknown";
 }
@@ -87,26 +110,16 @@
 
 std::string agent_core::Metrics() const {
   std::ostringstream text;
-  const auto write = [&text](const char* name, std::uint64_t value) {
+  const auto write = [&text](std::string_view name, std::uint64_t value) {
     text << "berylbarrow_agent_" << name << ' ' << value << '\n';
   };
   for (const auto& [kind, count] : counters_.refusals) {
     text << "berylbarrow_agent_refusals_total{reason=\"" << ReasonName(kind.first)
          << "\",outcome=\"" << CertaintyName(kind.second) << "\"} " << count << '\n';
   }
-  write("started_total", counters_.started);
-  write("completed_total", counters_.completed);
-  write("broken_total", counters_.broken);
-  write("not_sent_total", counters_.not_sent);
-  write("cancelled_total", counters_.cancelled);
-  write("joins_total", counters_.joins);
-  write("reattached_total", counters_.reattached);
-  write("duplicates_total", counters_.duplicates);
-  write("tombstone_hits_total", counters_.tombstone_hits);
-  write("held_total", counters_.held);
-  write("parts_dropped_total", counters_.parts_dropped);
-  write("upstream_deaths_total", counters_.upstream_deaths);
-  write("unexpected_total", counters_.unexpected);
+  for (const named_counter& counter : kCounters) {
+    write(std::string(counter.name) + "_total", counters_.*counter.value);
+  }
   write("cold_resets_total", limit_->ColdResets());
   const upstream_load load = Load();
   write("limit", load.limit);
--- a/tests/process/entry/entry_property_test.cc
+++ b/tests/process/entry/entry_property_test.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "process/entry/entry_simulation.h"
+#include "support/wrapped_core.h"
 
 namespace berylbarrow {
 namespace {
@@ -75,27 +76,21 @@
 }
 
 /// A core that gets its inputs changed, so that it decides as one without a rule would.
-class naive_core : public entry_decisions {
+class naive_core : public wrapped_core<entry_decisions> {
  public:
   using change = std::function<void(entry_input& input)>;
 
   naive_core(const configuration_parser& parser, change edit)
-      : core_(MakeCore(parser)), edit_(std::move(edit)) {}
+      : wrapped_core(MakeCore(parser)), edit_(std::move(edit)) {}
 
   void Handle(const entry_input& input, const moment& at,
               std::vector<entry_output>& outputs) override {
     entry_input changed = input;
     edit_(changed);
-    core_->Handle(changed, at, outputs);
+    wrapped_core::Handle(changed, at, outputs);
   }
-  void Advance(const moment& at, std::vector<entry_output>& outputs) override {
-    core_->Advance(at, outputs);
-  }
-  time_point NextDeadline() const override { return core_->NextDeadline(); }
-  nlohmann::json State() const override { return core_->State(); }
 
  private:
-  std::unique_ptr<entry_decisions> core_;
   change edit_;
 };
 
--- a/tests/support/naive_parts.cc
+++ b/tests/support/naive_parts.cc
@@ -1,9 +1,8 @@
 #include "support/naive_parts.h"
 
-#include <nlohmann/json.hpp>
-
 #include "berylbarrow/process/agent/agent_core.h"
 #include "berylbarrow/process/entry/entry_core.h"
+#include "support/wrapped_core.h"
 
 namespace berylbarrow {
 namespace {
@@ -28,29 +27,6 @@
   return parts;
 }
 
-/// Passes everything on to the core of the product, which may be changed in a subclass.
-template <typename Core>
-class wrapped_core : public Core {
- public:
-  using input_type = typename Core::input_type;
-  using output_type = typename Core::output_type;
-
-  explicit wrapped_core(std::unique_ptr<Core> inner) : inner_(std::move(inner)) {}
-
-  void Handle(const input_type& input, const moment& at,
-              std::vector<output_type>& outputs) override {
-    inner_->Handle(input, at, outputs);
-  }
-  void Advance(const moment& at, std::vector<output_type>& outputs) override {
-    inner_->Advance(at, outputs);
-  }
-  time_point NextDeadline() const override { return inner_->NextDeadline(); }
-  nlohmann::json State() const override { return inner_->State(); }
-
- private:
-  std::unique_ptr<Core> inner_;
-};
-
 class never_leaving_agent final : public wrapped_core<agent_decisions> {
  public:
   using wrapped_core::wrapped_core;
--- a/tools/load/main.cc
+++ b/tools/load/main.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <stdexcept>
 
+#include "common/tool_main.h"
 #include "load/generator.h"
 
 namespace berylbarrow::tools {
@@ -125,10 +126,5 @@
 }  // namespace berylbarrow::tools
 
 int main(int argc, char** argv) {
-  try {
-    return berylbarrow::tools::Run(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "berylbarrow-load: " << error.what() << "\n";
-    return 2;
-  }
+  return berylbarrow::tools::ToolMain("berylbarrow-load", berylbarrow::tools::Run, argc, argv);
 }
--- a/tools/platform/main.cc
+++ b/tools/platform/main.cc
@@ -1,10 +1,10 @@
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
+#include "common/tool_main.h"
 #include "platform/platform.h"
 
 namespace berylbarrow::tools {
@@ -43,9 +43,7 @@
   if (const auto file = given["instances"].as<std::string>(); !file.empty()) {
     platform.SetInstances(ReadFile(file));
   }
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&context](boost::system::error_code, int) { context.stop(); });
-  context.run();
+  RunUntilSignal(context);
   return 0;
 }
 
@@ -53,10 +51,5 @@
 }  // namespace berylbarrow::tools
 
 int main(int argc, char** argv) {
-  try {
-    return berylbarrow::tools::Run(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "berylbarrow-platform: " << error.what() << "\n";
-    return 2;
-  }
+  return berylbarrow::tools::ToolMain("berylbarrow-platform", berylbarrow::tools::Run, argc, argv);
 }
--- a/tools/upstream/main.cc
+++ b/tools/upstream/main.cc
@@ -1,10 +1,10 @@
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <cxxopts.hpp>
 #include <iostream>
 
+#include "common/tool_main.h"
 #include "upstream/engine.h"
 
 namespace berylbarrow::tools {
@@ -44,7 +44,7 @@
   const auto kind = given["kind"].as<std::string>();
   if (kind != "model" && kind != "plain") {
     std::cerr << "berylbarrow-upstream: --kind must be model or plain\n";
-    return 2;
+    return kUsageError;
   }
   auto instance = given["instance-start"].as<std::string>();
   boost::asio::io_context context(1);
@@ -60,9 +60,7 @@
                                 .cache_entries = given["cache-entries"].as<std::uint32_t>(),
                                 .load_lag_ms = given["load-lag-ms"].as<std::uint32_t>(),
                                 .ledger_file = given["ledger-file"].as<std::string>()});
-  boost::asio::signal_set signals(context, SIGTERM, SIGINT);
-  signals.async_wait([&context](boost::system::error_code, int) { context.stop(); });
-  context.run();
+  RunUntilSignal(context);
   return 0;
 }
 
@@ -70,10 +68,5 @@
 }  // namespace berylbarrow::tools
 
 int main(int argc, char** argv) {
-  try {
-    return berylbarrow::tools::Run(argc, argv);
-  } catch (const std::exception& error) {
-    std::cerr << "berylbarrow-upstream: " << error.what() << "\n";
-    return 2;
-  }
+  return berylbarrow::tools::ToolMain("berylbarrow-upstream", berylbarrow::tools::Run, argc, argv);
 }
