Accept callers over TLS

Cause: payments and customers' papers crossed the network in clear text; a caller could not check which entry it talks to.

Weighed: TLS in a process in front of the entry (a ready-made proxy, ruled out); TLS between our own processes as well (left out: the peer protocol has no identities that a certificate could confirm beyond the addresses of the document).

A connection without a finished handshake is closed after 5 s and counted. A file that cannot be used ends the process with a message that names it.

Not measured: processor time of handshakes.

--- a/include/berylbarrow/connection/http/caller_server.h
+++ b/include/berylbarrow/connection/http/caller_server.h
@@ -24,6 +24,9 @@
   // Bytes waiting to be written to one caller; a slower caller is disconnected. The default holds
   // one buffered answer of 4 MiB with its chunk headers.
   std::size_t max_outgoing_bytes = 5 << 20;
+  // PEM files. Callers use TLS if they are given, and plain TCP otherwise.
+  std::string tls_certificate_file = {};  // the chain, the server's own certificate first
+  std::string tls_private_key_file = {};
 };
 
 /// Counts since the start of the process.
@@ -34,6 +37,7 @@
   std::uint64_t refused_connections = 0;  // 503 because of max_connections
   std::uint64_t slow_callers = 0;         // disconnected because of max_outgoing_bytes or a stall
   std::uint64_t abandoned = 0;            // callers that left before their answer was complete
+  std::uint64_t handshakes_failed = 0;    // of TLS
 
   auto operator<=>(const caller_server_counters&) const = default;
 };
@@ -46,7 +50,8 @@
   /// Takes a caller_request, address_query or caller_closed; returns false if there is no space.
   using sink = std::function<bool(entry_input)>;
 
-  /// Binds and listens. Throws std::runtime_error if the address is invalid or cannot be bound.
+  /// Binds and listens. Throws std::runtime_error if the address is invalid or cannot be bound, or
+  /// if a TLS file cannot be used.
   caller_server(boost::asio::io_context& context, caller_server_options options, sink sink);
   ~caller_server();
   caller_server(const caller_server&) = delete;
--- a/include/berylbarrow/process/settings/settings.h
+++ b/include/berylbarrow/process/settings/settings.h
@@ -42,6 +42,8 @@
   std::string name;
   std::string domain;
   std::string callers_address;    // entries only
+  std::string tls_certificate;    // entries only: PEM file; empty: callers use plain TCP
+  std::string tls_private_key;    // PEM file
   std::string peers_address;      // TCP and UDP
   std::string operators_address;  // state dump, metrics, status
   std::string configuration_service;
--- a/src/connection/http/caller_connection.cc
+++ b/src/connection/http/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "connection/http/caller_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/beast/http/error.hpp>
@@ -21,6 +22,15 @@
 // A socket closed with unread bytes sends RST, which can destroy the reply on its way.
 constexpr auto kLingerTime = std::chrono::seconds(1);
 
+// A caller that sends nothing must not keep its place among the connections for long.
+constexpr auto kHandshakeTime = std::chrono::seconds(5);
+
+asio::ip::tcp::socket WithoutDelay(asio::ip::tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  return socket;
+}
+
 bool IsTooLarge(const boost::system::error_code& error) {
   return error == http::error::header_limit || error == http::error::body_limit ||
          error == http::error::buffer_overflow;
@@ -30,13 +40,40 @@
 
 caller_connection::caller_connection(asio::ip::tcp::socket socket,
                                      std::shared_ptr<caller_host> host)
-    : socket_(std::move(socket)),
-      read_timer_(socket_.get_executor()),
-      write_timer_(socket_.get_executor()),
+    : stream_(WithoutDelay(std::move(socket)), host->Tls()),
+      read_timer_(stream_.get_executor()),
+      write_timer_(stream_.get_executor()),
       host_(std::move(host)),
-      buffer_(kBufferBytes) {
-  error_code ignored;
-  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+      buffer_(kBufferBytes) {}
+
+void caller_connection::Start() {
+  Handshake([](caller_connection& self) { self.ReadRequest(); });
+}
+
+void caller_connection::StartRefusing(caller_reply reply) {
+  Handshake([reply = std::move(reply)](caller_connection& self) { self.Refuse(reply); });
+}
+
+template <typename Next>
+void caller_connection::Handshake(Next next) {
+  if (!stream_.IsEncrypted()) {
+    next(*this);
+    return;
+  }
+  phase_ = phase::kHandshake;
+  ArmReadTimer(std::min<duration>(kHandshakeTime, host_->Options().idle_timeout));
+  stream_.AsyncHandshake(
+      [self = shared_from_this(), next = std::move(next)](const error_code& error) {
+        if (self->phase_ == phase::kClosed) {
+          return;
+        }
+        if (error) {
+          ++self->host_->Count().handshakes_failed;
+          self->Close();
+          return;
+        }
+        next(*self);
+      });
 }
 
 void caller_connection::Refuse(const caller_reply& reply) {
@@ -54,13 +91,12 @@
   if (watching_) {
     // OnWatched starts the read. Pipelined bytes that are already here must not wait for more.
     if (buffer_.size() > 0) {
-      error_code ignored;
-      socket_.cancel(ignored);
+      stream_.CancelReads();
     }
     return;
   }
   http::async_read_header(
-      socket_, buffer_, *parser_,
+      stream_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t) { self->OnHeader(error); });
 }
 
@@ -76,7 +112,7 @@
     Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
   http::async_read(
-      socket_, buffer_, *parser_,
+      stream_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t) { self->OnBody(error); });
 }
 
@@ -140,7 +176,7 @@
     return;
   }
   watching_ = true;
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
+  stream_.async_read_some(buffer_.prepare(kReadBytes),
                           [self = shared_from_this()](error_code error, std::size_t bytes) {
                             self->OnWatched(error, bytes);
                           });
@@ -248,7 +284,7 @@
     return;
   }
   ArmWriteTimer();
-  socket_.async_write_some(asio::buffer(in_write_) + written_,
+  stream_.async_write_some(asio::buffer(in_write_) + written_,
                            [self = shared_from_this()](error_code error, std::size_t bytes) {
                              if (self->phase_ == phase::kClosed) {
                                return;
@@ -275,9 +311,8 @@
 
 void caller_connection::StartLinger() {
   phase_ = phase::kLinger;
-  error_code ignored;
-  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   ArmReadTimer(kLingerTime);
+  stream_.ShutdownSend([self = shared_from_this()](error_code) {});
   Discard();
 }
 
@@ -286,7 +321,7 @@
     return;
   }
   buffer_.clear();
-  socket_.async_read_some(buffer_.prepare(kReadBytes),
+  stream_.async_read_some(buffer_.prepare(kReadBytes),
                           [self = shared_from_this()](error_code error, std::size_t) {
                             if (self->phase_ == phase::kClosed) {
                               return;
@@ -301,12 +336,11 @@
 
 bool caller_connection::IsUnfinished() const {
   if (phase_ != phase::kReading) {
-    return phase_ == phase::kWaiting || phase_ == phase::kFlushing;
+    return phase_ == phase::kHandshake || phase_ == phase::kWaiting || phase_ == phase::kFlushing;
   }
-  error_code ignored;
   const bool began = buffer_.size() > 0 || (parser_ && parser_->got_some());
   // Bytes that have arrived but are not read yet belong to a request that must not be cut off.
-  return began || socket_.available(ignored) > 0;
+  return began || stream_.HasUnreadBytes();
 }
 
 void caller_connection::CloseIfIdle() {
@@ -327,8 +361,7 @@
   if (std::exchange(phase_, phase::kClosed) == phase::kClosed) {
     return;
   }
-  error_code ignored;
-  socket_.close(ignored);
+  stream_.Close();
   read_timer_.cancel();
   write_timer_.cancel();
   host_->Forget(this);
@@ -346,6 +379,9 @@
 void caller_connection::OnReadTimeout() {
   if (phase_ == phase::kLinger) {
     Close();
+  } else if (phase_ == phase::kHandshake) {
+    ++host_->Count().handshakes_failed;
+    Close();
   } else if (phase_ == phase::kReading) {
     if (buffer_.size() == 0 && !(parser_ && parser_->got_some())) {
       Close();
--- a/src/connection/http/caller_connection.h
+++ b/src/connection/http/caller_connection.h
@@ -14,6 +14,7 @@
 #include "berylbarrow/connection/http/caller_server.h"
 #include "berylbarrow/process/runtime/shared_count.h"
 #include "connection/http/caller_request_parser.h"
+#include "connection/http/caller_stream.h"
 
 namespace berylbarrow {
 
@@ -21,7 +22,8 @@
 
 /// caller_server_counters while they are being counted.
 struct caller_count_set {
-  shared_count requests, malformed, refused_full, refused_connections, slow_callers, abandoned;
+  shared_count requests, malformed, refused_full, refused_connections, slow_callers, abandoned,
+      handshakes_failed;
 };
 
 /// What a connection needs of its server.
@@ -31,6 +33,8 @@
   virtual const caller_server_options& Options() const = 0;
   virtual caller_count_set& Count() = 0;
   virtual bool Stopping() const = 0;
+  /// Null if callers use plain TCP.
+  virtual boost::asio::ssl::context* Tls() = 0;
   /// Passes a message to the core. Returns the id given to it, or nothing if there is no space.
   virtual std::optional<caller_id> Begin(const std::shared_ptr<caller_connection>& connection,
                                          caller_message message) = 0;
@@ -44,9 +48,9 @@
  public:
   caller_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<caller_host> host);
 
-  void Start() { ReadRequest(); }
+  void Start();
   /// Answers with `reply` before any request and closes.
-  void Refuse(const caller_reply& reply);
+  void StartRefusing(caller_reply reply);
 
   void Reply(const caller_reply& reply);
   void Head(const caller_head& head);
@@ -61,22 +65,26 @@
 
  private:
   enum class phase : std::uint8_t {
-    kReading,   // waits for a request or receives one
-    kWaiting,   // the core has the request
-    kFlushing,  // the answer is complete and being written
-    kLinger,    // sending is shut down; incoming bytes are discarded
+    kHandshake,  // of TLS
+    kReading,    // waits for a request or receives one
+    kWaiting,    // the core has the request
+    kFlushing,   // the answer is complete and being written
+    kLinger,     // sending is shut down; incoming bytes are discarded
     kClosed,
   };
 
   using error_code = boost::system::error_code;
   using request_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  template <typename Next>
+  void Handshake(Next next);
   void ReadRequest();
   void OnHeader(error_code error);
   void OnBody(error_code error);
   void OnReadError(error_code error);
   void Dispatch();
   void FailRequest(const caller_error& error);
+  void Refuse(const caller_reply& reply);
   void WatchForClose();
   void OnWatched(error_code error, std::size_t bytes);
   void FinishExchange();
@@ -91,7 +99,7 @@
   void OnReadTimeout();
   bool KeepAlive() const { return keep_alive_ && !host_->Stopping(); }
 
-  boost::asio::ip::tcp::socket socket_;
+  caller_stream stream_;
   boost::asio::steady_timer read_timer_;
   boost::asio::steady_timer write_timer_;
   std::shared_ptr<caller_host> host_;
--- a/src/connection/http/caller_server.cc
+++ b/src/connection/http/caller_server.cc
@@ -34,7 +34,11 @@
         sink_(std::move(sink)),
         acceptor_(OpenHttpListener(context, options_.listen_address)),
         accept_timer_(context),
-        backlog_timer_(context) {}
+        backlog_timer_(context) {
+    if (!options_.tls_certificate_file.empty()) {
+      tls_ = MakeTlsContext(options_.tls_certificate_file, options_.tls_private_key_file);
+    }
+  }
 
   void Accept() {
     acceptor_.async_accept(
@@ -111,12 +115,14 @@
             .refused_full = counters_.refused_full,
             .refused_connections = counters_.refused_connections,
             .slow_callers = counters_.slow_callers,
-            .abandoned = counters_.abandoned};
+            .abandoned = counters_.abandoned,
+            .handshakes_failed = counters_.handshakes_failed};
   }
 
   const caller_server_options& Options() const override { return options_; }
   caller_count_set& Count() override { return counters_; }
   bool Stopping() const override { return stopping_; }
+  asio::ssl::context* Tls() override { return tls_.get(); }
 
   std::optional<caller_id> Begin(const std::shared_ptr<caller_connection>& connection,
                                  caller_message message) override {
@@ -166,7 +172,7 @@
     ++counters_.refused_connections;
     if (refused_.size() < kMaxRefusedConnections) {
       refused_.emplace(connection.get(), connection);
-      connection->Refuse(NotRunReply("connections", "too many connections"));
+      connection->StartRefusing(NotRunReply("connections", "too many connections"));
     }
   }
 
@@ -207,6 +213,7 @@
   }
 
   caller_server_options options_;
+  std::shared_ptr<asio::ssl::context> tls_;
   caller_server::sink sink_;
   asio::ip::tcp::acceptor acceptor_;
   std::uint16_t port_ = acceptor_.local_endpoint().port();
--- a/src/process/entry/run_entry.cc
+++ b/src/process/entry/run_entry.cc
@@ -15,8 +15,11 @@
     process_wiring<entry_decisions> wiring(settings, std::move(core), clock, identity);
     duty callers("callers");
     caller_server server(callers.Context(),
-                         {settings.callers_address, settings.limits.max_connections,
-                          settings.limits.max_request_bytes},
+                         {.listen_address = settings.callers_address,
+                          .max_connections = settings.limits.max_connections,
+                          .max_request_bytes = settings.limits.max_request_bytes,
+                          .tls_certificate_file = settings.tls_certificate,
+                          .tls_private_key_file = settings.tls_private_key},
                          wiring.MakeSink<entry_input>("callers"));
     ring<entry_output> to_callers(callers.Context(), wiring.RingCapacity(),
                                   [&](entry_output&& output) { server.Deliver(output); });
--- a/src/process/runtime/process_counters.cc
+++ b/src/process/runtime/process_counters.cc
@@ -40,6 +40,8 @@
                                             &caller_server_counters::refused_connections},
       named_counter<caller_server_counters>{"slow_callers", &caller_server_counters::slow_callers},
       named_counter<caller_server_counters>{"abandoned", &caller_server_counters::abandoned},
+      named_counter<caller_server_counters>{"handshakes_failed",
+                                            &caller_server_counters::handshakes_failed},
   };
   return Text("callers", counters, kNames);
 }
--- a/src/process/settings/settings.cc
+++ b/src/process/settings/settings.cc
@@ -66,14 +66,27 @@
     };
     if (settings_.role == process_role::kEntry) {
       read("callers", settings_.callers_address);
+      ReadTls(*section);
     } else {
       section->Refuse("callers", "which only entries have");
+      section->Refuse("tls", "which only entries have");
     }
     read("peers", settings_.peers_address);
     read("operators", settings_.operators_address);
     section->RefuseOtherKeys();
   }
 
+  void ReadTls(map_reader& listen) {
+    const yaml_node* node = listen.FindMap("tls");
+    if (node == nullptr) {
+      return;
+    }
+    map_reader tls(*node, "listen: tls", found_);
+    tls.ReadText("certificate", settings_.tls_certificate, need::kRequired);
+    tls.ReadText("private_key", settings_.tls_private_key, need::kRequired);
+    tls.RefuseOtherKeys();
+  }
+
   void ReadPlatform() {
     if (auto section = Section("platform", need::kRequired)) {
       section->ReadAddress("configuration_service", settings_.configuration_service,
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -11,6 +11,7 @@
 const std::string kEntry = R"(process: {name: entry-1, domain: north}
 listen:
   callers: 0.0.0.0:7001
+  tls: {certificate: chain.pem, private_key: key.pem}
   peers: 127.0.0.1:7101
   operators: 127.0.0.1:7901
 platform:
@@ -55,6 +56,8 @@
       .name = "entry-1",
       .domain = "north",
       .callers_address = "0.0.0.0:7001",
+      .tls_certificate = "chain.pem",
+      .tls_private_key = "key.pem",
       .peers_address = "127.0.0.1:7101",
       .operators_address = "127.0.0.1:7901",
       .configuration_service = "127.0.0.1:7800",
@@ -76,39 +79,40 @@
 // Guards against a process that starts with settings it cannot use.
 BOOST_AUTO_TEST_CASE(EntryFindings) {
   const std::vector<edit_case> cases = {
-      {"log:", "lock:", {R"(19:1: the settings file has an unknown key "lock")"}},
+      {"log:", "lock:", {R"(20:1: the settings file has an unknown key "lock")"}},
       {", domain: north", "", {R"(1:10: process has no key "domain")"}},
       {"  callers: 0.0.0.0:7001\n", "", {R"(3:3: listen has no key "callers")"}},
       {"7901",
        "7101",
-       {R"(5:14: listen has operators "127.0.0.1:7101", which is already used by listen on line 4)"}},
-      {"  instance_list: 127.0.0.1:7801\n", "", {R"(7:3: platform has no key "instance_list")"}},
+       {R"(6:14: listen has operators "127.0.0.1:7101", which is already used by listen on line 5)"}},
+      {", private_key: key.pem", "", {R"(4:8: listen: tls has no key "private_key")"}},
+      {"  instance_list: 127.0.0.1:7801\n", "", {R"(8:3: platform has no key "instance_list")"}},
       {"127.0.0.1:7800",
        "config:7800",
-       {R"(7:26: platform has configuration_service "config:7800", which is not an IP address and port such as 10.0.0.1:7000)"}},
+       {R"(8:26: platform has configuration_service "config:7800", which is not an IP address and port such as 10.0.0.1:7000)"}},
       {"\"127.0.0.1:7102\"",
        "here",
-       {R"(9:9: the settings file has the item "here" in seeds, which is not an IP address and port such as 10.0.0.1:7000)"}},
-      {"7103", "7102", {R"(9:27: the settings file has "127.0.0.1:7102" twice in seeds)"}},
+       {R"(10:9: the settings file has the item "here" in seeds, which is not an IP address and port such as 10.0.0.1:7000)"}},
+      {"7103", "7102", {R"(10:27: the settings file has "127.0.0.1:7102" twice in seeds)"}},
       {"ring_capacity: 13",
        "ring_capacity: 1",
-       {R"(17:18: limits has ring_capacity 1, which is outside 2 to 1048576)"}},
+       {R"(18:18: limits has ring_capacity 1, which is outside 2 to 1048576)"}},
       {"3000000",
        "4000001",
-       {R"(15:21: limits has max_answer_bytes 4000001, which is above max_buffered_bytes 4000000)"}},
+       {R"(16:21: limits has max_answer_bytes 4000001, which is above max_buffered_bytes 4000000)"}},
       {"2000000",
        "4990000",
-       {R"(14:22: limits has max_request_bytes 4990000, which must be at least 65536 below max_frame_bytes 5000000)"}},
+       {R"(15:22: limits has max_request_bytes 4990000, which must be at least 65536 below max_frame_bytes 5000000)"}},
       {"level: warning",
        "level: loud",
-       {R"(20:10: log has level "loud", which is not debug, info, warning or error)"}},
+       {R"(21:10: log has level "loud", which is not debug, info, warning or error)"}},
       {"routing: debug",
        "routing: loud",
-       {R"(22:22: log: modules has routing "loud", which is not debug, info, warning or error)"}},
+       {R"(23:22: log: modules has routing "loud", which is not debug, info, warning or error)"}},
       {"log:",
        "upstream: {}\nlog:",
-       {R"(19:11: the settings file has the key "upstream", which only agents have)"}},
-      {"log:\n", "log: [\n", {R"(21:9: malformed YAML: end of sequence flow not found)"}},
+       {R"(20:11: the settings file has the key "upstream", which only agents have)"}},
+      {"log:\n", "log: [\n", {R"(22:9: malformed YAML: end of sequence flow not found)"}},
   };
   CheckEdits(kEntry, cases, ParseEntry);
 }
