Test the interim reply to Expect: 100-continue

Cause: no test covered callers that wait for 100 Continue before a large body. Change: a test that sends head and body apart. No fault found.

--- a/tests/connection/caller_server_test.cc
+++ b/tests/connection/caller_server_test.cc
@@ -78,6 +78,19 @@
   BOOST_TEST(f.At<address_query>(2).service == "pay-ments");
 }
 
+// Guards against callers that wait for the interim reply before they send a large body.
+BOOST_AUTO_TEST_CASE(ExpectedContinueIsSentBeforeTheBody) {
+  fixture f;
+  const auto caller = f.Connect();
+  const std::string body = R"({"model":"forms"})";
+  const std::string request = Post(body, "Berylbarrow-Account: solano\r\nExpect: 100-continue\r\n");
+  caller->Send(request.substr(0, request.size() - body.size()));
+  BOOST_TEST(f.Until([&] { return caller->Has("HTTP/1.1 100 Continue\r\n\r\n"); }));
+  BOOST_TEST(f.inputs.empty());
+  caller->Send(body);
+  BOOST_TEST(f.At<caller_request>(0).request.body == body);
+}
+
 // Guards against malformed, oversized or truncated input that reaches the core, has no clear error
 // or brings the server down.
 BOOST_AUTO_TEST_CASE(BadInputIsAnsweredAndNeverPassedOn) {
