Run move plans in the fleet histories

No fleet history ran a move plan, so a step that is lost, taken back or enforced by one end only would not have been found.

A new kind of fault publishes a document whose plan fills one failure domain, empties the other one after it, and fills that one again 7 s later; it takes the place of the drain by state. It runs alone, twice and in pairs with the 21 other kinds. A step that a process begins first is recorded like a publication, so the check of drained domains (5 s) covers steps as well, for agents to which the step was offered all the time. A new check requires that the step never falls within a revision and that all processes reach the last step after the faults. A replica that is gone for good leaves the instance list, because a plan rightly waits for a listed instance that is not heard of.

--- a/tests/process/history_checks_test.cc
+++ b/tests/process/history_checks_test.cc
@@ -32,6 +32,7 @@
 BOOST_AUTO_TEST_CASE(DrainCheckFindsAnIgnoredDrain) {
   const drain_ignoring_parser parser;
   Finds("G3", CheckDrain, ProductParts(parser), {});
+  Finds("G3", CheckDrain, ProductParts(parser), {fault_kind::kMovePlan});
 }
 
 BOOST_AUTO_TEST_CASE(AnswerCheckFindsALostPart) {
@@ -66,6 +67,13 @@
   Finds("G9", CheckConfiguration, ProductParts(parser), {});
 }
 
+BOOST_AUTO_TEST_CASE(PlanCheckFindsAStepThatIsMissedOrTakenBack) {
+  const remembering_parser parser;
+  Finds("plan", CheckPlan, DeafToSteps(parser), {fault_kind::kMovePlan});
+  Finds("plan", CheckPlan, FollowingTheLastStep(parser),
+        {fault_kind::kMovePlan, fault_kind::kBadDatagrams});
+}
+
 // No naive part lets a revision fall or ends a request twice, so these histories are made up.
 BOOST_AUTO_TEST_CASE(ChecksFindDoctoredHistories) {
   const remembering_parser parser;
--- a/tests/support/fault_schedule.cc
+++ b/tests/support/fault_schedule.cc
@@ -1,5 +1,6 @@
 #include "support/fault_schedule.h"
 
+#include <algorithm>
 #include <random>
 #include <sstream>
 
@@ -10,6 +11,7 @@
 
 constexpr std::int64_t kFirstMs = 2000;
 constexpr std::int64_t kLastMs = 10000;
+constexpr std::int64_t kLastPlanMs = 5000;  // leaves 5 s of work after a step that empties
 constexpr std::int64_t kShortestMs = 300;
 constexpr std::int64_t kLongestMs = 8000;
 constexpr std::size_t kTargets = 64;
@@ -22,7 +24,7 @@
       "upstream death", "upstream cold", "poison request",   "service down",   "service stale",
       "service older",  "two operators", "invalid document", "entry death",    "agent death",
       "entry pause",    "agent pause",   "entry shutdown",   "agent shutdown", "listed as leaving",
-      "replica gone"};
+      "replica gone",   "move plan"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
@@ -43,6 +45,11 @@
   return text.str();
 }
 
+bool fault_schedule::Has(fault_kind kind) const {
+  return std::any_of(faults.begin(), faults.end(),
+                     [kind](const fault& item) { return item.kind == kind; });
+}
+
 fault_schedule MakeSchedule(std::uint64_t seed, const std::vector<fault_kind>& kinds) {
   std::mt19937_64 random(seed);
   const auto between = [&random](std::int64_t least, std::int64_t most) {
@@ -51,9 +58,10 @@
   fault_schedule schedule{.seed = seed};
   for (const fault_kind kind : kinds) {
     const bool is_lasting = kind == fault_kind::kReplicaGone;
+    const std::int64_t last_ms = kind == fault_kind::kMovePlan ? kLastPlanMs : kLastMs;
     schedule.faults.push_back(
         {.kind = kind,
-         .at = is_lasting ? milliseconds(kFirstMs) : between(kFirstMs, kLastMs),
+         .at = is_lasting ? milliseconds(kFirstMs) : between(kFirstMs, last_ms),
          .lasts = between(kShortestMs, kLongestMs),
          .target = std::uniform_int_distribution<std::size_t>(0, kTargets - 1)(random)});
   }
--- a/tests/support/fault_schedule.h
+++ b/tests/support/fault_schedule.h
@@ -32,8 +32,9 @@
   kAgentShutdown,
   kListedLeaving,
   kReplicaGone,  // one of three payment agents, for good
+  kMovePlan,     // in place of the drain by state
 };
-constexpr std::size_t kFaultKinds = 21;
+constexpr std::size_t kFaultKinds = 22;
 const char* FaultName(fault_kind kind);
 
 struct fault {
@@ -50,6 +51,7 @@
   std::uint64_t seed = 0;
   std::vector<fault> faults;
 
+  bool Has(fault_kind kind) const;
   std::string Text() const;
 };
 
--- a/tests/support/fleet_document.cc
+++ b/tests/support/fleet_document.cc
@@ -31,7 +31,23 @@
   return kPlaces;
 }
 
-std::string FleetDocument(const std::set<std::string>& out, std::uint64_t mark) {
+std::set<std::string> OutAt(const fleet_state& wanted, std::uint32_t step) {
+  std::set<std::string> out = wanted.out;
+  if (wanted.planned.empty()) {
+    return out;
+  }
+  constexpr std::uint32_t kEmptyStep = 2;
+  const std::string other = wanted.planned == "a" ? "b" : "a";
+  if (step == 0) {
+    out.insert(other);
+  } else if (step == kEmptyStep) {
+    out.insert(wanted.planned);
+  }
+  return out;
+}
+
+std::string FleetDocument(const fleet_state& wanted, std::uint64_t mark) {
+  const std::set<std::string> out = OutAt(wanted, 0);
   std::ostringstream text;
   text << "# " << mark << "\ndomains:\n";
   for (const char* domain : {"a", "b"}) {
@@ -59,6 +75,12 @@
   WriteService(text, "payments");
   text << "accounts:\n  - {name: large, weight: 4}\n  - {name: small, weight: 1}\n"
        << "address_lifetime: 2s\nisolation_timeout: 2s\ngrant: {epoch: 3s, epochs_kept: 2}\n";
+  if (!wanted.planned.empty()) {
+    text << "move_plan:\n  - {name: fill, fill: [" << (wanted.planned == "a" ? "b" : "a")
+         << "], proceed_when: {warm_share_at_least: 0.5, hold: 1s}}\n  - {name: empty, empty: ["
+         << wanted.planned << "], proceed_when: {in_flight_at_most: 0, hold: 7s}}\n"
+         << "  - {name: return, fill: [" << wanted.planned << "]}\n";
+  }
   return text.str();
 }
 
--- a/tests/support/fleet_document.h
+++ b/tests/support/fleet_document.h
@@ -31,8 +31,18 @@
 constexpr std::uint32_t kPaymentStep = 2;
 constexpr std::uint32_t kPaymentInFlight = 3;
 
+/// What operators want.
+struct fleet_state {
+  std::set<std::string> out;  // failure domains
+  std::string planned;        // failure domain that the plan empties and fills again, or empty
+};
+constexpr std::uint32_t kPlanSteps = 3;
+
+/// The failure domains that are out when `step` steps of the plan have begun.
+std::set<std::string> OutAt(const fleet_state& wanted, std::uint32_t step);
+
 /// The text of a document. `mark` makes texts differ.
-std::string FleetDocument(const std::set<std::string>& out, std::uint64_t mark);
+std::string FleetDocument(const fleet_state& wanted, std::uint64_t mark);
 
 /// The parser of the product with a memory, because every process parses every document.
 class remembering_parser : public configuration_parser {
--- a/tests/support/fleet_platform.cc
+++ b/tests/support/fleet_platform.cc
@@ -15,19 +15,23 @@
 
 }  // namespace
 
-void fleet_platform::Publish(const std::set<std::string>& out) {
-  Add(FleetDocument(out, documents_.size()), true, out);
+void fleet_platform::Publish(const fleet_state& wanted) {
+  Add(FleetDocument(wanted, documents_.size()), true, wanted);
 }
 
 void fleet_platform::PublishInvalid() {
   Add("domains: none # " + std::to_string(documents_.size()), false, {});
 }
 
-void fleet_platform::Add(const std::string& text, bool is_valid, const std::set<std::string>& out) {
+void fleet_platform::Add(const std::string& text, bool is_valid, const fleet_state& wanted) {
   const revision number = documents_.size() + 1;
-  documents_.push_back({.number = number, .text = text, .is_valid = is_valid});
-  context_.log.publications.push_back(
-      {.at = context_.Now(), .number = number, .is_valid = is_valid, .out = out});
+  last_step_ = is_valid ? 0 : last_step_;
+  documents_.push_back({.number = number, .text = text, .is_valid = is_valid, .wanted = wanted});
+  context_.log.publications.push_back({.at = context_.Now(),
+                                       .number = number,
+                                       .steps = wanted.planned.empty() ? 0 : kPlanSteps,
+                                       .is_valid = is_valid,
+                                       .out = OutAt(wanted, 0)});
   for (auto& [name, process] : processes_.All()) {
     if (process.is_up && process.watch.mode == watch_mode::kWatch) {
       Answer(process, process.watch);
@@ -35,6 +39,19 @@
   }
 }
 
+void fleet_platform::OnStep(revision number, std::uint32_t step) {
+  // Steps of a revision that was replaced end with it.
+  if (number != LastValid() || step <= last_step_) {
+    return;
+  }
+  last_step_ = step;
+  context_.log.publications.push_back({.at = context_.Now(),
+                                       .number = number,
+                                       .step = step,
+                                       .steps = kPlanSteps,
+                                       .out = OutAt(documents_[number - 1].wanted, step)});
+}
+
 void fleet_platform::SetCondition(condition next) {
   condition_ = next;
   frozen_ = documents_.size();
@@ -115,15 +132,25 @@
   }
 }
 
+void fleet_platform::MarkGone(const std::string& name) {
+  gone_.insert(name);
+  for (auto& [other, process] : processes_.All()) {
+    SendInstances(other, duration::zero());
+  }
+}
+
 void fleet_platform::SendInstances(const std::string& name, duration lag) {
   instances_received list;
   for (const auto& [other, process] : processes_.All()) {
+    if (gone_.contains(other)) {
+      continue;
+    }
     list.instances.push_back({.name = other,
                               .address = process.place.address,
                               .domain = process.place.domain,
                               .leaving = leaving_.contains(other)});
   }
-  const std::size_t count = leaving_.size();
+  const std::size_t count = leaving_.size() + gone_.size();
   context_.After(lag + context_.Between(kLeastAnswer, kMostAnswer), [this, name, list, count] {
     // The list lags, but a process reads it in order.
     if (count >= listed_[name]) {
--- a/tests/support/fleet_platform.h
+++ b/tests/support/fleet_platform.h
@@ -18,7 +18,7 @@
   fleet_platform(fleet_context& context, fleet_processes& processes)
       : context_(context), processes_(processes) {}
 
-  void Publish(const std::set<std::string>& out);
+  void Publish(const fleet_state& wanted);
   void PublishInvalid();
   void SetCondition(condition next);
   /// Processes that cannot reach the service.
@@ -32,14 +32,20 @@
   revision OfferedTo(const std::string& name) const;
   revision LastValid() const;
 
+  /// A process has begun a step of the plan of this revision.
+  void OnStep(revision number, std::uint32_t step);
+  /// The list no longer shows the instance.
+  void MarkGone(const std::string& name);
+
  private:
   struct document {
     revision number = 0;
     std::string text;
     bool is_valid = true;
+    fleet_state wanted;
   };
 
-  void Add(const std::string& text, bool is_valid, const std::set<std::string>& out);
+  void Add(const std::string& text, bool is_valid, const fleet_state& wanted);
   const document* Visible() const;
   bool IsReachableFrom(const std::string& name) const;
   void Tick(const std::string& name, std::uint64_t life, std::uint64_t number);
@@ -50,9 +56,11 @@
   fleet_processes& processes_;
   std::vector<document> documents_;
   condition condition_ = condition::kUp;
-  std::size_t frozen_ = 0;  // documents known while stale
+  std::uint32_t last_step_ = 0;  // highest begun by a process in the last valid revision
+  std::size_t frozen_ = 0;       // documents known while stale
   std::set<std::string> cut_off_;
   std::set<std::string> leaving_;
+  std::set<std::string> gone_;
   std::map<std::string, std::size_t> listed_;  // leaving instances in the last list a process got
 };
 
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -52,6 +52,7 @@
   bool accepts = true;
   bool has_left = false;  // the last run ended by a graceful shutdown
   revision in_force = 0;
+  std::uint32_t step = 0;  // of the move plan
   configuration_watch watch;
   std::uint64_t watch_number = 0;
   std::vector<fleet_input> backlog;
--- a/tests/support/fleet_run.cc
+++ b/tests/support/fleet_run.cc
@@ -16,6 +16,9 @@
 constexpr duration kReturnAt = seconds(12);
 constexpr duration kLastOperation = seconds(15);
 constexpr duration kEnd = seconds(22);
+// A plan that comes into force at the end of the last fault takes 8 s.
+constexpr duration kLastPlannedOperation = seconds(20);
+constexpr duration kPlannedEnd = seconds(30);
 constexpr duration kSampleInterval = milliseconds(100);
 constexpr duration kMostExtraDelay = milliseconds(700);
 constexpr duration kLeastDowntime = milliseconds(100);
@@ -73,18 +76,12 @@
     Start(place.name);
   }
   // Without the payment agent in "a", the two in "b" must stay.
-  const bool is_replica_gone =
-      std::any_of(schedule_.faults.begin(), schedule_.faults.end(),
-                  [](const fault& item) { return item.kind == fault_kind::kReplicaGone; });
-  const std::string drained = schedule_.seed % 2 == 0 || is_replica_gone ? "a" : "b";
-  context_.After(kDrainAt, [this, drained] {
-    out_.insert(drained);
-    Publish();
-  });
-  context_.After(kReturnAt, [this, drained] {
-    out_.erase(drained);
-    Publish();
-  });
+  const bool is_replica_gone = schedule_.Has(fault_kind::kReplicaGone);
+  drained_ = schedule_.seed % 2 == 0 || is_replica_gone ? "a" : "b";
+  const bool is_planned = schedule_.Has(fault_kind::kMovePlan);
+  if (!is_planned) {
+    PublishDrain();
+  }
   context_.log.only_shutdowns =
       std::all_of(schedule_.faults.begin(), schedule_.faults.end(), [](const fault& item) {
         return item.kind == fault_kind::kEntryShutdown || item.kind == fault_kind::kAgentShutdown ||
@@ -94,8 +91,8 @@
     context_.After(item.at, [this, item] { Inject(item); });
   }
   Sample();
-  callers_.StopAt(start_ + kLastOperation);
-  context_.RunUntil(start_ + kEnd);
+  callers_.StopAt(start_ + (is_planned ? kLastPlannedOperation : kLastOperation));
+  context_.RunUntil(start_ + (is_planned ? kPlannedEnd : kEnd));
   for (request_record& item : context_.log.requests) {
     if (item.end == request_end::kPending) {
       item.ended = context_.Now();
@@ -104,27 +101,41 @@
   return std::move(context_.log);
 }
 
-void fleet_run::Publish() { platform_.Publish(out_); }
+void fleet_run::Publish() { platform_.Publish(wanted_); }
+
+void fleet_run::PublishDrain() {
+  context_.After(kDrainAt, [this] {
+    wanted_.out.insert(drained_);
+    Publish();
+  });
+  context_.After(kReturnAt, [this] {
+    wanted_.out.erase(drained_);
+    Publish();
+  });
+}
 
 void fleet_run::On(fleet_process& from, const heartbeat_send& output) {
-  NoteRevision(from, output.content.in_force);
+  NoteRevision(from, output.content.in_force, output.content.plan_step);
   network_.Send(from, output);
 }
 
 void fleet_run::On(fleet_process& from, const configuration_watch& output) {
-  NoteRevision(from, output.in_force);
+  NoteRevision(from, output.in_force, output.in_force == from.in_force ? from.step : 0);
   platform_.OnWatch(from, output);
 }
 
-void fleet_run::NoteRevision(fleet_process& from, revision number) {
-  if (number == from.in_force) {
+void fleet_run::NoteRevision(fleet_process& from, revision number, std::uint32_t step) {
+  if (number == from.in_force && step == from.step) {
     return;
   }
   from.in_force = number;
+  from.step = step;
+  platform_.OnStep(number, step);
   context_.log.in_force.push_back({.at = context_.Now(),
                                    .process = from.place.name,
                                    .incarnation = from.identity.incarnation,
-                                   .number = number});
+                                   .number = number,
+                                   .step = step});
 }
 
 void fleet_run::On(fleet_process& from, const process_finished& /*output*/) {
@@ -244,7 +255,8 @@
       break;
     case fault_kind::kReplicaGone:
       gone_.insert("pay-1");
-      Kill("pay-1", kEnd);
+      Kill("pay-1", kPlannedEnd);
+      platform_.MarkGone("pay-1");
       break;
     default:
       break;
@@ -295,6 +307,10 @@
       Publish();
       context_.After(context_.Between(duration::zero(), milliseconds(5)), [this] { Publish(); });
       break;
+    case fault_kind::kMovePlan:
+      wanted_.planned = drained_;
+      Publish();
+      break;
     case fault_kind::kInvalidDocument:
       platform_.PublishInvalid();
       break;
@@ -325,13 +341,13 @@
   });
 }
 
-revision fleet_run::Offered(const fleet_process& process) const {
-  revision offered = platform_.OfferedTo(process.place.name);
+std::pair<revision, std::uint32_t> fleet_run::Offered(const fleet_process& process) const {
+  std::pair<revision, std::uint32_t> offered(platform_.OfferedTo(process.place.name), 0);
   for (const auto& [name, other] : processes_.All()) {
     const bool is_heard = other.is_up && !other.is_paused && other.IsEntry() != process.IsEntry() &&
                           network_.CanReach(name, process.place.name);
     if (is_heard) {
-      offered = std::max(offered, other.in_force);
+      offered = std::max(offered, {other.in_force, other.step});
     }
   }
   return offered;
@@ -340,12 +356,15 @@
 void fleet_run::Sample() {
   for (const auto& [name, process] : processes_.All()) {
     if (process.is_up) {
+      const auto [offered, offered_step] = Offered(process);
       context_.log.samples.push_back({.at = context_.Now(),
                                       .process = name,
                                       .incarnation = process.identity.incarnation,
                                       .is_paused = process.is_paused,
                                       .in_force = process.in_force,
-                                      .offered = Offered(process)});
+                                      .offered = offered,
+                                      .step = process.step,
+                                      .offered_step = offered_step});
     }
   }
   context_.After(kSampleInterval, [this] { Sample(); });
--- a/tests/support/fleet_run.h
+++ b/tests/support/fleet_run.h
@@ -49,7 +49,8 @@
   }
   void OnInput(fleet_process& target, const fleet_input& input);
   void Trace(const fleet_process& process, const char* direction, const std::string& text);
-  void NoteRevision(fleet_process& from, revision number);
+  void NoteRevision(fleet_process& from, revision number, std::uint32_t step);
+  void PublishDrain();
 
   void Inject(const fault& item);
   void InjectProcessFault(const fault& item);
@@ -63,7 +64,8 @@
   void Start(const std::string& name);
   void Publish();
   void Sample();
-  revision Offered(const fleet_process& process) const;
+  /// Highest revision that the process can learn of, and the step of its plan.
+  std::pair<revision, std::uint32_t> Offered(const fleet_process& process) const;
   std::string Target(const fault& item) const;
 
   fault_schedule schedule_;
@@ -73,7 +75,8 @@
   fleet_platform platform_;
   std::map<std::string, std::unique_ptr<fleet_upstream>> upstreams_;
   fleet_callers callers_;
-  std::set<std::string> out_;
+  fleet_state wanted_;
+  std::string drained_;  // failure domain that leaves and returns
   time_point start_;
   std::ostream* trace_ = nullptr;
   std::set<std::string> gone_;  // not started again
--- a/tests/support/history.cc
+++ b/tests/support/history.cc
@@ -34,12 +34,13 @@
   return text.str();
 }
 
-/// Whether the process was offered `number` during all of the time before `end`.
+/// Whether the process was offered the revision and the step of `change` during all of the time
+/// before `end`.
 bool WasInContact(const history& log, const std::string& process, time_point end, duration time,
-                  revision number) {
+                  const publication_record& change) {
   return std::none_of(log.samples.begin(), log.samples.end(), [&](const sample_record& item) {
     return item.process == process && item.at >= end - time && item.at <= end &&
-           item.offered < number;
+           std::pair(item.offered, item.offered_step) < std::pair(change.number, change.step);
   });
 }
 
@@ -110,9 +111,10 @@
       }
     }
     if (taken_out != nullptr && item.sent > taken_out->at + kDrainTime &&
-        WasInContact(log, item.agent, item.sent, kDrainTime, taken_out->number)) {
+        WasInContact(log, item.agent, item.sent, kDrainTime, *taken_out)) {
       found.push_back(Time(item.sent) + Name(item) + " although revision " +
-                      std::to_string(taken_out->number) + " takes " + item.domain + " out");
+                      std::to_string(taken_out->number) + " takes " + item.domain +
+                      " out at step " + std::to_string(taken_out->step));
     }
   }
   return found;
@@ -244,6 +246,32 @@
   return found;
 }
 
+violations CheckPlan(const history& log) {
+  violations found;
+  std::map<std::pair<std::string, std::uint64_t>, in_force_record> before;
+  for (const in_force_record& item : log.in_force) {
+    in_force_record& last = before[{item.process, item.incarnation}];
+    if (item.number == last.number && item.step < last.step) {
+      found.push_back(Time(item.at) + item.process + " fell from step " +
+                      std::to_string(last.step) + " to " + std::to_string(item.step) +
+                      " of revision " + std::to_string(item.number));
+    }
+    last = item;
+  }
+  publication_record wanted;
+  for (const publication_record& item : log.publications) {
+    wanted = item.is_valid ? item : wanted;
+  }
+  const time_point end = log.samples.empty() ? time_point() : log.samples.back().at;
+  for (const sample_record& item : log.samples) {
+    if (item.at == end && item.in_force == wanted.number && item.step < wanted.steps) {
+      found.push_back(Time(item.at) + item.process + " is at step " + std::to_string(item.step) +
+                      " of revision " + std::to_string(wanted.number) + " after all faults");
+    }
+  }
+  return found;
+}
+
 violations CheckAll(const history& log) {
   violations found;
   const auto add = [&found](const char* guarantee, const violations& part) {
@@ -259,6 +287,7 @@
   add("G7", CheckLeaving(log));
   add("G8", CheckShutdown(log));
   add("G9", CheckConfiguration(log));
+  add("plan", CheckPlan(log));
   return found;
 }
 
--- a/tests/support/history.h
+++ b/tests/support/history.h
@@ -60,10 +60,12 @@
   bool was_warned = true;      // the agent had evidence of the upstream's last restart
 };
 
-/// A document that operators published.
+/// A document that operators published, or a step of its plan that a process began as the first.
 struct publication_record {
   time_point at;
   revision number = 0;
+  std::uint32_t step = 0;
+  std::uint32_t steps = 0;  // of the plan
   bool is_valid = true;
   std::set<std::string> out;  // failure domains
 };
@@ -76,13 +78,17 @@
   bool is_paused = false;
   revision in_force = 0;
   revision offered = 0;  // highest valid revision of the service and the processes in reach
+  std::uint32_t step = 0;
+  std::uint32_t offered_step = 0;  // of `offered`, by the processes in reach
 };
 
+/// A process has another revision in force or is at another step of its plan.
 struct in_force_record {
   time_point at;
   std::string process;
   std::uint64_t incarnation = 0;
   revision number = 0;
+  std::uint32_t step = 0;
 };
 
 struct leaving_record {
@@ -116,7 +122,8 @@
 /// G2: concurrent work never exceeds what the upstream bears by its own count, except for work
 /// decided before the agent could know of a restart.
 violations CheckColdStart(const history& log);
-/// G3: no start in a failure domain more than 5 s after it was taken out.
+/// G3: no start in a failure domain more than 5 s after the document or a step of its plan took it
+/// out.
 violations CheckDrain(const history& log);
 /// G4: complete answers have the expected bytes, others a prefix; each request ends once.
 violations CheckAnswers(const history& log);
@@ -131,6 +138,9 @@
 /// G9: the newest valid revision is in force within 7 s of contact, and none falls.
 violations CheckConfiguration(const history& log);
 
+/// The step of a plan never falls within a revision, and every process reaches the last step.
+violations CheckPlan(const history& log);
+
 /// All checks; each line begins with the guarantee.
 violations CheckAll(const history& log);
 
--- a/tests/support/naive_parts.cc
+++ b/tests/support/naive_parts.cc
@@ -1,5 +1,8 @@
 #include "support/naive_parts.h"
 
+#include <utility>
+#include <variant>
+
 #include "berylbarrow/process/agent/agent_core.h"
 #include "berylbarrow/process/entry/entry_core.h"
 #include "support/wrapped_core.h"
@@ -27,6 +30,16 @@
   return parts;
 }
 
+template <typename Agent>
+fleet_parts WrappingAgents(const configuration_parser& parser) {
+  fleet_parts parts = ProductParts(parser);
+  parts.make_agent = [make = parts.make_agent](const process_identity& identity,
+                                               const std::string& service, std::uint64_t seed) {
+    return std::make_unique<Agent>(make(identity, service, seed));
+  };
+  return parts;
+}
+
 class never_leaving_agent final : public wrapped_core<agent_decisions> {
  public:
   using wrapped_core::wrapped_core;
@@ -39,6 +52,42 @@
   }
 };
 
+class step_deaf_agent : public wrapped_core<agent_decisions> {
+ public:
+  using wrapped_core::wrapped_core;
+
+  void Handle(const agent_input& input, const moment& at,
+              std::vector<agent_output>& outputs) override {
+    if (const auto* heard = std::get_if<heartbeat_received>(&input)) {
+      heartbeat_received without = *heard;
+      last_step_ = std::exchange(without.content.plan_step, 0);
+      wrapped_core::Handle(without, at, outputs);
+      return;
+    }
+    wrapped_core::Handle(input, at, outputs);
+  }
+
+ protected:
+  std::uint32_t LastStep() const { return last_step_; }
+
+ private:
+  std::uint32_t last_step_ = 0;
+};
+
+class last_step_agent final : public step_deaf_agent {
+ public:
+  using step_deaf_agent::step_deaf_agent;
+
+  void Advance(const moment& at, std::vector<agent_output>& outputs) override {
+    step_deaf_agent::Advance(at, outputs);
+    for (agent_output& output : outputs) {
+      if (auto* sent = std::get_if<heartbeat_send>(&output)) {
+        sent->content.plan_step = LastStep();
+      }
+    }
+  }
+};
+
 class part_losing_entry final : public wrapped_core<entry_decisions> {
  public:
   using wrapped_core::wrapped_core;
@@ -67,12 +116,15 @@
 }
 
 fleet_parts IgnoringShutdown(const configuration_parser& parser) {
-  fleet_parts parts = ProductParts(parser);
-  parts.make_agent = [make = parts.make_agent](const process_identity& identity,
-                                               const std::string& service, std::uint64_t seed) {
-    return std::make_unique<never_leaving_agent>(make(identity, service, seed));
-  };
-  return parts;
+  return WrappingAgents<never_leaving_agent>(parser);
+}
+
+fleet_parts DeafToSteps(const configuration_parser& parser) {
+  return WrappingAgents<step_deaf_agent>(parser);
+}
+
+fleet_parts FollowingTheLastStep(const configuration_parser& parser) {
+  return WrappingAgents<last_step_agent>(parser);
 }
 
 fleet_parts ExitingAtOnce(const configuration_parser& parser) {
@@ -97,6 +149,9 @@
     for (domain_options& domain : parsed.value().domains) {
       domain.state = service_state::kIn;
     }
+    for (plan_step& step : parsed.value().move_plan) {
+      step.empty.clear();
+    }
   }
   return parsed;
 }
--- a/tests/support/naive_parts.h
+++ b/tests/support/naive_parts.h
@@ -21,7 +21,12 @@
 /// Entries lose one part in fifty on its way to the caller (G4).
 fleet_parts LosingParts(const configuration_parser& parser);
 
-/// Takes no failure domain out (G3).
+/// Agents do not hear the steps of a plan from others (plan).
+fleet_parts DeafToSteps(const configuration_parser& parser);
+/// Agents follow the step that they heard last, not the highest (plan).
+fleet_parts FollowingTheLastStep(const configuration_parser& parser);
+
+/// Takes no failure domain out, neither by state nor by plan (G3).
 class drain_ignoring_parser final : public remembering_parser {
  public:
   checked<configuration> Parse(std::string_view text, std::string_view file) const override;
