Spread suspects between agents and refuse them in entries

system.request_test failed now and then with three upstream deaths instead of two, and took 63 s.

The 60 s: an upstream that dies before its answer begins leaves a broken end without a head. The entry took that end for a part after a gap and sent the dispatch again; the agent ignored the copy as a duplicate, and the request waited for its deadline of 30 s, once per death. The entry now takes such an end for what it is and retries at once.

The third death: entries kept no suspect table, so agents never heard of each other's suspects, and a counter per fingerprint merged two deaths of two agents into one. Deaths are now counted per fingerprint and agent incarnation, merged by maximum and summed. Entries keep the table. Heartbeats, dispatches, refusals and the last part of an answer carry counters, and news of a death is sent in a heartbeat at once. The agent reads the load report at once when a connection breaks and holds the end of the broken answer until the report, at most 300 ms. A report that was under way when the connection broke is dropped, because it may have been made before. The entry refuses with 422 when its table says so, except a later attempt with a grant key, which may ask for a stored outcome.

The fleet histories check that a request crashes at most two upstreams, unless a partition or the end of a process lies in between.

--- a/include/berylbarrow/connection/http/upstream_client.h
+++ b/include/berylbarrow/connection/http/upstream_client.h
@@ -46,8 +46,9 @@
   /// is no space. The client then stops reading and offers the same message again after 1 ms.
   using sink = std::function<bool(agent_input)>;
 
-  /// Throws std::runtime_error if the address is invalid. Starts to poll GET /load at once. `clock`
-  /// must outlive the client.
+  /// Throws std::runtime_error if the address is invalid. Starts to poll GET /load at once, and
+  /// polls at once after every upstream_end with kBroken that was not caused by an upstream_cancel:
+  /// the next report was made after the break. `clock` must outlive the client.
   upstream_client(boost::asio::io_context& context, upstream_client_options options,
                   const runtime_clock& clock, sink sink);
   ~upstream_client();
--- a/include/berylbarrow/connection/wire/message.h
+++ b/include/berylbarrow/connection/wire/message.h
@@ -72,17 +72,18 @@
   }
 };
 
-/// A request that was running when its upstream died.
+/// Deaths of upstreams that one agent has seen while a request was running there.
 struct suspect_report {
   std::uint64_t fingerprint = 0;  // XXH64 of method, target and body
   std::uint32_t deaths = 0;
-  std::uint16_t cleared = 0;  // of these deaths, those before the request completed alone
-  std::uint16_t age_s = 0;    // seconds since the last death
+  std::uint16_t cleared = 0;   // of these deaths, those before the request completed alone
+  std::uint16_t age_s = 0;     // seconds since the last death
+  std::uint64_t observer = 0;  // incarnation of the agent
 
   auto operator<=>(const suspect_report&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(fingerprint, deaths, cleared, age_s);
+    archive(fingerprint, deaths, cleared, age_s, observer);
   }
 };
 
@@ -131,12 +132,13 @@
   duration remaining = duration::zero();  // time to live, computed when the message is sent
   std::uint64_t answer_offset = 0;        // bytes of the answer the sender has already received
   http_request request;
+  std::vector<suspect_report> suspects;  // what the sender knows of the fingerprint
 
   auto operator<=>(const dispatch&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, service, account, idempotent, idempotency_key, attempt, priority, fingerprint,
-            sender_revision, remaining, answer_offset, request);
+            sender_revision, remaining, answer_offset, request, suspects);
   }
 };
 
@@ -169,17 +171,22 @@
   kBroken,    // the upstream died before the end
 };
 
-/// A piece of the answer body. `offset` counts bytes from the start of the whole answer.
+/// A piece of the answer body. `offset` counts bytes from the start of the whole answer. Fields
+/// after `end` are sent with the last part only.
 struct answer_part {
   request_id id;
   std::uint64_t offset = 0;
   std::string bytes;
   answer_end end = answer_end::kMore;
+  std::vector<suspect_report> suspects;  // what the agent knows of the fingerprint
 
   auto operator<=>(const answer_part&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, offset, bytes, end);
+    if (end != answer_end::kMore) {
+      archive(suspects);
+    }
   }
 };
 
@@ -224,11 +231,12 @@
   run_certainty certainty = run_certainty::kNotRun;
   duration retry_after = duration::zero();
   upstream_load load;
+  std::vector<suspect_report> suspects;  // what the agent knows of the fingerprint
 
   auto operator<=>(const refusal&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, reason, certainty, retry_after, load);
+    archive(id, reason, certainty, retry_after, load, suspects);
   }
 };
 
--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -81,6 +81,9 @@
 
   // Longest wait for a current view before work is refused.
   static constexpr duration kViewWait = std::chrono::seconds(1);
+  // Longest time that the end of a broken answer waits for a load report. A report of a reachable
+  // host takes a few milliseconds; a silent one must not hold the caller's retry up for longer.
+  static constexpr duration kConfirmWait = std::chrono::milliseconds(300);
 
   // Inputs and time (agent_core.cc).
   void Begin(const moment& at, std::vector<agent_output>& outputs);
@@ -127,7 +130,7 @@
   void RefuseNew(const dispatch& work, connection_id connection, refusal_reason reason);
   void RefuseRecord(execution_record& record, refusal_reason reason);
   void SendRefusal(const request_id& id, connection_id connection, refusal_reason reason,
-                   run_certainty certainty);
+                   run_certainty certainty, std::uint64_t fingerprint);
   std::uint64_t EpochOf(const dispatch& work) const;
   grant_window Window() const;
 
@@ -140,6 +143,9 @@
   void Finish(execution_record& record, answer_end end);
   void EndUnknown(execution_record& record, refusal_reason reason);
   void OnBroken(execution_record& record);
+  bool IsUnconfirmed(std::uint64_t fingerprint) const;
+  void EndBroken(execution_record& record);
+  void EndUnconfirmed(time_point until);
   void OnOverflow(execution_record& record);
   void Release(execution_record& record);
   void NoteDeath();
@@ -189,6 +195,8 @@
   std::deque<std::pair<time_point, execution_id>> orphans_;    // cancelled at this time
   std::optional<time_point> view_lost_;  // since when queued work waits for the view
   std::deque<broken_work> broken_;
+  // Broken answers whose end waits for a load report, with the time since when.
+  std::deque<std::pair<time_point, execution_id>> unconfirmed_;
   std::set<std::uint64_t> dead_counted_;  // of the present death
   bool upstream_dead_ = false;
   time_point dead_since_;
--- a/include/berylbarrow/request/suspect/suspect_table.h
+++ b/include/berylbarrow/request/suspect/suspect_table.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <utility>
 #include <vector>
 
 #include "berylbarrow/connection/wire/message.h"
@@ -19,24 +20,29 @@
 };
 
 /// Fingerprints of requests that were running when their upstream died, from this process and from
-/// heartbeats of others. Deaths and cleared deaths of a fingerprint are counters that only rise,
-/// and tables are merged by the maximum of each: reports may arrive late, doubled or in any order.
-/// Two deaths that happen before either is heard by the other observer count as one.
+/// messages of others. Deaths and cleared deaths are counted per fingerprint and observing agent by
+/// counters that only rise, and tables are merged by the maximum of each: reports may arrive late,
+/// doubled or in any order. The deaths of a fingerprint are the sum over its observers, so two
+/// deaths that two agents see at the same time count as two. An observer is an incarnation of an
+/// agent, because the counters of a replaced agent begin at zero.
 class suspect_table {
  public:
-  static constexpr std::size_t kMaxEntries = 64;
+  static constexpr std::size_t kMaxEntries = 64;  // counters, over all fingerprints and observers
   static constexpr duration kForgetAfter = std::chrono::minutes(10);
   static constexpr std::uint32_t kRefusedDeaths = 2;
 
-  /// An upstream died while the request ran there.
-  void OnDeath(std::uint64_t fingerprint, time_point now);
+  /// The upstream of `observer` died while the request ran there.
+  void OnDeath(std::uint64_t fingerprint, std::uint64_t observer, time_point now);
   /// The request ran alone and completed.
-  void OnCompletedAlone(std::uint64_t fingerprint, time_point now);
-  void Merge(const std::vector<suspect_report>& reports, time_point now);
+  void OnCompletedAlone(std::uint64_t fingerprint);
+  /// Returns whether a death was not known before.
+  bool Merge(const std::vector<suspect_report>& reports, time_point now);
   /// A non-idempotent suspect is refused from the first death on.
   suspect_verdict Judge(std::uint64_t fingerprint, bool idempotent, time_point now) const;
-  /// For the heartbeats of this process.
+  /// For the heartbeats of this process; latest deaths first.
   std::vector<suspect_report> Reports(time_point now) const;
+  /// For messages about one request.
+  std::vector<suspect_report> ReportsOf(std::uint64_t fingerprint, time_point now) const;
   void Expire(time_point now);
   std::size_t Size() const { return entries_.size(); }
   nlohmann::json State(time_point now) const;
@@ -48,9 +54,12 @@
     time_point last_death;
   };
 
+  using key = std::pair<std::uint64_t, std::uint64_t>;  // fingerprint, observer
+
+  static suspect_report Report(const key& name, const entry& item, time_point now);
   void MakeRoom();
 
-  std::map<std::uint64_t, entry> entries_;
+  std::map<key, entry> entries_;
 };
 
 }  // namespace berylbarrow
--- a/src/connection/http/upstream_client.cc
+++ b/src/connection/http/upstream_client.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "berylbarrow/process/runtime/shared_count.h"
@@ -84,6 +85,7 @@
     const auto found = exchanges_.find(cancel.execution);
     if (found != exchanges_.end()) {
       const auto exchange = found->second;
+      cancelled_.insert(cancel.execution);
       exchange->Cancel();
     }
   }
@@ -109,6 +111,7 @@
     if (closed_) {
       return;
     }
+    is_polling_ = true;
     report_text_.clear();
     report_status_ = 0;
     upstream_exchange::request_type request{boost::beast::http::verb::get, "/load", 11};
@@ -189,12 +192,30 @@
         break;
       case upstream_outcome::kBroken:
         ++counts_.broken;
+        if (cancelled_.erase(end.execution) == 0) {
+          PollAtOnce();
+        }
         break;
     }
     return true;
   }
 
+  /// Tells whether a broken connection is a death. A report that is under way may have been made
+  /// before the break, so it is dropped.
+  void PollAtOnce() {
+    if (!is_polling_) {
+      Poll();
+      return;
+    }
+    is_report_outdated_ = true;
+    const auto poll = poll_;
+    poll->Cancel();
+  }
+
   bool PassReport(const upstream_report& report) {
+    if (is_report_outdated_) {
+      return true;
+    }
     if (!sink_(report)) {
       return false;
     }
@@ -203,12 +224,17 @@
   }
 
   void WaitForNextPoll() {
+    is_polling_ = false;
     if (closed_) {
       return;
     }
+    if (std::exchange(is_report_outdated_, false)) {
+      Poll();
+      return;
+    }
     poll_timer_.expires_after(options_.load_poll_interval);
     poll_timer_.async_wait([self = shared_from_this()](error_code cancelled) {
-      if (!cancelled) {
+      if (!cancelled && !self->is_polling_) {
         self->Poll();
       }
     });
@@ -216,6 +242,7 @@
 
   void Remove(execution_id execution, bool rejected) {
     exchanges_.erase(execution);
+    cancelled_.erase(execution);
     open_ -= rejected ? 0 : 1;
   }
 
@@ -228,6 +255,9 @@
   std::shared_ptr<upstream_exchange> poll_;
   std::string report_text_;
   std::uint16_t report_status_ = 0;
+  bool is_polling_ = false;
+  bool is_report_outdated_ = false;             // of the poll under way
+  std::unordered_set<execution_id> cancelled_;  // whose end is no sign of a death
   std::unordered_map<execution_id, std::shared_ptr<upstream_exchange>> exchanges_;
   std::size_t open_ = 0;
   bool closed_ = false;
--- a/src/process/agent/agent_core.cc
+++ b/src/process/agent/agent_core.cc
@@ -70,6 +70,7 @@
   ReleaseHeld();
   ReleaseCancelled();
   CancelOrphans();
+  EndUnconfirmed(Now() - kConfirmWait);
   RecheckQueue();
   Pump();
   table_.Expire(ActiveNow());
@@ -196,7 +197,8 @@
 }
 
 void agent_core::FinishIfDone() {
-  const bool has_work = !running_.empty() || queue_.Size() > 0 || !held_.empty();
+  const bool has_work =
+      !running_.empty() || queue_.Size() > 0 || !held_.empty() || !unconfirmed_.empty();
   if (has_work) {
     last_work_ = Now();
   }
@@ -313,6 +315,9 @@
   if (!orphans_.empty()) {
     next = std::min(next, orphans_.front().first);
   }
+  if (!unconfirmed_.empty()) {
+    next = std::min(next, unconfirmed_.front().first + kConfirmWait);
+  }
   if (!cancelled_.empty()) {
     next = std::min(next, cancelled_.front().first);
   }
--- a/src/process/agent/agent_delivery.cc
+++ b/src/process/agent/agent_delivery.cc
@@ -32,26 +32,37 @@
              .id = id, .status = record.head->status, .content_type = record.head->content_type});
   }
   const std::uint64_t end = record.answer.End();
+  const auto suspects = [this, &record](answer_end end) {
+    return end == answer_end::kMore ? std::vector<suspect_report>()
+                                    : suspects_.ReportsOf(record.work.fingerprint, Now());
+  };
   const bool is_lost =
       target.sent < record.answer.Begin() || (record.end != answer_end::kMore && target.sent > end);
   if (is_lost) {
     target.has_end = true;
-    Send(connection, answer_part{.id = id, .offset = target.sent, .end = answer_end::kBroken});
+    Send(connection, answer_part{.id = id,
+                                 .offset = target.sent,
+                                 .end = answer_end::kBroken,
+                                 .suspects = suspects(answer_end::kBroken)});
     return;
   }
   while (record.head && target.sent < end) {
     const std::string_view piece = record.answer.Read(target.sent, kMaxPartBytes);
     const bool is_last = target.sent + piece.size() == end;
+    const answer_end piece_end = is_last ? record.end : answer_end::kMore;
     Send(connection, answer_part{.id = id,
                                  .offset = target.sent,
                                  .bytes = std::string(piece),
-                                 .end = is_last ? record.end : answer_end::kMore});
+                                 .end = piece_end,
+                                 .suspects = suspects(piece_end)});
     target.sent += piece.size();
     target.has_end = is_last && record.end != answer_end::kMore;
   }
   if (record.end != answer_end::kMore && !target.has_end) {
     target.has_end = true;
-    Send(connection, answer_part{.id = id, .offset = target.sent, .end = record.end});
+    Send(connection,
+         answer_part{
+             .id = id, .offset = target.sent, .end = record.end, .suspects = suspects(record.end)});
   }
 }
 
@@ -94,6 +105,11 @@
     RefuseRecord(record, refusal_reason::kKeyRefused);
     return;
   }
+  if (!record.at_upstream) {
+    // The run has broken, and only the end of the answer waits for a load report.
+    Finish(record, answer_end::kBroken);
+    return;
+  }
   record.is_cancelled = true;
   cancelled_.emplace_back(Now() + kCancelWait, record.id);
   Emit(upstream_cancel{.execution = record.id});
--- a/src/process/agent/agent_dispatch.cc
+++ b/src/process/agent/agent_dispatch.cc
@@ -37,6 +37,7 @@
 }
 
 void agent_core::OnDispatch(const dispatch& work, connection_id connection) {
+  suspects_.Merge(work.suspects, Now());
   execution_record* known = table_.Find(work);
   // On an older connection of the sender, a known request is a late copy: the answer goes over the
   // new one. An unknown one may have been sent on a connection whose hello was overtaken.
@@ -63,10 +64,10 @@
       return;
     case key_verdict::kRefuse:
       counters_.tombstone_hits += known != nullptr || closed != closed_state::kOpen ? 1 : 0;
-      SendRefusal(work.id, connection, decision.reason, run_certainty::kNotRun);
+      SendRefusal(work.id, connection, decision.reason, run_certainty::kNotRun, work.fingerprint);
       return;
     case key_verdict::kUnknown:
-      SendRefusal(work.id, connection, decision.reason, run_certainty::kUnknown);
+      SendRefusal(work.id, connection, decision.reason, run_certainty::kUnknown, work.fingerprint);
       return;
   }
 }
@@ -78,7 +79,8 @@
       ++counters_.duplicates;
       return;
     case attach_result::kFull:
-      SendRefusal(work.id, connection, refusal_reason::kOverload, run_certainty::kUnknown);
+      SendRefusal(work.id, connection, refusal_reason::kOverload, run_certainty::kUnknown,
+                  work.fingerprint);
       return;
     case attach_result::kAttached:
       counters_.joins += is_new ? 1 : 0;
@@ -243,7 +245,7 @@
 
 void agent_core::RefuseNew(const dispatch& work, connection_id connection, refusal_reason reason) {
   table_.AddTombstone(work, EpochOf(work), reason, at_.now, ActiveNow());
-  SendRefusal(work.id, connection, reason, run_certainty::kNotRun);
+  SendRefusal(work.id, connection, reason, run_certainty::kNotRun, work.fingerprint);
 }
 
 void agent_core::RefuseRecord(execution_record& record, refusal_reason reason) {
@@ -251,14 +253,14 @@
   table_.End(record, execution_state::kRefused, ActiveNow());
   for (auto& [id, item] : record.subscribers) {
     if (item.IsPending() && item.connection) {
-      SendRefusal(id, *item.connection, reason, run_certainty::kNotRun);
+      SendRefusal(id, *item.connection, reason, run_certainty::kNotRun, record.work.fingerprint);
     }
     item.is_done = true;
   }
 }
 
 void agent_core::SendRefusal(const request_id& id, connection_id connection, refusal_reason reason,
-                             run_certainty certainty) {
+                             run_certainty certainty, std::uint64_t fingerprint) {
   ++counters_.refusals[{reason, certainty}];
   duration retry_after = duration::zero();
   if (certainty == run_certainty::kNotRun && IsTransient(reason)) {
@@ -268,7 +270,8 @@
                            .reason = reason,
                            .certainty = certainty,
                            .retry_after = retry_after,
-                           .load = Load()});
+                           .load = Load(),
+                           .suspects = suspects_.ReportsOf(fingerprint, Now())});
 }
 
 }  // namespace berylbarrow
--- a/src/process/agent/agent_upstream.cc
+++ b/src/process/agent/agent_upstream.cc
@@ -55,7 +55,9 @@
   while (MayStartNext()) {
     execution_record& record = *table_.FindById(queue_.Peek()->execution);
     const auto verdict = suspects_.Judge(record.work.fingerprint, record.work.idempotent, Now());
-    if (verdict == suspect_verdict::kAlone && !running_.empty()) {
+    const bool must_wait = (verdict == suspect_verdict::kAlone && !running_.empty()) ||
+                           IsUnconfirmed(record.work.fingerprint);
+    if (must_wait) {
       return;
     }
     queue_.Pop();
@@ -137,7 +139,7 @@
                          .total = Now() - record->started,
                          .bytes = record->answer.End() - record->work.answer_offset});
     if (record->runs_alone) {
-      suspects_.OnCompletedAlone(record->work.fingerprint, Now());
+      suspects_.OnCompletedAlone(record->work.fingerprint);
     }
     if (!record->IsEnded()) {
       ++counters_.completed;
@@ -174,7 +176,7 @@
   table_.End(record, execution_state::kUnknown, ActiveNow());
   for (auto& [id, item] : record.subscribers) {
     if (item.IsPending() && item.connection) {
-      SendRefusal(id, *item.connection, reason, run_certainty::kUnknown);
+      SendRefusal(id, *item.connection, reason, run_certainty::kUnknown, record.work.fingerprint);
     }
     item.is_done = true;
   }
@@ -194,7 +196,34 @@
     if (broken_.size() > kMaxBroken) {
       broken_.pop_front();
     }
+    if (!record.IsEnded()) {
+      unconfirmed_.emplace_back(Now(), record.id);
+      return;
+    }
+  }
+  EndBroken(record);
+}
+
+/// Whether a run of the request broke and its upstream may have died of it.
+bool agent_core::IsUnconfirmed(std::uint64_t fingerprint) const {
+  return std::any_of(unconfirmed_.begin(), unconfirmed_.end(), [&](const auto& item) {
+    const auto record = table_.Records().find(item.second);
+    return record != table_.Records().end() && record->second.work.fingerprint == fingerprint;
+  });
+}
+
+/// Ends the broken answers that have waited since `until` or longer.
+void agent_core::EndUnconfirmed(time_point until) {
+  while (!unconfirmed_.empty() && unconfirmed_.front().first <= until) {
+    execution_record* record = table_.FindById(unconfirmed_.front().second);
+    unconfirmed_.pop_front();
+    if (record != nullptr) {
+      EndBroken(*record);
+    }
   }
+}
+
+void agent_core::EndBroken(execution_record& record) {
   if (record.IsEnded()) {
     return;
   }
@@ -222,6 +251,7 @@
   }
   if (event.reachable && !is_restart) {
     upstream_dead_ = false;
+    EndUnconfirmed(Now());
     return;
   }
   std::set<std::uint64_t> dead;
@@ -235,6 +265,7 @@
       NoteDeath();
     }
     CountDeaths(dead);
+    EndUnconfirmed(Now());
     return;
   }
   if (!upstream_dead_) {
@@ -252,6 +283,7 @@
     }
   }
   CountDeaths(dead);
+  EndUnconfirmed(Now());
 }
 
 void agent_core::NoteDeath() {
@@ -264,7 +296,8 @@
 void agent_core::CountDeaths(const std::set<std::uint64_t>& fingerprints) {
   for (const std::uint64_t fingerprint : fingerprints) {
     if (fingerprint != 0 && dead_counted_.insert(fingerprint).second) {
-      suspects_.OnDeath(fingerprint, Now());
+      suspects_.OnDeath(fingerprint, options_.identity.incarnation, Now());
+      heartbeat_due_ = true;  // a retry must not outrun the news
     }
   }
 }
--- a/src/process/entry/answers.cc
+++ b/src/process/entry/answers.cc
@@ -40,7 +40,16 @@
   request->head = head;
 }
 
+void entry_requests::OnSuspects(const std::vector<suspect_report>& reports) {
+  // Peers hear of it at once: the caller may send the request again through another entry before
+  // the next regular heartbeat.
+  if (context_.suspects.Merge(reports, context_.Now())) {
+    peers_.SendHeartbeats();
+  }
+}
+
 void entry_requests::OnPart(connection_id connection, const answer_part& part) {
+  OnSuspects(part.suspects);
   const auto [request, attempt] = Locate(connection, part.id);
   const bool is_current = request != nullptr && attempt == request->Current() &&
                           attempt->state == attempt_state::kActive;
@@ -49,6 +58,14 @@
     ++context_.counters.parts_dropped;
     return;
   }
+  // An upstream that dies before it answers leaves an end without a head.
+  const bool is_headless_end = !request->head && part.end == answer_end::kBroken &&
+                               part.bytes.empty() && part.offset == request->received;
+  if (is_headless_end) {
+    Acknowledge(*request, true);
+    Lose(*request, attempt_loss::kGone);
+    return;
+  }
   if (!request->head || part.offset > request->received) {
     ++context_.counters.parts_dropped;
     ScheduleResend(*request);
@@ -118,6 +135,7 @@
 }
 
 void entry_requests::OnRefusal(connection_id connection, const refusal& content) {
+  OnSuspects(content.suspects);
   const auto [request, attempt] = Locate(connection, content.id);
   if (request == nullptr || attempt->state == attempt_state::kNotRun) {
     ++context_.counters.unexpected_messages;
--- a/src/process/entry/attempts.cc
+++ b/src/process/entry/attempts.cc
@@ -11,7 +11,16 @@
 
 }  // namespace
 
+bool entry_requests::IsRefusedSuspect(const entry_request& request) const {
+  return context_.suspects.Judge(request.fingerprint, request.idempotent, context_.Now()) ==
+         suspect_verdict::kRefused;
+}
+
 void entry_requests::Route(entry_request& request) {
+  if (IsRefusedSuspect(request)) {
+    Refuse(request, ReplyOf(refusal{.reason = refusal_reason::kSuspect}));
+    return;
+  }
   const service_options* service = context_.index.Service(request.service);
   if (service != nullptr && context_.IsViewCurrent()) {
     const auto candidates = peers_.Candidates(*service, request.tried);
@@ -73,18 +82,20 @@
   const auto count = static_cast<std::uint32_t>(request.attempts.size());
   context_.Emit(peer_send{
       .connection = attempt.connection,
-      .message = dispatch{.id = attempt.id,
-                          .service = request.service,
-                          .account = input.account,
-                          .idempotent = request.idempotent,
-                          .idempotency_key = request.idempotent ? "" : input.idempotency_key,
-                          .attempt = request.idempotent ? count : input.attempt,
-                          .priority = input.priority,
-                          .fingerprint = request.fingerprint,
-                          .sender_revision = context_.fleet.Revision(),
-                          .remaining = request.deadline - context_.Now(),
-                          .answer_offset = request.received,
-                          .request = input.request}});
+      .message =
+          dispatch{.id = attempt.id,
+                   .service = request.service,
+                   .account = input.account,
+                   .idempotent = request.idempotent,
+                   .idempotency_key = request.idempotent ? "" : input.idempotency_key,
+                   .attempt = request.idempotent ? count : input.attempt,
+                   .priority = input.priority,
+                   .fingerprint = request.fingerprint,
+                   .sender_revision = context_.fleet.Revision(),
+                   .remaining = request.deadline - context_.Now(),
+                   .answer_offset = request.received,
+                   .request = input.request,
+                   .suspects = context_.suspects.ReportsOf(request.fingerprint, context_.Now())}});
 }
 
 void entry_requests::CancelAttempt(const request_attempt& attempt) {
@@ -106,6 +117,12 @@
     }
     return;
   }
+  if (IsRefusedSuspect(request)) {
+    if (!may_return) {
+      Refuse(request, ReplyOf(refusal{.reason = refusal_reason::kSuspect}));
+    }
+    return;
+  }
   if (loss == attempt_loss::kClosed && request.move_on_at) {
     return;
   }
--- a/src/process/entry/entry_context.h
+++ b/src/process/entry/entry_context.h
@@ -11,6 +11,7 @@
 #include "berylbarrow/process/entry/entry_core.h"
 #include "berylbarrow/process/membership/fleet_view.h"
 #include "berylbarrow/process/telemetry/metrics.h"
+#include "berylbarrow/request/suspect/suspect_table.h"
 #include "process/entry/directory.h"
 #include "process/entry/entry_counters.h"
 
@@ -29,6 +30,7 @@
   std::mt19937_64 random;
   process_state state = process_state::kStarting;
   bool is_finished = false;  // the process may exit
+  suspect_table suspects;
   entry_counters counters;
   metrics latencies;  // of requests, by service, failure domain of the upstream and outcome
 
--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -157,6 +157,7 @@
     return;
   }
   Apply(context_.fleet.On(event, context_.at));
+  context_.suspects.Merge(event.content.suspects, context_.Now());
   const member* known = members.Find(name);
   const bool is_taken = known != nullptr &&
                         known->identity.incarnation == event.content.sender.incarnation &&
@@ -244,6 +245,7 @@
           {"stopped_accepting", stopped_accepting_.has_value()},
           {"fleet", context_.fleet.State(context_.at)},
           {"peers", peers_.State()},
+          {"suspects", context_.suspects.State(context_.Now())},
           {"work", requests_.State()},
           {"counters", CountersJson(context_.counters)},
           {"latencies", context_.latencies.Json().at("latencies")}};
--- a/src/process/entry/keyed.cc
+++ b/src/process/entry/keyed.cc
@@ -14,6 +14,11 @@
                      .message = "the operation needs an idempotency key made from a grant"});
     return;
   }
+  // A later attempt may ask for a stored outcome, so the agent of the key decides about it.
+  if (IsRefusedSuspect(request) && IsNotRun(request)) {
+    Refuse(request, ReplyOf(refusal{.reason = refusal_reason::kSuspect}));
+    return;
+  }
   request.wait_until = context_.Now() + context_.options.connect_wait;
   UpdateDue(request);
   Forward(request);
--- a/src/process/entry/peers.cc
+++ b/src/process/entry/peers.cc
@@ -109,7 +109,9 @@
 }
 
 void entry_peers::SendHeartbeats() {
-  const heartbeat content = context_.fleet.NextHeartbeat(context_.state);
+  heartbeat content = context_.fleet.NextHeartbeat(context_.state);
+  context_.suspects.Expire(context_.Now());
+  content.suspects = context_.suspects.Reports(context_.Now());
   if (!context_.index.IsKnown()) {
     for (const std::string& seed : context_.options.seeds) {
       context_.Emit(heartbeat_send{.to = seed, .content = content});
--- a/src/process/entry/requests.h
+++ b/src/process/entry/requests.h
@@ -134,6 +134,8 @@
 
   // attempts.cc
   void Route(entry_request& request);
+  /// Whether the request has crashed too many upstreams to run once more.
+  bool IsRefusedSuspect(const entry_request& request) const;
   void DispatchToOneOf(entry_request& request, const std::vector<routing_candidate>& candidates);
   void Dispatch(entry_request& request, const agent_run& run);
   void SendDispatch(entry_request& request);
@@ -156,6 +158,8 @@
                                                      const request_id& id);
   void ScheduleResend(entry_request& request);
   void SendHead(entry_request& request);
+  /// Deaths of upstreams that an agent reports with an answer or refusal.
+  void OnSuspects(const std::vector<suspect_report>& reports);
   void Acknowledge(entry_request& request, bool finished);
 
   entry_context& context_;
--- a/tests/connection/codec_test.cc
+++ b/tests/connection/codec_test.cc
@@ -67,6 +67,29 @@
           .warm = Any<bool>()};
 }
 
+std::vector<suspect_report> AnySuspects() {
+  std::vector<suspect_report> suspects(*rc::gen::inRange<std::size_t>(0, 4));
+  for (suspect_report& item : suspects) {
+    item = {.fingerprint = Any<std::uint64_t>(),
+            .deaths = Any<std::uint32_t>(),
+            .cleared = Any<std::uint16_t>(),
+            .age_s = Any<std::uint16_t>(),
+            .observer = Any<std::uint64_t>()};
+  }
+  return suspects;
+}
+
+answer_part AnyPart() {
+  answer_part part{.id = AnyId(),
+                   .offset = Any<std::uint64_t>(),
+                   .bytes = Any<std::string>(),
+                   .end = AnyUpTo(answer_end::kBroken)};
+  if (part.end != answer_end::kMore) {
+    part.suspects = AnySuspects();
+  }
+  return part;
+}
+
 dispatch AnyDispatch() {
   return {.id = AnyId(),
           .service = Any<std::string>(),
@@ -82,7 +105,8 @@
           .request = {.method = Any<std::string>(),
                       .target = Any<std::string>(),
                       .content_type = Any<std::string>(),
-                      .body = Any<std::string>()}};
+                      .body = Any<std::string>()},
+          .suspects = AnySuspects()};
 }
 
 peer_message AnyMessage(std::size_t alternative) {
@@ -97,10 +121,7 @@
       return answer_head{
           .id = AnyId(), .status = Any<std::uint16_t>(), .content_type = Any<std::string>()};
     case 4:
-      return answer_part{.id = AnyId(),
-                         .offset = Any<std::uint64_t>(),
-                         .bytes = Any<std::string>(),
-                         .end = AnyUpTo(answer_end::kBroken)};
+      return AnyPart();
     case 5:
       return acknowledgement{
           .id = AnyId(), .offset = Any<std::uint64_t>(), .finished = Any<bool>()};
@@ -109,7 +130,8 @@
                      .reason = AnyUpTo(refusal_reason::kMalformed),
                      .certainty = AnyUpTo(run_certainty::kUnknown),
                      .retry_after = duration(Any<std::int64_t>()),
-                     .load = AnyLoad()};
+                     .load = AnyLoad(),
+                     .suspects = AnySuspects()};
     case 7:
       return configuration_request{.in_force = Any<revision>(), .nonce = Any<std::uint64_t>()};
     case 8:
@@ -266,8 +288,8 @@
   BOOST_TEST(second.Next().has_error());
 }
 
-// Fingerprint, deaths, cleared and age on the wire.
-constexpr std::size_t kSuspectBytes = 8 + 4 + 2 + 2;
+// Fingerprint, deaths, cleared, age and observer on the wire.
+constexpr std::size_t kSuspectBytes = 8 + 4 + 2 + 2 + 8;
 
 // Guards against a heartbeat that is lost because its datagram is fragmented.
 BOOST_AUTO_TEST_CASE(HeartbeatsFitOneDatagram) {
--- a/tests/connection/upstream_client_test.cc
+++ b/tests/connection/upstream_client_test.cc
@@ -149,6 +149,26 @@
   BOOST_TEST((Of(f.ends.back()) == End(upstream_outcome::kBroken, 99)));
 }
 
+// Guards against a death that is confirmed a whole poll interval late, or ruled out by a report
+// from before it; and against polls that cancels cause.
+BOOST_AUTO_TEST_CASE(BreakIsFollowedByANewReport) {
+  fixture f({.load_poll_interval = std::chrono::hours(1)});
+  const auto outdated = f.Receiving("GET /load");
+  f.Start(1);
+  f.Receiving("POST /pay")->Close();
+  BOOST_TEST(f.Until([&] { return f.sockets.size() == 3; }));
+  BOOST_TEST(f.Until([&] { return f.sockets[2]->Has("GET /load"); }));
+  BOOST_TEST(f.ends.size() == 1U);
+  BOOST_TEST(f.reports.empty());
+  f.sockets[2]->Close();
+  BOOST_TEST(f.Until([&] { return f.reports.size() == 1; }));
+  f.Start(2);
+  BOOST_TEST(f.Until([&] { return f.sockets.size() == 4 && f.sockets[3]->Has("POST /pay"); }));
+  f.client->Deliver(upstream_cancel{.execution = 2});
+  BOOST_TEST(f.Until([&] { return f.ends.size() == 2; }));
+  BOOST_TEST(f.client->Counters().reports_missing == 1U);
+}
+
 // Guards against an unreachable upstream whose requests cannot be sent elsewhere.
 BOOST_AUTO_TEST_CASE(RefusedConnectionIsNotSent) {
   fixture f({.max_connections = 1});
--- a/tests/process/agent/agent_core_test.cc
+++ b/tests/process/agent/agent_core_test.cc
@@ -128,7 +128,8 @@
   BOOST_TEST(WasRefused(1, 2, refusal_reason::kStaleView));
 }
 
-// Guards against a false "not run", and against a true one that a late copy makes false.
+// Guards against a false "not run", against a true one that a late copy makes false, and against
+// the end of a broken answer that comes before it is known whether the upstream died, or never.
 BOOST_FIXTURE_TEST_CASE(UpstreamFailuresEndWithTheTruth, fixture) {
   Serve();
   Receive(1, TestPayment(1, "n"));
@@ -138,6 +139,8 @@
   BOOST_TEST(WasRefused(1, 2, refusal_reason::kUpstreamGone));
   Receive(1, TestPayment(3, "m"));
   End(2, upstream_outcome::kBroken);
+  BOOST_TEST(!WasRefused(1, 3, refusal_reason::kUpstreamGone, run_certainty::kUnknown));
+  Input(upstream_report{.reachable = true, .instance = "a"});
   BOOST_TEST(WasRefused(1, 3, refusal_reason::kUpstreamGone, run_certainty::kUnknown));
   Receive(1, TestPayment(4, "m"));
   BOOST_TEST(WasRefused(1, 4, refusal_reason::kUpstreamGone, run_certainty::kUnknown));
@@ -145,6 +148,9 @@
   Input(upstream_head{.execution = 3, .status = 200});
   Input(upstream_part{.execution = 3, .bytes = "abc"});
   End(3, upstream_outcome::kBroken);
+  Advance(std::chrono::milliseconds(250));
+  BOOST_TEST((Sent<answer_part>(1).back().end == answer_end::kMore));
+  Advance(std::chrono::milliseconds(50));
   const answer_part last = Sent<answer_part>(1).back();
   BOOST_TEST((last.end == answer_end::kBroken));
   BOOST_TEST(last.offset == 3U);
@@ -210,6 +216,8 @@
   Input(upstream_report{.reachable = true, .instance = "a"});
   Receive(1, TestWork(1));
   die("b");
+  BOOST_TEST(Sent<answer_part>(1).back().suspects.size() == 1U);
+  BOOST_TEST(All<heartbeat_send>().back().content.suspects.size() == 1U);
   BOOST_TEST(core.State()["suspects"].size() == 1U);
   dispatch again = TestWork(2);
   again.fingerprint = 1;
@@ -226,6 +234,10 @@
   Complete(All<upstream_start>().back().execution, "x");
   const auto suspects = core.State()["suspects"];
   BOOST_TEST(suspects.back()["cleared"] == 1U);
+  dispatch known = TestWork(6);
+  known.suspects = {{.fingerprint = 6, .deaths = 2, .observer = 7}};
+  Receive(1, known);
+  BOOST_TEST(WasRefused(1, 6, refusal_reason::kSuspect));
 }
 
 // Guards against queued work that starts after its time to live or after a drain.
--- a/tests/process/entry/entry_core_test.cc
+++ b/tests/process/entry/entry_core_test.cc
@@ -164,6 +164,32 @@
   }
 }
 
+// Guards against a broken answer without a head that is awaited until the deadline, against a retry
+// that outruns the news of the first death, and against a third upstream that dies.
+BOOST_FIXTURE_TEST_CASE(RequestThatCrashesTwoUpstreamsIsRefused, entry_fixture) {
+  Start();
+  Draft(1);
+  std::uint64_t fingerprint = 0;
+  for (std::uint64_t observer : {1, 2}) {
+    const auto [connection, work] = Sent<dispatch>().at(0);
+    fingerprint = work.fingerprint;
+    BOOST_TEST(work.suspects.size() == observer - 1);
+    Receive(
+        connection,
+        answer_part{.id = work.id,
+                    .end = answer_end::kBroken,
+                    .suspects = {{.fingerprint = fingerprint, .deaths = 1, .observer = observer}}});
+    BOOST_TEST(Take<heartbeat_send>().back().content.suspects.size() == observer);
+  }
+  BOOST_TEST(Sent<dispatch>().empty());
+  BOOST_TEST(Take<caller_reply>().at(0).status == 422);
+  Draft(2);
+  BOOST_TEST(Sent<dispatch>().empty());
+  const auto reply = Take<caller_reply>().at(0);
+  BOOST_TEST(reply.status == 422);
+  BOOST_TEST(HeaderOf(reply, "Berylbarrow-Outcome") == "not-run");
+}
+
 // Guards against an agent that keeps more of an answer than the entry may still ask for.
 BOOST_FIXTURE_TEST_CASE(LongAnswerIsAcknowledgedOnTheWay, entry_fixture) {
   Start();
--- a/tests/process/history_checks_test.cc
+++ b/tests/process/history_checks_test.cc
@@ -66,6 +66,11 @@
   Finds("G9", CheckConfiguration, ProductParts(parser), {});
 }
 
+BOOST_AUTO_TEST_CASE(CrashCheckFindsDroppedSuspects) {
+  const remembering_parser parser;
+  Finds("crashes", CheckCrashes, DroppingSuspects(parser), {fault_kind::kPoison});
+}
+
 // No naive part lets a revision fall or ends a request twice, so these histories are made up.
 BOOST_AUTO_TEST_CASE(ChecksFindDoctoredHistories) {
   const remembering_parser parser;
--- a/tests/request/suspect_table_test.cc
+++ b/tests/request/suspect_table_test.cc
@@ -5,6 +5,9 @@
 namespace berylbarrow {
 namespace {
 
+constexpr std::uint64_t kSelf = 1;
+constexpr std::uint64_t kOther = 2;
+
 struct fixture {
   manual_clock clock;
   suspect_table table;
@@ -17,34 +20,46 @@
 
 // Guards against a request that goes on crashing upstreams, or a payment that is tried again.
 BOOST_FIXTURE_TEST_CASE(SecondDeathRefuses, fixture) {
-  table.OnDeath(7, clock.Now());
+  table.OnDeath(7, kSelf, clock.Now());
   BOOST_TEST((Judge(7) == suspect_verdict::kAlone));
   BOOST_TEST((Judge(7, false) == suspect_verdict::kRefused));
   BOOST_TEST((Judge(8) == suspect_verdict::kClear));
   peer.Merge(table.Reports(clock.Now()), clock.Now());
-  peer.OnDeath(7, clock.Now());
+  peer.OnDeath(7, kOther, clock.Now());
   table.Merge(peer.Reports(clock.Now()), clock.Now());
   BOOST_TEST((Judge(7) == suspect_verdict::kRefused));
 }
 
+// Guards against two deaths that count as one because two agents see them at the same time, and
+// against one death that counts twice because it is reported twice.
+BOOST_FIXTURE_TEST_CASE(DeathsOfSeveralAgentsAddUp, fixture) {
+  table.OnDeath(7, kSelf, clock.Now());
+  BOOST_TEST(!table.Merge(table.Reports(clock.Now()), clock.Now()));
+  BOOST_TEST((Judge(7) == suspect_verdict::kAlone));
+  peer.OnDeath(7, kOther, clock.Now());
+  BOOST_TEST(table.Merge(peer.ReportsOf(7, clock.Now()), clock.Now()));
+  BOOST_TEST((Judge(7) == suspect_verdict::kRefused));
+  BOOST_TEST(table.ReportsOf(7, clock.Now()).size() == 2U);
+}
+
 // Guards against a cleared request that an older report of a peer makes a suspect again.
 BOOST_FIXTURE_TEST_CASE(ClearingOutlivesOlderReports, fixture) {
-  table.OnDeath(7, clock.Now());
+  table.OnDeath(7, kSelf, clock.Now());
   const auto older = table.Reports(clock.Now());
   peer.Merge(older, clock.Now());
-  table.OnCompletedAlone(7, clock.Now());
+  table.OnCompletedAlone(7);
   table.Merge(older, clock.Now());
   table.Merge(peer.Reports(clock.Now()), clock.Now());
   BOOST_TEST((Judge(7) == suspect_verdict::kClear));
   peer.Merge(table.Reports(clock.Now()), clock.Now());
   BOOST_TEST((peer.Judge(7, true, clock.Now()) == suspect_verdict::kClear));
-  table.OnDeath(7, clock.Now());
+  table.OnDeath(7, kSelf, clock.Now());
   BOOST_TEST((Judge(7) == suspect_verdict::kAlone));
 }
 
 // Guards against entries that two peers keep alive for ever by repeating them to each other.
 BOOST_FIXTURE_TEST_CASE(RepeatedReportsDoNotRenewTheAge, fixture) {
-  table.OnDeath(7, clock.Now());
+  table.OnDeath(7, kSelf, clock.Now());
   for (int second = 0; second < 601; ++second) {
     peer.Merge(table.Reports(clock.Now()), clock.Now());
     table.Merge(peer.Reports(clock.Now()), clock.Now());
@@ -60,7 +75,7 @@
 BOOST_FIXTURE_TEST_CASE(OldestEntryMakesRoom, fixture) {
   for (std::uint64_t fingerprint = 1; fingerprint <= suspect_table::kMaxEntries + 1;
        ++fingerprint) {
-    table.OnDeath(fingerprint, clock.Now());
+    table.OnDeath(fingerprint, kSelf, clock.Now());
     clock.Advance(std::chrono::milliseconds(1));
   }
   BOOST_TEST(table.Size() == suspect_table::kMaxEntries);
--- a/tests/support/fleet_run.cc
+++ b/tests/support/fleet_run.cc
@@ -173,6 +173,7 @@
 
 void fleet_run::Stop(const std::string& name, bool is_graceful) {
   const bool is_entry = processes_.At(name).IsEntry();
+  context_.log.disruptions.push_back({.from = context_.Now(), .until = context_.Now()});
   processes_.Stop(name);
   network_.OnStopped(name, is_graceful);
   if (is_entry) {
@@ -319,7 +320,9 @@
   if (item.target % 4 < 3) {
     platform_.SetCutOff(side);
   }
-  context_.After(std::max(item.lasts, kLeastPartition), [this] {
+  const duration lasts = std::max(item.lasts, kLeastPartition);
+  context_.log.disruptions.push_back({.from = context_.Now(), .until = context_.Now() + lasts});
+  context_.After(lasts, [this] {
     network_.Heal();
     platform_.SetCutOff({});
   });
--- a/tests/support/fleet_upstream.cc
+++ b/tests/support/fleet_upstream.cc
@@ -104,8 +104,12 @@
   arrived.bearable = Bearable();
   context_.log.starts.push_back(arrived);
   if (ReadMark(item.request).is_poison) {
-    context_.After(context_.Between(milliseconds(20), milliseconds(80)), [this, id] {
+    context_.After(context_.Between(milliseconds(20), milliseconds(80)), [this, id, arrived] {
       if (jobs_.contains(id)) {
+        context_.log.crashes.push_back({.at = context_.Now(),
+                                        .started = arrived.sent,
+                                        .agent = arrived.agent,
+                                        .operation = arrived.operation});
         Die(context_.Between(milliseconds(200), milliseconds(900)));
       }
     });
@@ -193,6 +197,8 @@
   for (const auto& [id, item] : std::exchange(jobs_, {})) {
     End(item, upstream_outcome::kBroken, context_.Between(kLeastWire, kMostWire));
   }
+  // The agent reads the load report at once when a connection breaks.
+  SendReport();
   context_.After(downtime, [this] { Restart(); });
 }
 
@@ -209,13 +215,17 @@
 }
 
 void fleet_upstream::Report() {
+  SendReport();
+  context_.After(kReportInterval, [this] { Report(); });
+}
+
+void fleet_upstream::SendReport() {
   const fleet_process& agent = processes_.At(place_.name);
   const upstream_report report{.reachable = is_up_,
                                .instance = is_up_ ? Instance() : "",
                                .uptime = is_up_ ? context_.Now() - run_since_ : duration::zero(),
                                .running = static_cast<std::uint32_t>(jobs_.size())};
   Tell(agent.life, kLeastWire, report);
-  context_.After(kReportInterval, [this] { Report(); });
 }
 
 }  // namespace berylbarrow
--- a/tests/support/fleet_upstream.h
+++ b/tests/support/fleet_upstream.h
@@ -56,6 +56,7 @@
   void End(const job& work, upstream_outcome outcome, duration delay);
   void Restart();
   void Report();
+  void SendReport();
   std::uint32_t Bearable() const;
   void Tell(std::uint64_t life, duration delay, const fleet_input& input);
   std::string Instance() const { return place_.name + "#" + std::to_string(run_); }
--- a/tests/support/history.cc
+++ b/tests/support/history.cc
@@ -12,6 +12,7 @@
 constexpr duration kConfigurationTime = std::chrono::seconds(7);
 // Allows for the resolution of the entry's timers.
 constexpr duration kDeadlineSlack = std::chrono::milliseconds(500);
+constexpr std::size_t kMostCrashes = 2;
 
 std::string Time(time_point at) {
   std::ostringstream text;
@@ -244,6 +245,30 @@
   return found;
 }
 
+violations CheckCrashes(const history& log) {
+  violations found;
+  std::map<std::uint64_t, std::vector<crash_record>> by_operation;
+  for (const crash_record& item : log.crashes) {
+    std::vector<crash_record>& known = by_operation[item.operation];
+    const bool is_explained =
+        !known.empty() && std::any_of(log.disruptions.begin(), log.disruptions.end(),
+                                      [&](const disruption_record& disruption) {
+                                        return disruption.from <= item.started &&
+                                               disruption.until >= known.front().at;
+                                      });
+    if (is_explained) {
+      continue;
+    }
+    known.push_back(item);
+    if (known.size() > kMostCrashes) {
+      found.push_back(Time(item.at) + "operation " + std::to_string(item.operation) +
+                      " crashed the upstream of " + item.agent + " after " +
+                      std::to_string(known.size() - 1) + " others");
+    }
+  }
+  return found;
+}
+
 violations CheckAll(const history& log) {
   violations found;
   const auto add = [&found](const char* guarantee, const violations& part) {
@@ -259,6 +284,7 @@
   add("G7", CheckLeaving(log));
   add("G8", CheckShutdown(log));
   add("G9", CheckConfiguration(log));
+  add("crashes", CheckCrashes(log));
   return found;
 }
 
--- a/tests/support/history.h
+++ b/tests/support/history.h
@@ -98,6 +98,20 @@
   std::uint32_t open_requests = 0;  // of callers, or running at the upstream
 };
 
+/// A request has crashed an upstream.
+struct crash_record {
+  time_point at;
+  time_point started;  // when the agent decided it
+  std::string agent;
+  std::uint64_t operation = 0;
+};
+
+/// Processes that knew of crashes were lost, or could not tell others.
+struct disruption_record {
+  time_point from;
+  time_point until;
+};
+
 struct history {
   std::vector<request_record> requests;
   std::vector<start_record> starts;
@@ -106,6 +120,8 @@
   std::vector<in_force_record> in_force;
   std::vector<leaving_record> leavings;
   std::vector<finish_record> finishes;
+  std::vector<crash_record> crashes;
+  std::vector<disruption_record> disruptions;
   std::vector<std::string> oddities;  // outputs that no caller can use
   bool only_shutdowns = false;        // no other fault was injected
 };
@@ -131,6 +147,13 @@
 /// G9: the newest valid revision is in force within 7 s of contact, and none falls.
 violations CheckConfiguration(const history& log);
 
+/// Requests that crash every upstream: at most two crashes of each. Two is the number of deaths
+/// after which a request is refused: the first makes it a suspect, which goes to one upstream at a
+/// time, and its retry carries the count. A further crash is accepted only if its run was decided
+/// after a partition, or after the end of a process, since the first crash: both can take the count
+/// away.
+violations CheckCrashes(const history& log);
+
 /// All checks; each line begins with the guarantee.
 violations CheckAll(const history& log);
 
--- a/tests/support/naive_parts.cc
+++ b/tests/support/naive_parts.cc
@@ -56,6 +56,26 @@
   std::uint64_t parts_ = 0;
 };
 
+class suspect_dropping_entry final : public wrapped_core<entry_decisions> {
+ public:
+  using wrapped_core::wrapped_core;
+
+  void Handle(const entry_input& input, const moment& at,
+              std::vector<entry_output>& outputs) override {
+    entry_input changed = input;
+    if (auto* beat = std::get_if<heartbeat_received>(&changed)) {
+      beat->content.suspects.clear();
+    } else if (auto* received = std::get_if<peer_received>(&changed)) {
+      if (auto* part = std::get_if<answer_part>(&received->message)) {
+        part->suspects.clear();
+      } else if (auto* content = std::get_if<refusal>(&received->message)) {
+        content->suspects.clear();
+      }
+    }
+    wrapped_core::Handle(changed, at, outputs);
+  }
+};
+
 }  // namespace
 
 fleet_parts RunningEveryDispatch(const configuration_parser& parser) {
@@ -81,6 +101,15 @@
   return parts;
 }
 
+fleet_parts DroppingSuspects(const configuration_parser& parser) {
+  fleet_parts parts = ProductParts(parser);
+  parts.make_entry = [make = parts.make_entry](const process_identity& identity,
+                                               std::uint64_t seed) {
+    return std::make_unique<suspect_dropping_entry>(make(identity, seed));
+  };
+  return parts;
+}
+
 fleet_parts LosingParts(const configuration_parser& parser) {
   fleet_parts parts = ProductParts(parser);
   parts.make_entry = [make = parts.make_entry](const process_identity& identity,
--- a/tests/support/naive_parts.h
+++ b/tests/support/naive_parts.h
@@ -21,6 +21,10 @@
 /// Entries lose one part in fifty on its way to the caller (G4).
 fleet_parts LosingParts(const configuration_parser& parser);
 
+/// Entries drop what agents report of requests that crash upstreams, so agents never hear of each
+/// other's suspects.
+fleet_parts DroppingSuspects(const configuration_parser& parser);
+
 /// Takes no failure domain out (G3).
 class drain_ignoring_parser final : public remembering_parser {
  public:
