--- a/tests/support/naive_parts.h
+++ b/tests/support/naive_parts.h
@@ -26,6 +26,10 @@
 /// Agents follow the step that they heard last, not the highest (plan).
 fleet_parts FollowingTheLastStep(const configuration_parser& parser);
 
+/// Entries drop what agents report of requests that crash upstreams, so agents never hear of each
+/// other's suspects.
+fleet_parts DroppingSuspects(const configuration_parser& parser);
+
 /// Takes no failure domain out, neither by state nor by plan (G3).
 class drain_ignoring_parser final : public remembering_parser {
  public:
