Bound the share of requests that warm cold upstreams

Cause: after a failure domain returns, the load ratio gives its cold upstreams more work as their limits rise. Shortly before they are warm, more than a twentieth of the drafts are served four times slower, which sets the 95th percentile of first tokens and token gaps.

Change: cold_share_policy sends 4 % of an entry's requests of a service to upstreams below half of the highest limit while a warm one has a free slot. The previous policy is the baseline "load ratio" of the same run. The move measure prints the time until all engines of the domain are warm.

--- a/benchmarks/service/deployment.cc
+++ b/benchmarks/service/deployment.cc
@@ -1,5 +1,6 @@
 #include "deployment.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <type_traits>
 #include <utility>
@@ -158,6 +159,13 @@
   return running;
 }
 
+bool deployment::IsWarm(const std::string& domain) const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [&domain](const auto& item) {
+    const node& target = item.second;
+    return target.domain != domain || !target.upstream || target.upstream->IsWarm();
+  });
+}
+
 engine_counts deployment::EngineCounts() const {
   engine_counts total;
   for (const auto& [address, target] : nodes_) {
--- a/benchmarks/service/deployment.h
+++ b/benchmarks/service/deployment.h
@@ -58,6 +58,8 @@
   void Replace(const std::string& domain);
   void RestartEngines(const std::string& domain);
   std::size_t Running(const std::string& domain) const;
+  /// Whether no model engine of the domain is in cold start.
+  bool IsWarm(const std::string& domain) const;
   engine_counts EngineCounts() const;
   const fleet_counts& Counts() const { return counts_; }
   const configuration& Document() const { return document_; }
--- a/benchmarks/service/engine.h
+++ b/benchmarks/service/engine.h
@@ -61,6 +61,8 @@
   void StartWarm() { completions_ = options_.warm_after; }
   /// Delivers the load of `report_lag` ago.
   void Report();
+  /// A plain service counts as warm.
+  bool IsWarm() const { return !IsCold() || !options_.is_model; }
   std::size_t Running() const { return runs_.size(); }
   const engine_counts& Counts() const { return counts_; }
 
--- a/benchmarks/service/move.cc
+++ b/benchmarks/service/move.cc
@@ -1,6 +1,7 @@
 #include <array>
 #include <future>
 
+#include "berylbarrow/request/routing/cold_share_policy.h"
 #include "runs.h"
 #include "scenarios.h"
 
@@ -13,18 +14,27 @@
   duration out = std::chrono::seconds(20);   // from the event to the return, at least
   duration back = std::chrono::seconds(40);  // from the return to the end of "during"
   duration after = std::chrono::seconds(40);
-  duration rest = std::chrono::seconds(35);  // for the last answers
+  duration longer = std::chrono::seconds(60);  // of calls that are in no phase, for warming
+  duration rest = std::chrono::seconds(35);    // for the last answers
 };
 
 struct move_result {
   std::array<phase_figures, 3> phases;
   double last_work = 0;     // seconds from the event to the last new work in the domain
+  double warm_after = -1;   // seconds from the return until all model engines are warm
   double empty_after = -1;  // seconds from the event to the end of the last work
   std::uint64_t crashes = 0;
 };
 
 constexpr duration kWatchInterval = std::chrono::milliseconds(50);
 
+// The slowness of a cold engine in the model.
+const auto kColdFactor = static_cast<std::uint32_t>(engine_options{}.cold_factor);
+
+std::unique_ptr<routing_policy> LoadRatioPolicy() {
+  return std::make_unique<power_of_two_policy>(power_of_two_options{.prefix_affinity = true});
+}
+
 double Seconds(duration value) { return std::chrono::duration<double>(value).count(); }
 
 class move_run {
@@ -52,14 +62,14 @@
     event_ = begin + times_.steady;
     const time_point end = event_ + times_.out + times_.back + times_.after;
     WarmUp(time_, callers_, begin);
-    callers_.Run(end);
+    callers_.Run(end + times_.longer);
     time_.RunUntil(event_);
     callers_.CountOpenFromNow();
     is_planned_ ? fleet_.Publish(place_.document_without) : fleet_.Kill(place_.domain);
     Watch();
     time_.RunUntil(event_ + times_.out);
     BringBack();
-    time_.RunUntil(end + times_.rest);
+    time_.RunUntil(end + times_.longer + times_.rest);
     const time_point settled = event_ + times_.out + times_.back;
     const configuration& document = fleet_.Document();
     result_.phases = {Summarise(callers_.Calls(), document, begin, event_),
@@ -80,8 +90,19 @@
     }
   }
 
+  void WatchWarmth() {
+    time_.After(kWatchInterval, [this] {
+      if (fleet_.IsWarm(place_.domain)) {
+        result_.warm_after = Seconds(time_.Now() - returned_);
+      } else {
+        WatchWarmth();
+      }
+    });
+  }
+
   void BringBack() {
     returned_ = time_.Now();
+    WatchWarmth();
     if (is_planned_) {
       fleet_.RestartEngines(place_.domain);
       fleet_.Publish(place_.document);
@@ -103,19 +124,36 @@
 
 std::string Count(std::size_t value) { return std::to_string(value); }
 
+std::string WarmAfter(const move_result& result) {
+  return result.warm_after < 0 ? "never" : Fixed(result.warm_after, 1);
+}
+
 void AddRows(table& rows, const std::string& place, const variant& kind, bool is_planned,
              const move_result& result) {
   const std::array<std::string, 3> names{"steady", "during", "after"};
   for (std::size_t i = 0; i < names.size(); ++i) {
     const phase_figures& phase = result.phases[i];
     const bool is_during = i == 1;
-    rows.Add({place, is_planned ? "planned" : "unplanned", kind.name, names[i], Count(phase.calls),
-              Count(phase.in_time), Count(phase.refused), Count(phase.refusals),
-              Count(phase.unknown), Count(phase.cut), Count(phase.wrong + phase.open),
-              Fixed(phase.first_p50, 3), Fixed(phase.first_p95, 3), Fixed(phase.first_p99, 3),
-              Fixed(phase.gap_p95, 1), is_during ? Fixed(result.last_work, 3) : "",
-              is_during ? Fixed(result.empty_after, 2) : "", Fixed(phase.worst_small, 3),
-              is_during ? Count(result.crashes) : ""});
+    rows.Add({place,
+              is_planned ? "planned" : "unplanned",
+              kind.name,
+              names[i],
+              Count(phase.calls),
+              Count(phase.in_time),
+              Count(phase.refused),
+              Count(phase.refusals),
+              Count(phase.unknown),
+              Count(phase.cut),
+              Count(phase.wrong + phase.open),
+              Fixed(phase.first_p50, 3),
+              Fixed(phase.first_p95, 3),
+              Fixed(phase.first_p99, 3),
+              Fixed(phase.gap_p95, 1),
+              is_during ? Fixed(result.last_work, 3) : "",
+              is_during ? Fixed(result.empty_after, 2) : "",
+              Fixed(phase.worst_small, 3),
+              is_during ? Count(result.crashes) : "",
+              is_during ? WarmAfter(result) : ""});
   }
 }
 
@@ -125,19 +163,31 @@
   move_times times;
   if (options.is_smoke) {
     times = {std::chrono::seconds(12), std::chrono::seconds(4), std::chrono::seconds(6),
-             std::chrono::seconds(4),  std::chrono::seconds(2), std::chrono::seconds(10)};
+             std::chrono::seconds(4),  std::chrono::seconds(2), {},
+             std::chrono::seconds(10)};
   }
   const std::vector<variant> kinds{
       {.name = "berylbarrow"},
+      {.name = "load ratio", .policy = LoadRatioPolicy},
+      {.name = "expected time",
+       .policy =
+           [] { return std::make_unique<expected_time_policy>(LoadRatioPolicy(), kColdFactor); }},
       {.name = "round robin", .policy = [] { return std::make_unique<round_robin_policy>(); }},
       {.name = "least reported",
        .policy = [] { return std::make_unique<least_reported_policy>(); }},
       {.name = "fixed limit", .has_cold_limit = false}};
   table rows(
       "Service while a failure domain leaves and returns, seed " + std::to_string(options.seed),
-      {"deployment", "event", "policy", "phase", "calls", "in time", "refused", "refusals",
-       "unknown", "cut", "wrong or open", "first token p50 s", "p95 s", "p99 s", "gap p95 ms",
-       "last new work s", "empty after s", "worst small account", "crashes"});
+      {"deployment",    "event",
+       "policy",        "phase",
+       "calls",         "in time",
+       "refused",       "refusals",
+       "unknown",       "cut",
+       "wrong or open", "first token p50 s",
+       "p95 s",         "p99 s",
+       "gap p95 ms",    "last new work s",
+       "empty after s", "worst small account",
+       "crashes",       "all warm after s"});
   for (const deployment_case& place : Cases(options)) {
     for (const bool is_planned : {true, false}) {
       std::vector<std::future<move_result>> results;
--- a/include/berylbarrow/request/routing/routing_policy.h
+++ b/include/berylbarrow/request/routing/routing_policy.h
@@ -20,6 +20,7 @@
 
 /// What a policy may know of the request.
 struct routing_request {
+  std::string_view service;
   std::uint64_t prefix_hash = 0;  // of the first bytes of the prompt; 0: none
 };
 
--- a/src/process/entry/addresses.cc
+++ b/src/process/entry/addresses.cc
@@ -84,7 +84,7 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  const std::size_t chosen = policy_.Choose(candidates, {}, context_.random);
+  const std::size_t chosen = policy_.Choose(candidates, {.service = service.name}, context_.random);
   const member& agent = *context_.fleet.Members().Find(std::string(candidates.at(chosen).name));
   return FormatGrant({.agent = agent.identity.name,
                       .incarnation = agent.identity.incarnation,
--- a/src/process/entry/attempts.cc
+++ b/src/process/entry/attempts.cc
@@ -32,8 +32,9 @@
 
 void entry_requests::DispatchToOneOf(entry_request& request,
                                      const std::vector<routing_candidate>& candidates) {
-  const std::size_t chosen =
-      policy_.Choose(candidates, {.prefix_hash = request.input.prefix_hash}, context_.random);
+  const std::size_t chosen = policy_.Choose(
+      candidates, {.service = request.service, .prefix_hash = request.input.prefix_hash},
+      context_.random);
   std::string name(candidates.at(chosen).name);
   const std::uint64_t incarnation = peers_.Find(name)->incarnation;
   Dispatch(request, {.name = std::move(name), .incarnation = incarnation});
--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "berylbarrow/process/membership/member_names.h"
+#include "berylbarrow/request/routing/cold_share_policy.h"
 #include "process/entry/addresses.h"
 #include "process/entry/entry_context.h"
 #include "process/entry/peers.h"
@@ -276,7 +277,9 @@
                                                std::unique_ptr<routing_policy> policy,
                                                std::unique_ptr<key_routing> keys) {
   if (!policy) {
-    policy = std::make_unique<power_of_two_policy>(power_of_two_options{.prefix_affinity = true});
+    policy = std::make_unique<cold_share_policy>(
+        std::make_unique<power_of_two_policy>(power_of_two_options{.prefix_affinity = true}),
+        cold_share_options{});
   }
   if (!keys) {
     keys = std::make_unique<grant_key_routing>();
