Send pings only where nothing else shows that the peer lives

Cause: every connection had a ping and a pong from each side every 500 ms, also while an answer was on its way and while nothing waited for it. By the table of docs/CAPACITY.md, pings were 274 of the 645 KB/s of an entry.

Ruled out: pings by one side only. The side that sends none learns nothing when only its own direction is cut.

Change: a session notes the requests that a dispatch begins and that an answer's end, a refusal or a cancel ends. While there are any, it sends a ping 500 ms after the last received byte and closes after 2 s without one. An idle connection is pinged after 2 s and closed 2 s later. A ping that arrives counts as a received byte, so that one exchange serves both sides. The counter peers_pings_sent is new.

--- a/include/berylbarrow/connection/peer/peer_manager.h
+++ b/include/berylbarrow/connection/peer/peer_manager.h
@@ -28,9 +28,13 @@
 struct peer_manager_options {
   std::string listen_address = {};  // "IP:port" of TCP and UDP; port 0 chooses a free one
   process_identity identity = {};
+  // Without a received byte, a ping is sent after the ping interval, and the connection is closed
+  // after the silence limit. An idle connection has no request in flight; it is closed when the
+  // silence limit has passed after its ping was due.
   duration ping_interval = std::chrono::milliseconds(500);
-  duration silence_limit = std::chrono::seconds(2);  // without any received byte
-  duration hello_limit = std::chrono::seconds(2);    // from the start of connecting to the hello
+  duration idle_ping_interval = std::chrono::seconds(2);
+  duration silence_limit = std::chrono::seconds(2);
+  duration hello_limit = std::chrono::seconds(2);  // from the start of connecting to the hello
   duration reconnect_min = std::chrono::milliseconds(50);
   duration reconnect_max = std::chrono::seconds(2);
   std::size_t max_frame_bytes = 2U << 20;
@@ -55,6 +59,7 @@
   std::uint64_t events_delayed = 0;        // the sink had no space; delivered later
   std::uint64_t sends_dropped = 0;         // the connection was closed before
   std::uint64_t sends_too_long = 0;        // above max_frame_bytes; not sent
+  std::uint64_t pings_sent = 0;
   std::uint64_t heartbeats_sent = 0;
   std::uint64_t heartbeats_not_sent = 0;  // too long, or the socket had no space
   std::uint64_t heartbeats_received = 0;
--- a/src/connection/peer/peer_manager.cc
+++ b/src/connection/peer/peer_manager.cc
@@ -35,8 +35,8 @@
 struct count_set {
   shared_count open, opened, connect_failures, closed_by_peer, closed_silent, closed_without_hello,
       closed_queue_full, closed_malformed, refused_connections, bad_addresses, events_delayed,
-      sends_dropped, sends_too_long, heartbeats_sent, heartbeats_not_sent, heartbeats_received,
-      heartbeats_dropped, heartbeats_malformed;
+      sends_dropped, sends_too_long, pings_sent, heartbeats_sent, heartbeats_not_sent,
+      heartbeats_received, heartbeats_dropped, heartbeats_malformed;
 };
 
 /// A peer to which this process keeps a connection.
@@ -87,6 +87,7 @@
   hello Greeting() const override { return {.sender = options_.identity, .in_force = in_force_}; }
   bool OnEvent(peer_session& session, peer_event event) override;
   void OnClosed(peer_session& session, close_reason reason) override;
+  void OnPing() override { ++counts_.pings_sent; }
   std::span<char> ReadBuffer() override { return read_buffer_; }
 
  private:
@@ -274,13 +275,8 @@
     ++counts_.sends_dropped;
     return;
   }
-  std::string frame = EncodeFrame(send.message);
-  if (frame.size() > options_.max_frame_bytes + kFrameHeaderBytes) {
-    ++counts_.sends_too_long;
-    return;
-  }
   const std::shared_ptr<peer_session> session = found->second.session;
-  session->SendFrame(std::move(frame));
+  if (!session->Send(send.message)) ++counts_.sends_too_long;
 }
 
 void peer_manager::impl::SendHeartbeat(const heartbeat_send& send) {
@@ -410,6 +406,7 @@
           .events_delayed = counts_.events_delayed,
           .sends_dropped = counts_.sends_dropped,
           .sends_too_long = counts_.sends_too_long,
+          .pings_sent = counts_.pings_sent,
           .heartbeats_sent = counts_.heartbeats_sent,
           .heartbeats_not_sent = counts_.heartbeats_not_sent,
           .heartbeats_received = counts_.heartbeats_received,
--- a/src/connection/peer/peer_session.cc
+++ b/src/connection/peer/peer_session.cc
@@ -113,12 +113,13 @@
     return true;
   }
   if (std::holds_alternative<pong>(message)) return true;
+  Track(message);
   return owner_.OnEvent(*this, peer_received{.connection = id_, .message = std::move(message)});
 }
 
 bool peer_session::HandleHello(const hello& greeting) {
   greeted_ = true;
-  ArmDeadline(last_byte_ + options_.silence_limit);
+  ArmDeadline(SilentAt());
   ArmPing();
   return owner_.OnEvent(*this, peer_opened{.connection = id_, .greeting = greeting});
 }
@@ -152,18 +153,66 @@
       });
 }
 
+bool peer_session::Send(const peer_message& message) {
+  std::string frame = EncodeFrame(message);
+  if (frame.size() > options_.max_frame_bytes + kFrameHeaderBytes) return false;
+  Track(message);
+  SendFrame(std::move(frame));
+  return true;
+}
+
+void peer_session::Track(const peer_message& message) {
+  if (const auto* work = std::get_if<dispatch>(&message)) {
+    const bool was_idle = in_flight_.empty();
+    // A peer that never ends its requests must not make the set grow.
+    if (in_flight_.size() < options_.max_queued_messages) in_flight_.insert(work->id);
+    if (was_idle) {
+      busy_since_ = steady_clock::now();
+      ArmDeadline(SilentAt());
+      ArmPing();
+    }
+  } else if (const auto* gone = std::get_if<cancel>(&message)) {
+    in_flight_.erase(gone->id);
+  } else if (const auto* refused = std::get_if<refusal>(&message)) {
+    in_flight_.erase(refused->id);
+  } else if (const auto* part = std::get_if<answer_part>(&message)) {
+    if (part->end != answer_end::kMore) in_flight_.erase(part->id);
+  }
+}
+
+peer_session::steady_time peer_session::SilentAt() const {
+  if (in_flight_.empty()) {
+    return last_byte_ + options_.idle_ping_interval + options_.silence_limit;
+  }
+  return std::max(last_byte_, busy_since_) + options_.silence_limit;
+}
+
+peer_session::steady_time peer_session::PingAt() const {
+  const steady_time shown = std::max(last_byte_, last_ping_);
+  return in_flight_.empty() ? shown + options_.idle_ping_interval
+                            : std::max(shown, busy_since_) + options_.ping_interval;
+}
+
 void peer_session::ArmPing() {
-  ping_timer_.expires_after(options_.ping_interval);
+  ping_timer_.expires_at(PingAt());
   ping_timer_.async_wait([self = shared_from_this()](const error_code& error) {
     if (error || self->closed_) return;
-    // Bytes that wait in the queue show the peer as much as a ping behind them.
-    if (self->queue_.empty()) {
-      self->SendFrame(EncodeFrame(ping{.sequence = ++self->ping_sequence_}));
-    }
-    if (!self->closed_) self->ArmPing();
+    self->CheckPing();
   });
 }
 
+void peer_session::CheckPing() {
+  const steady_time now = steady_clock::now();
+  const bool is_due = now >= PingAt();
+  if (is_due) last_ping_ = now;
+  // Bytes that wait in the queue show the peer as much as a ping behind them.
+  if (is_due && queue_.empty()) {
+    owner_.OnPing();
+    SendFrame(EncodeFrame(ping{.sequence = ++ping_sequence_}));
+  }
+  if (!closed_) ArmPing();
+}
+
 void peer_session::ArmDeadline(steady_time at) {
   deadline_timer_.expires_at(at);
   deadline_timer_.async_wait([self = shared_from_this(), at](const error_code& error) {
@@ -178,7 +227,7 @@
   if (now - armed_for > options_.ping_interval) return ArmDeadline(now + options_.ping_interval);
   if (!greeted_) return Close(close_reason::kNoHello);
   if (waiting_for_owner_) return ArmDeadline(now + options_.silence_limit);
-  const steady_time due = last_byte_ + options_.silence_limit;
+  const steady_time due = SilentAt();
   if (due > now) return ArmDeadline(due);
   Close(close_reason::kSilent);
 }
--- a/src/connection/peer/peer_session.h
+++ b/src/connection/peer/peer_session.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <set>
 #include <span>
 #include <string>
 
@@ -36,6 +37,7 @@
   virtual bool OnEvent(peer_session& session, peer_event event) = 0;
   /// Called once. The session makes no further call.
   virtual void OnClosed(peer_session& session, close_reason reason) = 0;
+  virtual void OnPing() = 0;
   /// Space for one read, shared by all sessions.
   virtual std::span<char> ReadBuffer() = 0;
 
@@ -55,8 +57,9 @@
   void Connect(const tcp::endpoint& endpoint);
   /// Says hello on an open connection and begins to read.
   void Start();
-  /// Queues an encoded frame.
-  void SendFrame(std::string frame);
+  /// Queues a message and notes the requests that it begins or ends. Returns false if it is longer
+  /// than a frame may be.
+  bool Send(const peer_message& message);
   /// Goes on reading after OnEvent returned false.
   void Resume();
   void Close(close_reason reason);
@@ -68,13 +71,20 @@
  private:
   using steady_time = std::chrono::steady_clock::time_point;
 
+  void SendFrame(std::string frame);
   void WaitReadable();
   void Read();
   void HandleBuffered();
   bool HandleMessage(peer_message message);
   bool HandleHello(const hello& greeting);
   void Write();
+  /// Begins or ends requests by a message in either direction.
+  void Track(const peer_message& message);
+  steady_time PingAt() const;
+  /// When the connection counts as silent.
+  steady_time SilentAt() const;
   void ArmPing();
+  void CheckPing();
   void ArmDeadline(steady_time at);
   void CheckDeadline(steady_time armed_for);
 
@@ -88,6 +98,9 @@
   std::size_t writing_ = 0;  // frames at the front of the queue that are being written
   std::uint64_t ping_sequence_ = 0;
   steady_time last_byte_;
+  steady_time last_ping_;
+  std::set<request_id> in_flight_;  // dispatched over this connection and not ended
+  steady_time busy_since_;          // when the first of them was dispatched
   boost::asio::steady_timer ping_timer_;
   boost::asio::steady_timer deadline_timer_;
   bool greeted_ = false;
--- a/src/process/runtime/process_counters.cc
+++ b/src/process/runtime/process_counters.cc
@@ -74,6 +74,7 @@
       named_counter<peer_counters>{"events_delayed", &peer_counters::events_delayed},
       named_counter<peer_counters>{"sends_dropped", &peer_counters::sends_dropped},
       named_counter<peer_counters>{"sends_too_long", &peer_counters::sends_too_long},
+      named_counter<peer_counters>{"pings_sent", &peer_counters::pings_sent},
       named_counter<peer_counters>{"heartbeats_sent", &peer_counters::heartbeats_sent},
       named_counter<peer_counters>{"heartbeats_not_sent", &peer_counters::heartbeats_not_sent},
       named_counter<peer_counters>{"heartbeats_received", &peer_counters::heartbeats_received},
