Let the agents of a group agree on its expert map

Change: group_agent owns the group_member of its rank and, on the three lowest ranks, the group_coordinator and the rebalancer. Inputs are messages of the other agents, states of the engine, whether a lower candidate is alive, and time; outputs are messages and engine orders. group_message is appended to peer_message, engine_order, engine_watch and engine_state to the messages of the agent core. An agent connects to the candidates below its own rank; candidates exchange heartbeats.

The engine keeps the maps and holds a prepared rank. The agent compares the engine's state with what the rank has promised, and repeats orders until they agree. A rank acknowledges a proposal, and answers a decision, only after the engine shows it.

Ruled out: an agent that is replaced while its engine runs on cannot continue the earlier run of the rank. The token that its predecessor promised to follow may not have reached the engine, so an older coordinator could complete a proposal that a newer one has taken back. It counts as a new run and reports itself until it is queried; without that report a rank that missed a decision would hold for ever, because an idle coordinator asks nobody.

Ruled out: heartbeats from a candidate to every rank. At 128 ranks and 2 a second they exceed the 9 KB/s for control, and higher ranks only answer whoever asks.

Shown: every alternative of group_message survives 500 round trips (codec_test); the core and property tests of the agent pass unchanged.

--- a/benchmarks/service/deployment.h
+++ b/benchmarks/service/deployment.h
@@ -112,6 +112,9 @@
   void Do(node& source, const configuration_watch& output);
   void Do(node& source, const upstream_start& output);
   void Do(node& source, const upstream_cancel& output);
+  // No upstream of the measured services is in a group of ranks.
+  void Do(node& /*source*/, const engine_order& /*output*/) {}
+  void Do(node& /*source*/, const engine_watch& /*output*/) {}
   void Do(node& source, const entry_output& output);
 
   schedule& time_;
--- a/include/berylbarrow/connection/wire/message.h
+++ b/include/berylbarrow/connection/wire/message.h
@@ -9,6 +9,7 @@
 
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/version/configuration/configuration.h"
+#include "berylbarrow/version/expert/expert_message.h"
 
 namespace berylbarrow {
 
@@ -278,11 +279,24 @@
   }
 };
 
+/// A message of the agreement on the expert map of a group.
+struct group_message {
+  std::string group;
+  std::uint32_t sender = 0;  // rank
+  expert_message content;
+
+  auto operator<=>(const group_message&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(group, sender, content);
+  }
+};
+
 /// Everything that travels over a TCP connection between two processes. The order of the
 /// alternatives is part of the protocol: new ones are added at the end.
 using peer_message =
     std::variant<hello, dispatch, cancel, answer_head, answer_part, acknowledgement, refusal,
-                 configuration_request, configuration_reply, ping, pong>;
+                 configuration_request, configuration_reply, ping, pong, group_message>;
 
 }  // namespace berylbarrow
 
--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "berylbarrow/process/agent/group_agent.h"
 #include "berylbarrow/process/core/core.h"
 #include "berylbarrow/process/membership/fleet_view.h"
 #include "berylbarrow/process/settings/settings.h"
@@ -89,7 +90,7 @@
   void ApplyVersion();
   void AdvanceEpoch();
   void SendHeartbeats();
-  std::set<std::string> HeardEntries() const;
+  std::set<std::string> HeartbeatTargets() const;
   void FinishIfDone();
   void LogUpstreamEvents();
   void On(const peer_opened& event);
@@ -104,6 +105,7 @@
   void On(const upstream_part& event);
   void On(const upstream_end& event);
   void On(const upstream_report& event);
+  void On(const engine_state& event);
   bool IsLatest(connection_id connection) const;
   const service_options* Service() const;
   grant_options Grant() const;
@@ -155,6 +157,15 @@
   void OnDetached(connection_id connection);
   void CancelOrphans();
 
+  // The group of the upstream's rank (agent_group.cc).
+  void ApplyGroup();
+  void ConnectCandidates(const expert_group_options* group);
+  void OnGroupMessage(const group_message& message, connection_id connection);
+  void AdvanceGroup();
+  void Perform(group_actions& actions);
+  bool HearsLowerCandidate() const;
+  std::string GroupMetrics() const;
+
   std::string Metrics() const;
 
   void Emit(agent_output output) { outputs_->push_back(std::move(output)); }
@@ -193,6 +204,11 @@
   bool upstream_dead_ = false;
   time_point dead_since_;
 
+  expert_group_options group_options_;  // of `group_`
+  std::unique_ptr<group_agent> group_;  // null if the upstream is in no group
+  std::uint32_t group_rank_ = 0;
+  std::map<std::string, std::string> candidates_;  // others that may lead, with their addresses
+
   std::uint64_t epoch_ = 0;
   std::uint64_t oldest_epoch_ = 0;
   time_point epoch_due_;  // in active time
--- a/include/berylbarrow/process/core/core.h
+++ b/include/berylbarrow/process/core/core.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -240,13 +241,46 @@
   std::uint32_t waiting = 0;
 };
 
+enum class engine_action : std::uint8_t { kPrepare, kCommit, kAbort };
+
+/// Changes the expert map of the engine beside this agent. Not sent after `not_after`, nor to an
+/// engine that has had a higher token.
+struct engine_order {
+  std::uint64_t order = 0;  // returned in the engine_state that answers it
+  engine_action action = engine_action::kPrepare;
+  fencing_token token;
+  std::uint64_t version = 0;
+  std::optional<scheduled_map> map;       // not with kAbort
+  std::optional<scheduled_map> previous;  // with kCommit, for an engine that has just started
+  time_point not_after = time_point::max();
+};
+
+/// Whether the engine's expert map is polled.
+struct engine_watch {
+  bool enabled = false;
+};
+
+/// The engine's own account of its expert maps, in answer to a poll or to an order.
+struct engine_state {
+  std::uint64_t order = 0;  // 0: a poll
+  bool reachable = false;
+  std::string instance;  // changes when the engine restarts
+  std::uint64_t next_step = 0;
+  fencing_token token;   // the highest it was given
+  bool loading = false;  // weights of the pending map, or of the committed one if none is pending
+  std::optional<scheduled_map> previous;
+  std::optional<scheduled_map> committed;
+  std::optional<scheduled_map> pending;
+  expert_load load;  // of the last step, over the whole group
+};
+
 using agent_input =
     std::variant<peer_opened, peer_closed, peer_received, heartbeat_received, document_received,
                  instances_received, shutdown_requested, operator_query, upstream_head,
-                 upstream_part, upstream_end, upstream_report>;
-using agent_output =
-    std::variant<peer_connect, peer_disconnect, peer_send, heartbeat_send, configuration_watch,
-                 operator_reply, process_finished, log_event, upstream_start, upstream_cancel>;
+                 upstream_part, upstream_end, upstream_report, engine_state>;
+using agent_output = std::variant<peer_connect, peer_disconnect, peer_send, heartbeat_send,
+                                  configuration_watch, operator_reply, process_finished, log_event,
+                                  upstream_start, upstream_cancel, engine_order, engine_watch>;
 
 /// All decisions of a process. Holds no sockets, threads or clocks: a run is a function of the
 /// inputs, their times and the seed, so any schedule can be replayed.
--- a/include/berylbarrow/version/expert/group_member.h
+++ b/include/berylbarrow/version/expert/group_member.h
@@ -1,6 +1,7 @@
 #ifndef BERYLBARROW_VERSION_EXPERT_GROUP_MEMBER_H_
 #define BERYLBARROW_VERSION_EXPERT_GROUP_MEMBER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 
@@ -37,16 +38,27 @@
   std::optional<map_acknowledgement> WeightsLoaded() override;
   const expert_map* MapForStep(std::uint64_t step) override;
 
+  /// Takes over the state of a rank that has survived the process that spoke for it. `known` is
+  /// what the rank itself reports; its `rank` and `incarnation` are ignored.
+  void Restore(const map_report& known);
+
+  /// The rank beside this process begins `step` next.
+  void ObserveStep(std::uint64_t step) { next_step_ = std::max(next_step_, step); }
+
+  map_report Report() const;
+
   /// Whether weights are to be loaded.
   bool IsLoading() const {
     return (pending_ && !pending_loaded_) || (committed_ && !committed_loaded_);
   }
+  /// Whether the pending map was acknowledged and so binds the rank.
+  bool IsAcknowledged() const { return pending_loaded_; }
+  const std::optional<scheduled_map>& Previous() const { return previous_; }
   const std::optional<scheduled_map>& Committed() const { return committed_; }
   const std::optional<scheduled_map>& Pending() const { return pending_; }
   fencing_token Token() const { return token_; }
 
  private:
-  map_report Report() const;
   map_acknowledgement Acknowledge(std::uint64_t version, bool accepted) const;
   std::optional<expert_message> On(const map_query& query);
   std::optional<expert_message> On(const map_proposal& proposal);
--- a/src/connection/wire/input_archive.h
+++ b/src/connection/wire/input_archive.h
@@ -7,6 +7,7 @@
 #include <cereal/cereal.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/common.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/src/process/agent/agent_core.cc
+++ b/src/process/agent/agent_core.cc
@@ -72,6 +72,7 @@
   CancelOrphans();
   RecheckQueue();
   Pump();
+  AdvanceGroup();
   table_.Expire(ActiveNow());
   if (heartbeat_due_) {
     SendHeartbeats();
@@ -105,6 +106,7 @@
   if (const service_options* service = Service(); service != nullptr) {
     limit_->Configure(service->cold_start, service->limits);
   }
+  ApplyGroup();
 }
 
 const service_options* agent_core::Service() const {
@@ -163,7 +165,7 @@
   content.grant_epoch = epoch_;
   content.suspects = suspects_.Reports(Now());
 
-  std::set<std::string> targets = HeardEntries();
+  std::set<std::string> targets = HeartbeatTargets();
   if (!current) {
     targets.insert(options_.seeds.begin(), options_.seeds.end());
   }
@@ -175,9 +177,10 @@
   });
 }
 
-/// Addresses of the entries that chose this agent: those that are heard or connected. Heartbeats to
+/// Addresses of the entries that chose this agent: those that are heard or connected; and of the
+/// other candidates of its group. Heartbeats to
 /// all 340 entries of the planned size would take 115 KB/s of the 9 KB/s that a node may spend.
-std::set<std::string> agent_core::HeardEntries() const {
+std::set<std::string> agent_core::HeartbeatTargets() const {
   const auto current = fleet_.Current();
   std::set<std::string> addresses;
   for (const auto& [name, known] : fleet_.Members().Members()) {
@@ -191,6 +194,12 @@
       addresses.insert(PeerAddress(current->value, name));
     }
   }
+  // Only candidates need to know of each other whether they are alive.
+  if (group_ && group_rank_ < kGroupCandidates) {
+    for (const auto& [name, address] : candidates_) {
+      addresses.insert(address);
+    }
+  }
   addresses.erase("");
   return addresses;
 }
@@ -274,6 +283,8 @@
     OnCancel(*gone);
   } else if (const auto* progress = std::get_if<acknowledgement>(&event.message)) {
     OnAcknowledgement(*progress);
+  } else if (const auto* agreement = std::get_if<group_message>(&event.message)) {
+    OnGroupMessage(*agreement, event.connection);
   } else if (!std::holds_alternative<configuration_request>(event.message) &&
              !std::holds_alternative<configuration_reply>(event.message)) {
     ++counters_.unexpected;
@@ -304,6 +315,9 @@
   }
   time_point next =
       std::min({fleet_.NextDeadline(), epoch_due_, table_.NextDeadline(), queue_.NextDeadline()});
+  if (group_) {
+    next = std::min(next, group_->NextDeadline());
+  }
   for (const held_dispatch& item : held_) {
     next = std::min(next, item.since + kViewWait);
   }
--- a/src/process/agent/agent_report.cc
+++ b/src/process/agent/agent_report.cc
@@ -105,6 +105,7 @@
           {"executions", table_.State()},
           {"suspects", suspects_.State(at_.now)},
           {"connections", connections_.size()},
+          {"group", group_ ? group_->State() : nlohmann::json()},
           {"fleet", fleet_.State(at_)}};
 }
 
@@ -129,7 +130,7 @@
   write("buffered_bytes", table_.Bytes());
   write("suspects", suspects_.Size());
   write("grant_epoch", epoch_);
-  return text.str();
+  return text.str() + GroupMetrics();
 }
 
 }  // namespace berylbarrow
--- a/src/version/expert/group_member.cc
+++ b/src/version/expert/group_member.cc
@@ -28,6 +28,16 @@
           .pending = pending_loaded_ ? pending_ : std::nullopt};
 }
 
+void group_member::Restore(const map_report& known) {
+  token_ = known.token;
+  next_step_ = known.step;
+  previous_ = known.previous;
+  committed_ = known.committed;
+  committed_loaded_ = false;  // until WeightsLoaded
+  pending_ = known.pending;
+  pending_loaded_ = pending_.has_value();
+}
+
 map_acknowledgement group_member::Acknowledge(std::uint64_t version, bool accepted) const {
   return {.token = token_,
           .rank = rank_,
--- a/tests/connection/codec_test.cc
+++ b/tests/connection/codec_test.cc
@@ -85,6 +85,52 @@
                       .body = Any<std::string>()}};
 }
 
+fencing_token AnyToken() { return {.term = Any<std::uint64_t>(), .rank = Any<std::uint32_t>()}; }
+
+scheduled_map AnyMap() {
+  const group_shape shape{
+      .ranks = *rc::gen::inRange<std::uint32_t>(1, 4), .layers = 2, .slots_per_rank = 2};
+  std::vector<expert_index> slots(shape.layers * shape.SlotsPerLayer());
+  for (expert_index& slot : slots) slot = Any<expert_index>();
+  return {.map = expert_map(Any<std::uint64_t>(), shape, slots),
+          .activation_step = Any<std::uint64_t>()};
+}
+
+std::optional<scheduled_map> MaybeMap() {
+  return Any<bool>() ? std::optional(AnyMap()) : std::nullopt;
+}
+
+expert_message AnyAgreement(int alternative) {
+  switch (alternative) {
+    case 0:
+      return map_query{.token = AnyToken()};
+    case 1:
+      return map_report{.token = AnyToken(),
+                        .rank = Any<std::uint32_t>(),
+                        .incarnation = Any<std::uint64_t>(),
+                        .step = Any<std::uint64_t>(),
+                        .previous = MaybeMap(),
+                        .committed = MaybeMap(),
+                        .pending = MaybeMap()};
+    case 2:
+      return map_proposal{
+          .token = AnyToken(), .incarnation = Any<std::uint64_t>(), .proposed = AnyMap()};
+    case 3:
+      return map_acknowledgement{.token = AnyToken(),
+                                 .rank = Any<std::uint32_t>(),
+                                 .incarnation = Any<std::uint64_t>(),
+                                 .version = Any<std::uint64_t>(),
+                                 .accepted = Any<bool>(),
+                                 .step = Any<std::uint64_t>()};
+    default:
+      return map_decision{.token = AnyToken(),
+                          .incarnation = Any<std::uint64_t>(),
+                          .previous = MaybeMap(),
+                          .decided = AnyMap(),
+                          .committed = Any<bool>()};
+  }
+}
+
 peer_message AnyMessage(std::size_t alternative) {
   switch (alternative) {
     case 0:
@@ -117,8 +163,12 @@
           .number = Any<revision>(), .text = Any<std::string>(), .nonce = Any<std::uint64_t>()};
     case 9:
       return ping{.sequence = Any<std::uint64_t>()};
-    default:
+    case 10:
       return pong{.sequence = Any<std::uint64_t>()};
+    default:
+      return group_message{.group = Any<std::string>(),
+                           .sender = Any<std::uint32_t>(),
+                           .content = AnyAgreement(*rc::gen::inRange(0, 5))};
   }
 }
 
@@ -238,7 +288,7 @@
   }));
   BOOST_TEST(rc::check("random payload", [] {
     std::string stream("\x80\0\0\0\x01", 5);
-    stream.push_back(static_cast<char>(*rc::gen::inRange(0, 11)));
+    stream.push_back(static_cast<char>(*rc::gen::inRange(0, 12)));
     stream.append(3, '\0');
     while (stream.size() < kFrameHeaderBytes + 0x80) {
       stream.push_back(*rc::gen::element('\0', '\x01', '\x7f', '\xff', Any<char>()));
--- a/tests/support/fleet_processes.h
+++ b/tests/support/fleet_processes.h
@@ -23,7 +23,8 @@
 using fleet_output =
     std::variant<peer_connect, peer_disconnect, peer_send, heartbeat_send, configuration_watch,
                  operator_reply, process_finished, log_event, caller_reply, caller_head,
-                 caller_part, caller_end, callers_stop_accepting, upstream_start, upstream_cancel>;
+                 caller_part, caller_end, callers_stop_accepting, upstream_start, upstream_cancel,
+                 engine_order, engine_watch>;
 
 /// Parts of the cores that a test may replace.
 struct fleet_parts {
--- a/tests/support/fleet_run.h
+++ b/tests/support/fleet_run.h
@@ -47,6 +47,9 @@
   void On(fleet_process& from, const upstream_cancel& output) {
     upstreams_.at(from.place.name)->Cancel(from, output.execution);
   }
+  // No upstream of these runs is in a group of ranks.
+  void On(fleet_process& /*from*/, const engine_order& /*output*/) {}
+  void On(fleet_process& /*from*/, const engine_watch& /*output*/) {}
   void OnInput(fleet_process& target, const fleet_input& input);
   void Trace(const fleet_process& process, const char* direction, const std::string& text);
   void NoteRevision(fleet_process& from, revision number);
