Give agents an HTTP client for the expert map of their engine

Cause: the agent core decides on orders for the engine, but nothing carried them.

Its counters are in the metrics of the agent.

--- a/src/connection/http/http_get.cc
+++ b/src/connection/http/http_get.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -39,11 +38,16 @@
       boost::asio::post(context_, [self = shared_from_this()] { self->Fail("not IP:port"); });
       return;
     }
-    request_.method(http::verb::get);
+    request_.method(options_.body.empty() ? http::verb::get : http::verb::post);
     request_.target(options_.target);
     request_.version(11);
     request_.set(http::field::host, options_.address);
     request_.set(http::field::connection, "close");
+    if (!options_.body.empty()) {
+      request_.set(http::field::content_type, "application/json");
+      request_.body() = options_.body;
+      request_.prepare_payload();
+    }
     stream_.expires_after(options_.timeout);
     stream_.async_connect(tcp::endpoint(remote->address, remote->port),
                           [self = shared_from_this()](const error_code& error) {
@@ -91,7 +95,8 @@
 
   void Fail(const std::string& reason) {
     http_get_reply reply;
-    reply.error = "GET http://" + options_.address + options_.target + ": " + reason;
+    reply.error = std::string(request_.method_string()) + " http://" + options_.address +
+                  options_.target + ": " + reason;
     Finish(std::move(reply));
   }
 
@@ -106,7 +111,7 @@
   callback done_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
-  http::request<http::empty_body> request_;
+  http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
 };
 
--- a/src/connection/http/http_get.h
+++ b/src/connection/http/http_get.h
@@ -19,6 +19,7 @@
   std::string target;
   duration timeout = duration::zero();  // for the whole exchange
   std::size_t max_body_bytes = 0;
+  std::string body = {};  // makes it a POST if not empty
 };
 
 struct http_get_reply {
@@ -28,7 +29,7 @@
   std::string body;
 };
 
-/// One GET on its own connection.
+/// One GET or POST on its own connection.
 class http_get {
  public:
   using callback = std::function<void(http_get_reply)>;
--- a/src/process/agent/run_agent.cc
+++ b/src/process/agent/run_agent.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <utility>
 
+#include "berylbarrow/connection/http/engine_client.h"
 #include "berylbarrow/connection/http/upstream_client.h"
 #include "process/runtime/process_wiring.h"
 
@@ -14,13 +15,20 @@
   try {
     process_wiring<agent_decisions> wiring(settings, std::move(core), clock, identity);
     duty upstream("upstream");
-    upstream_client client(upstream.Context(), {settings.upstream_address}, clock,
-                           wiring.MakeSink<agent_input>("upstream"));
+    const auto sink = wiring.MakeSink<agent_input>("upstream");
+    upstream_client client(upstream.Context(), {settings.upstream_address}, clock, sink);
+    engine_client engine(upstream.Context(), {settings.upstream_address}, clock, sink);
     ring<agent_output> to_upstream(upstream.Context(), wiring.RingCapacity(),
-                                   [&](agent_output&& output) { client.Deliver(output); });
+                                   [&](agent_output&& output) {
+                                     client.Deliver(output);
+                                     engine.Deliver(output);
+                                   });
     wiring.Run(upstream, to_upstream,
                {.is_flushed = [] { return true; },
-                .counters = [&client] { return CountersText(client.Counters()); },
+                .counters =
+                    [&client, &engine] {
+                      return CountersText(client.Counters()) + CountersText(engine.Counters());
+                    },
                 .addresses = {{"upstream", settings.upstream_address}}});
     return 0;
   } catch (const std::exception& error) {
--- a/src/process/runtime/process_counters.cc
+++ b/src/process/runtime/process_counters.cc
@@ -60,6 +60,19 @@
   return Text("upstream_client", counters, kNames);
 }
 
+std::string CountersText(const engine_client_counters& counters) {
+  using named = named_counter<engine_client_counters>;
+  static constexpr std::array kNames{
+      named{"states", &engine_client_counters::states},
+      named{"states_missing", &engine_client_counters::states_missing},
+      named{"orders_sent", &engine_client_counters::orders_sent},
+      named{"orders_refused", &engine_client_counters::orders_refused},
+      named{"orders_late", &engine_client_counters::orders_late},
+      named{"orders_fenced", &engine_client_counters::orders_fenced},
+  };
+  return Text("engine_client", counters, kNames);
+}
+
 std::string CountersText(const peer_counters& counters) {
   static constexpr std::array kNames{
       named_counter<peer_counters>{"opened", &peer_counters::opened},
--- a/src/process/runtime/process_counters.h
+++ b/src/process/runtime/process_counters.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "berylbarrow/connection/http/caller_server.h"
+#include "berylbarrow/connection/http/engine_client.h"
 #include "berylbarrow/connection/http/platform_client.h"
 #include "berylbarrow/connection/http/upstream_client.h"
 #include "berylbarrow/connection/peer/peer_manager.h"
@@ -14,6 +15,7 @@
 /// The counters of the I/O threads in the text exposition format 0.0.4.
 std::string CountersText(const caller_server_counters& counters);
 std::string CountersText(const upstream_client_counters& counters);
+std::string CountersText(const engine_client_counters& counters);
 std::string CountersText(const peer_counters& counters);
 std::string CountersText(const platform_counters& counters);
 
