--- a/include/berylbarrow/process/agent/group_agent.h
+++ b/include/berylbarrow/process/agent/group_agent.h
@@ -75,7 +75,8 @@
   void PostAll(std::vector<rank_send>& sends, group_actions& actions);
   void Receive(std::uint32_t sender, const expert_message& message, time_point now,
                group_actions& actions);
-  void ReceiveAsMember(std::uint32_t sender, const expert_message& message, group_actions& actions);
+  void ReceiveAsMember(std::uint32_t sender, const expert_message& message, time_point now,
+                       group_actions& actions);
   void Settle(time_point now, group_actions& actions);
   void NoteLoaded(group_actions& actions);
   bool IsInStep() const;
@@ -91,7 +92,7 @@
 
   std::uint64_t renewals_ = 0;
   std::uint64_t incarnation_ = 0;  // of the run of the rank
-  bool was_queried_ = false;       // in this run
+  bool awaits_decision_ = true;    // of the coordinator whose token the rank follows
   time_point next_announcement_;
   std::uint32_t proposer_ = 0;                  // rank that sent the last proposal
   std::optional<std::uint32_t> decision_from_;  // not answered yet
--- a/src/process/agent/group_agent.cc
+++ b/src/process/agent/group_agent.cc
@@ -92,7 +92,7 @@
                     .previous = state.previous,
                     .committed = state.committed,
                     .pending = state.loading ? std::nullopt : state.pending});
-  was_queried_ = false;
+  awaits_decision_ = true;
   next_announcement_ = now;
   decision_from_.reset();
 }
@@ -155,7 +155,7 @@
 void group_agent::Receive(std::uint32_t sender, const expert_message& message, time_point now,
                           group_actions& actions) {
   if (IsForMember(message)) {
-    ReceiveAsMember(sender, message, actions);
+    ReceiveAsMember(sender, message, now, actions);
     return;
   }
   if (leads_) {
@@ -166,11 +166,19 @@
 }
 
 void group_agent::ReceiveAsMember(std::uint32_t sender, const expert_message& message,
-                                  group_actions& actions) {
+                                  time_point now, group_actions& actions) {
   if (!member_) {
     return;
   }
-  was_queried_ = was_queried_ || std::holds_alternative<map_query>(message);
+  if (const auto* query = std::get_if<map_query>(&message);
+      query != nullptr && query->token > member_->Token()) {
+    awaits_decision_ = true;
+    next_announcement_ = now + kAnnouncementInterval;
+  } else if (const auto* decision = std::get_if<map_decision>(&message)) {
+    const bool is_followed =
+        decision->token >= member_->Token() && decision->incarnation == incarnation_;
+    awaits_decision_ = awaits_decision_ && !is_followed;
+  }
   if (std::holds_alternative<map_proposal>(message)) {
     proposer_ = sender;
   }
@@ -236,10 +244,11 @@
   Settle(now, actions);
 }
 
-/// Tells the candidates of a new run of the rank. A coordinator that has nothing to decide would
-/// not ask, and a rank without a map, or with one whose decision it missed, would wait for ever.
+/// Tells the candidates of a new run of the rank, or of a token whose coordinator has not decided.
+/// A coordinator that has nothing to decide would not ask, and a rank without a map, or with one
+/// whose decision it missed, would wait for ever.
 void group_agent::Announce(time_point now, group_actions& actions) {
-  if (!member_ || was_queried_ || now < next_announcement_) {
+  if (!member_ || !awaits_decision_ || now < next_announcement_) {
     return;
   }
   next_announcement_ = now + kAnnouncementInterval;
--- a/tests/support/process_fleet.cc
+++ b/tests/support/process_fleet.cc
@@ -105,14 +105,14 @@
 process_fleet::process_fleet(const char* build) {
   if (build == nullptr) throw std::runtime_error("BERYLBARROW_BUILD is not set");
   build_ = build;
+  std::string pattern = std::filesystem::temp_directory_path() / "berylbarrow-XXXXXX";
+  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("cannot make " + pattern);
+  folder_ = pattern;
 }
 
 // Delegates, so that the destructor ends the processes if the rest of the constructor throws.
 process_fleet::process_fleet(const process_fleet_options& options)
     : process_fleet(std::getenv("BERYLBARROW_BUILD")) {  // NOLINT(concurrency-mt-unsafe)
-  std::string pattern = std::filesystem::temp_directory_path() / "berylbarrow-XXXXXX";
-  if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("cannot make " + pattern);
-  folder_ = pattern;
   platform_ = FreeAddress();
   for (const std::string entry : {"entry-1", "entry-2"}) {
     callers_[entry] = FreeAddress();
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -92,6 +92,22 @@
   /// A completion request through this entry.
   http_answer Draft(const std::string& entry, const std::string& body) const;
 
+ protected:
+  /// Makes the folder of the deployment; starts nothing.
+  explicit process_fleet(const char* build);
+
+  std::string FreeAddress();
+  void Add(const std::string& name, std::vector<std::string> command);
+  std::string WriteSettings(const std::string& name, const std::string& domain,
+                            const std::string& lines) const;
+
+  std::filesystem::path build_;
+  std::filesystem::path folder_;
+  std::string platform_;
+  std::map<std::string, std::string> callers_;
+  std::map<std::string, std::string> peers_;
+  std::map<std::string, std::string> operators_;
+
  private:
   struct child {
     std::vector<std::string> command;
@@ -99,26 +115,14 @@
     int exit_code = -1;
   };
 
-  explicit process_fleet(const char* build);
-
-  std::string FreeAddress();
-  void Add(const std::string& name, std::vector<std::string> command);
   void AddAgent(const std::string& domain, const std::string& service,
                 const process_fleet_options& options);
   void AddEntry(const std::string& name, const std::string& domain);
-  std::string WriteSettings(const std::string& name, const std::string& domain,
-                            const std::string& lines) const;
   bool Collect(child& process, bool wait) const;
   bool IsServing() const;
 
-  std::filesystem::path build_;
-  std::filesystem::path folder_;
   std::set<std::uint16_t> used_ports_;
-  std::string platform_;
-  std::map<std::string, std::string> callers_;
-  std::map<std::string, std::string> peers_;
   std::map<std::string, std::string> announced_;  // the address in the document, if not peers_
-  std::map<std::string, std::string> operators_;
   std::map<std::string, std::string> upstreams_;
   std::map<std::string, child> children_;
   std::unique_ptr<tcp_relay> relay_;
