Let some entries serve each service, not all

Cause: subset_size bounds the agents of one service. With 28 services of about 21 upstreams every entry connected to all 600 agents, so links, pings and heartbeats grew with entries times upstreams.

Ruled out: choosing the entries over all names at once, because a drained domain would then move services between entries of other domains; and a fresh grant or a forwarded first attempt from an entry that does not serve the service, because every entry would again need links to all agents.

Change: entries_per_service (default 36) entries serve a service: in rounds the best of each failure domain in service by rendezvous hashing, so a domain that leaves or returns changes nothing elsewhere but the last rounds. With no more configured entries than that, all serve, as before. An upstream that fewer than two of these entries choose is added to the subset of the two entries that rank highest for it. A later attempt with a key is forwarded by any entry. An entry hears the heartbeats of few others; address responses name those first and fill up with entries that do not send it heartbeats. An entry that leaves therefore sends its heartbeats to all entries.

Conclusion: links no longer grow with the product of entries and upstreams.

--- a/include/berylbarrow/process/membership/rendezvous.h
+++ b/include/berylbarrow/process/membership/rendezvous.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_PROCESS_MEMBERSHIP_RENDEZVOUS_H_
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,17 @@
 std::vector<std::string> RendezvousPick(std::string_view key, const std::vector<std::string>& names,
                                         std::size_t count);
 
+/// Whether RendezvousPick(key, names, count) has `name`, which is one of `names`.
+bool IsRendezvousPick(std::string_view key, const std::vector<std::string>& names,
+                      std::size_t count, std::string_view name);
+
+/// Chooses `count` names in rounds: of each group the best, then of each the second best, and so
+/// on. A group that goes away leaves the places of the other groups' names as they are and only
+/// adds further ones.
+std::vector<std::string> SpreadPick(std::string_view key,
+                                    const std::map<std::string, std::vector<std::string>>& groups,
+                                    std::size_t count);
+
 }  // namespace berylbarrow
 
 #endif  // BERYLBARROW_PROCESS_MEMBERSHIP_RENDEZVOUS_H_
--- a/include/berylbarrow/version/configuration/configuration.h
+++ b/include/berylbarrow/version/configuration/configuration.h
@@ -132,6 +132,7 @@
   duration isolation_timeout = std::chrono::seconds(4);
   grant_options grant;
   std::uint32_t subset_size = 24;  // agents per service that an entry connects to
+  std::uint32_t entries_per_service = 36;
   auto operator<=>(const configuration&) const = default;
 };
 
--- a/src/process/entry/addresses.cc
+++ b/src/process/entry/addresses.cc
@@ -1,6 +1,7 @@
 #include "process/entry/addresses.h"
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "berylbarrow/process/membership/rendezvous.h"
 #include "berylbarrow/request/execution/grant_key.h"
@@ -26,7 +27,7 @@
             .message = "service \"" + query.service + "\" is not in the configuration"});
     return;
   }
-  nlohmann::json body{{"addresses", Addresses(query.account)}};
+  nlohmann::json body{{"addresses", Addresses(service->name, query.account)}};
   if (body["addresses"].empty()) {
     refuse({.status = 503,
             .code = "no-entry",
@@ -52,24 +53,41 @@
     return context_.state == process_state::kServing;
   }
   const member* known = context_.fleet.Members().Find(entry.name);
-  return known != nullptr && known->state == process_state::kServing &&
+  if (known == nullptr || !peers_.Hears(entry.name)) {
+    // With more entries than send heartbeats to this one, most are not heard. They count as serving
+    // until they announce that they leave.
+    return !peers_.Hears(entry.name) &&
+           (known == nullptr || known->state != process_state::kLeaving);
+  }
+  return known->state == process_state::kServing &&
          context_.Liveness(entry.name) == liveness::kAlive;
 }
 
-nlohmann::json address_book::Addresses(const std::string& account) const {
+nlohmann::json address_book::Addresses(const std::string& service,
+                                       const std::string& account) const {
   nlohmann::json list = nlohmann::json::array();
   if (!context_.index.IsKnown()) {
     return list;
   }
+  const std::set<std::string>& serving = context_.index.EntriesOf(service);
   std::map<std::string, const entry_options*> usable;
-  std::vector<std::string> names;
+  std::vector<std::string> heard;
+  std::vector<std::string> others;
   for (const entry_options& entry : context_.index.Document().entries) {
-    if (MayServe(entry)) {
+    if (serving.contains(entry.name) && MayServe(entry)) {
+      const bool is_heard =
+          entry.name == context_.options.identity.name || peers_.Hears(entry.name);
       usable.emplace(entry.name, &entry);
-      names.push_back(entry.name);
+      (is_heard ? heard : others).push_back(entry.name);
     }
   }
-  for (const std::string& name : RendezvousPick(account, names, context_.options.addresses)) {
+  // Those that are known to be alive go first.
+  const std::size_t count = context_.options.addresses;
+  std::vector<std::string> picked = RendezvousPick(account, heard, count);
+  for (std::string& name : RendezvousPick(account, others, count - picked.size())) {
+    picked.push_back(std::move(name));
+  }
+  for (const std::string& name : picked) {
     const entry_options& entry = *usable.at(name);
     list.push_back({{"address", entry.caller_address}, {"domain", entry.domain}});
   }
--- a/src/process/entry/addresses.h
+++ b/src/process/entry/addresses.h
@@ -18,8 +18,9 @@
       : context_(context), peers_(peers), policy_(policy) {}
 
   void Answer(const address_query& query);
-  /// Entries that callers of `account` may use, best first: [{"address", "domain"}, ...].
-  nlohmann::json Addresses(const std::string& account) const;
+  /// Entries of the service that callers of `account` may use, best first:
+  /// [{"address", "domain"}, ...].
+  nlohmann::json Addresses(const std::string& service, const std::string& account) const;
   /// A fresh grant for a service with a non-idempotent operation, if an agent can take it.
   std::optional<std::string> Grant(const service_options& service);
   /// Notes when the failure domain of this entry goes out of service.
--- a/src/process/entry/directory.cc
+++ b/src/process/entry/directory.cc
@@ -8,6 +8,9 @@
 namespace berylbarrow {
 namespace {
 
+// An upstream that only one entry reaches is idle when that entry dies.
+constexpr std::size_t kEntriesPerUpstream = 2;
+
 template <typename Value>
 const Value* FindIn(const std::map<std::string, const Value*>& index, const std::string& name) {
   const auto place = index.find(name);
@@ -24,7 +27,8 @@
 
 }  // namespace
 
-directory::directory(std::shared_ptr<const configuration_version> version, const std::string& entry)
+directory::directory(std::shared_ptr<const configuration_version> version, const std::string& entry,
+                     const domain_filter& in_service)
     : version_(std::move(version)) {
   const configuration& document = version_->value;
   for (const service_options& service : document.services) {
@@ -32,24 +36,74 @@
     if (!service.model.empty()) {
       models_.emplace(service.model, &service);
     }
-    std::vector<std::string> names;
     for (const upstream_options& upstream : service.upstreams) {
       upstreams_.emplace(upstream.name, &upstream);
-      names.push_back(upstream.name);
-    }
-    auto& subset = subsets_[service.name];
-    for (const std::string& name : RendezvousPick(entry, names, document.subset_size)) {
-      subset.push_back(upstreams_.at(name));
     }
   }
   for (const entry_options& other : document.entries) {
     entries_.emplace(other.name, &other);
   }
+  ChooseEntries(in_service);
+  for (const service_options& service : document.services) {
+    ChooseAgents(service, entry);
+  }
   for (const account_options& account : document.accounts) {
     accounts_.emplace(account.name, account.weight);
   }
 }
 
+void directory::ChooseEntries(const domain_filter& in_service) {
+  const configuration& document = version_->value;
+  const bool all_serve = document.entries.size() <= document.entries_per_service;
+  std::map<std::string, std::vector<std::string>> by_domain;
+  for (const entry_options& entry : document.entries) {
+    if (all_serve || in_service(entry.domain)) {
+      by_domain[entry.domain].push_back(entry.name);
+    }
+  }
+  for (const service_options& service : document.services) {
+    const auto chosen = SpreadPick(service.name, by_domain, document.entries_per_service);
+    serving_[service.name] = {chosen.begin(), chosen.end()};
+  }
+}
+
+void directory::ChooseAgents(const service_options& service, const std::string& entry) {
+  const std::size_t size = version_->value.subset_size;
+  std::vector<std::string> names;
+  for (const upstream_options& upstream : service.upstreams) {
+    names.push_back(upstream.name);
+  }
+  auto& subset = subsets_[service.name];
+  for (const std::string& name : RendezvousPick(entry, names, size)) {
+    subset.push_back(upstreams_.at(name));
+  }
+  const std::set<std::string>& entries = serving_.at(service.name);
+  if (size >= names.size() || !entries.contains(entry)) {
+    return;
+  }
+  std::map<std::string, std::size_t> chosen_by;
+  for (const std::string& other : entries) {
+    for (const std::string& name : RendezvousPick(other, names, size)) {
+      ++chosen_by[name];
+    }
+  }
+  // Independent choices may leave an upstream to one entry or to none.
+  const std::vector<std::string> all(entries.begin(), entries.end());
+  for (const upstream_options& upstream : service.upstreams) {
+    const bool is_chosen = std::find(subset.begin(), subset.end(), &upstream) != subset.end();
+    if (chosen_by[upstream.name] < kEntriesPerUpstream && !is_chosen &&
+        IsRendezvousPick(upstream.name, all, kEntriesPerUpstream, entry)) {
+      subset.push_back(&upstream);
+    }
+  }
+}
+
+const std::set<std::string>& directory::EntriesOf(const std::string& service) const {
+  static const std::set<std::string> kNone;
+  const auto place = serving_.find(service);
+  return place == serving_.end() ? kNone : place->second;
+}
+
 const service_options* directory::Service(const std::string& name) const {
   return FindIn(services_, name);
 }
--- a/src/process/entry/entry_context.h
+++ b/src/process/entry/entry_context.h
@@ -13,6 +13,7 @@
 #include "berylbarrow/process/telemetry/metrics.h"
 #include "process/entry/directory.h"
 #include "process/entry/entry_counters.h"
+#include "process/entry/served_services.h"
 
 namespace berylbarrow {
 
@@ -26,6 +27,7 @@
   entry_core_options options;
   fleet_view fleet;
   directory index;
+  served_services services;  // that this entry serves
   std::mt19937_64 random;
   process_state state = process_state::kStarting;
   bool is_finished = false;  // the process may exit
--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -56,6 +56,7 @@
  private:
   void Apply(const fleet_changes& changes);
   void OnVersion();
+  void UpdateIndex();
   void Leave();
   time_point FinishAt() const;
 
@@ -100,6 +101,8 @@
   AppendTo(*context_.outputs, changes);
   if (changes.version_changed) {
     OnVersion();
+  } else if (changes.plan_changed) {
+    UpdateIndex();
   }
   if (!changes.restarted_peer.empty()) {
     requests_.OnAgentRestarted(changes.restarted_peer);
@@ -110,14 +113,22 @@
 }
 
 void entry_core::parts::OnVersion() {
-  context_.index = directory(context_.fleet.Current(), context_.options.identity.name);
   if (context_.state == process_state::kStarting) {
     context_.state = process_state::kServing;
   }
-  peers_.OnVersion();
+  UpdateIndex();
   requests_.OnVersion();
 }
 
+void entry_core::parts::UpdateIndex() {
+  const std::string& self = context_.options.identity.name;
+  context_.index = directory(context_.fleet.Current(), self, [this](const std::string& domain) {
+    return context_.fleet.DomainInService(domain);
+  });
+  context_.services.Update(context_.index, self, context_.Now());
+  peers_.OnVersion();
+}
+
 void entry_core::parts::On(const peer_opened& event) {
   Apply(context_.fleet.On(event, context_.at));
   const std::string agent = peers_.OnOpened(event);
--- a/src/process/entry/peers.cc
+++ b/src/process/entry/peers.cc
@@ -1,6 +1,7 @@
 #include "process/entry/peers.h"
 
 #include <algorithm>
+#include <iterator>
 #include <nlohmann/json.hpp>
 
 #include "berylbarrow/process/membership/rendezvous.h"
@@ -42,6 +43,9 @@
     }
   }
   for (const service_options& service : document.services) {
+    if (!context_.services.Serves(service.name)) {
+      continue;
+    }
     for (const upstream_options* upstream : context_.index.Subset(service.name)) {
       const auto [place, is_new] = links_.try_emplace(upstream->name);
       place->second.in_subset = true;
@@ -57,19 +61,34 @@
       context_.Emit(peer_disconnect{.name = seed});
     }
   }
+  ChooseEntries();
+}
+
+void entry_peers::ChooseEntries() {
+  const std::string& self = context_.options.identity.name;
+  const std::size_t count = context_.options.heartbeat_entries;
   std::vector<std::string> names;
   std::map<std::string, std::string> addresses;
-  for (const entry_options& entry : document.entries) {
-    if (entry.name != context_.options.identity.name) {
-      names.push_back(entry.name);
-      addresses.emplace(entry.name, entry.peer_address);
-    }
+  for (const entry_options& entry : context_.index.Document().entries) {
+    names.push_back(entry.name);
+    addresses.emplace(entry.name, entry.peer_address);
   }
+  const auto others = [&names](const std::string& name) {
+    std::vector<std::string> result;
+    std::copy_if(names.begin(), names.end(), std::back_inserter(result),
+                 [&name](const std::string& other) { return other != name; });
+    return result;
+  };
   entry_addresses_.clear();
-  for (const std::string& name :
-       RendezvousPick(context_.options.identity.name, names, context_.options.heartbeat_entries)) {
+  heard_entries_.clear();
+  for (const std::string& name : RendezvousPick(self, others(self), count)) {
     entry_addresses_.push_back(addresses.at(name));
   }
+  for (const std::string& name : others(self)) {
+    if (IsRendezvousPick(name, others(name), count, self)) {
+      heard_entries_.insert(name);
+    }
+  }
 }
 
 std::string entry_peers::OnOpened(const peer_opened& event) {
@@ -119,12 +138,25 @@
   for (const auto& [name, link] : links_) {
     context_.Emit(heartbeat_send{.to = link.address, .content = content});
   }
-  for (const std::string& address : entry_addresses_) {
-    context_.Emit(heartbeat_send{.to = address, .content = content});
+  if (context_.state != process_state::kLeaving) {
+    for (const std::string& address : entry_addresses_) {
+      context_.Emit(heartbeat_send{.to = address, .content = content});
+    }
+    return;
+  }
+  // Every entry may name this one in address responses, also those that do not hear it otherwise.
+  for (const entry_options& entry : context_.index.Document().entries) {
+    if (entry.name != context_.options.identity.name) {
+      context_.Emit(heartbeat_send{.to = entry.peer_address, .content = content});
+    }
   }
 }
 
 void entry_peers::Sweep() {
+  if (context_.services.Expire(context_.Now())) {
+    OnVersion();
+    return;
+  }
   for (auto place = links_.begin(); place != links_.end();) {
     agent_link& link = place->second;
     const bool lingers =
--- a/src/process/entry/peers.h
+++ b/src/process/entry/peers.h
@@ -33,7 +33,7 @@
 
   /// Connects to the seeds while no document is known.
   void Start();
-  /// Follows the document in force.
+  /// Follows the document in force and the services that the entry serves.
   void OnVersion();
   /// Returns the name of the agent, or an empty string if it is none of the entry's links.
   std::string OnOpened(const peer_opened& event);
@@ -57,11 +57,14 @@
   /// Agents of the service that may take work, except those in `excluded`.
   std::vector<routing_candidate> Candidates(const service_options& service,
                                             const std::set<agent_run>& excluded) const;
+  /// Whether the other entry sends its heartbeats to this one, so that silence says it is dead.
+  bool Hears(const std::string& entry) const { return heard_entries_.contains(entry); }
   std::vector<agent_run> ConnectedRuns(const service_options& service) const;
   const std::map<std::string, agent_link>& Links() const { return links_; }
   nlohmann::json State() const;
 
  private:
+  void ChooseEntries();
   void Connect(const std::string& name, agent_link& link, const std::string& address);
   void Disconnect(const std::string& name, agent_link& link);
 
@@ -69,6 +72,7 @@
   std::map<std::string, agent_link> links_;
   std::map<connection_id, std::string> connections_;
   std::vector<std::string> entry_addresses_;  // that get heartbeats
+  std::set<std::string> heard_entries_;       // that send heartbeats to this entry
   bool seeds_connected_ = false;
 };
 
--- a/src/process/entry/requests.cc
+++ b/src/process/entry/requests.cc
@@ -130,7 +130,15 @@
     Refuse(request, {.code = "domain-out",
                      .message = "the failure domain of this entry is out of service",
                      .retry_after = kRetryAfter,
-                     .addresses = Dump(addresses_.Addresses(input.account))});
+                     .addresses = Dump(addresses_.Addresses(service->name, input.account))});
+    return;
+  }
+  // A later attempt with a key asks for the outcome of an earlier one, so it is forwarded as well.
+  if (!context_.services.Serves(service->name) && IsNotRun(request)) {
+    Refuse(request, {.code = "service-elsewhere",
+                     .message = "this entry does not serve service \"" + service->name + "\"",
+                     .retry_after = kRetryAfter,
+                     .addresses = Dump(addresses_.Addresses(service->name, input.account))});
     return;
   }
   if (!accounts_.TryAcquire(input.account, *weight)) {
--- a/src/process/membership/rendezvous.cc
+++ b/src/process/membership/rendezvous.cc
@@ -24,4 +24,39 @@
   return picked;
 }
 
+bool IsRendezvousPick(std::string_view key, const std::vector<std::string>& names,
+                      std::size_t count, std::string_view name) {
+  const std::uint64_t seed = XXH64(key.data(), key.size(), 0);
+  const auto weight = [seed](std::string_view text) {
+    return std::pair(XXH64(text.data(), text.size(), seed), text);
+  };
+  const auto own = weight(name);
+  const auto better = std::count_if(names.begin(), names.end(),
+                                    [&](const std::string& other) { return weight(other) > own; });
+  return static_cast<std::size_t>(better) < count;
+}
+
+std::vector<std::string> SpreadPick(std::string_view key,
+                                    const std::map<std::string, std::vector<std::string>>& groups,
+                                    std::size_t count) {
+  std::vector<std::string> order;
+  std::map<std::string, std::vector<std::string>> ranked;
+  std::size_t longest = 0;
+  for (const auto& [group, names] : groups) {
+    order.push_back(group);
+    ranked[group] = RendezvousPick(key, names, count);
+    longest = std::max(longest, ranked[group].size());
+  }
+  order = RendezvousPick(key, order, order.size());
+  std::vector<std::string> picked;
+  for (std::size_t round = 0; round < longest; ++round) {
+    for (const std::string& group : order) {
+      if (round < ranked[group].size() && picked.size() < count) {
+        picked.push_back(ranked[group][round]);
+      }
+    }
+  }
+  return picked;
+}
+
 }  // namespace berylbarrow
--- a/src/version/configuration/document_parser.cc
+++ b/src/version/configuration/document_parser.cc
@@ -88,6 +88,7 @@
   ReadMovePlan(document, context);
   ReadTimes(document, context);
   document.ReadCount("subset_size", context.value.subset_size, {1, 1000});
+  document.ReadCount("entries_per_service", context.value.entries_per_service, {2, 1000});
   document.RefuseOtherKeys();
 }
 
--- a/tests/process/entry/entry_fixture.h
+++ b/tests/process/entry/entry_fixture.h
@@ -13,7 +13,8 @@
 constexpr std::uint64_t kEntryIncarnation = 0xe1;
 
 /// Two failure domains, each with an entry, drafting upstreams and a payment upstream. The text is
-/// a list of words: "a-out" and "b-out" take a domain out, "no-p-2" removes an upstream.
+/// a list of words: "a-out" and "b-out" take a domain out, "no-p-2" removes an upstream, "many"
+/// adds entries and lets two entries serve each service, of which entry-1 is none.
 class entry_test_parser final : public configuration_parser {
  public:
   checked<configuration> Parse(std::string_view text, std::string_view /*file*/) const override {
@@ -27,6 +28,14 @@
     document.entries = {
         {.name = "entry-1", .domain = "a", .caller_address = "c1", .peer_address = "e1"},
         {.name = "entry-2", .domain = "b", .caller_address = "c2", .peer_address = "e2"}};
+    for (int i = 0; has("many") && i < 10; ++i) {
+      const std::string number = std::to_string(i);
+      document.entries.push_back({.name = "more-" + number,
+                                  .domain = "a",
+                                  .caller_address = "m" + number,
+                                  .peer_address = "em" + number});
+      document.entries_per_service = 2;
+    }
     document.services = {{.name = "drafting",
                           .kind = service_kind::kModel,
                           .resumes_streams = true,
