--- a/include/berylbarrow/connection/wire/message.h
+++ b/include/berylbarrow/connection/wire/message.h
@@ -128,6 +128,7 @@
   std::uint32_t priority = 0;  // higher is more urgent
   std::uint64_t fingerprint = 0;
   revision sender_revision = 0;
+  std::uint32_t sender_plan_step = 0;     // of the move plan of that revision
   duration remaining = duration::zero();  // time to live, computed when the message is sent
   std::uint64_t answer_offset = 0;        // bytes of the answer the sender has already received
   http_request request;
@@ -136,7 +137,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, service, account, idempotent, idempotency_key, attempt, priority, fingerprint,
-            sender_revision, remaining, answer_offset, request);
+            sender_revision, sender_plan_step, remaining, answer_offset, request);
   }
 };
 
--- a/src/process/entry/attempts.cc
+++ b/src/process/entry/attempts.cc
@@ -82,6 +82,7 @@
                           .priority = input.priority,
                           .fingerprint = request.fingerprint,
                           .sender_revision = context_.fleet.Revision(),
+                          .sender_plan_step = context_.fleet.PlanStep(),
                           .remaining = request.deadline - context_.Now(),
                           .answer_offset = request.received,
                           .request = input.request}});
--- a/src/process/membership/fleet_view.cc
+++ b/src/process/membership/fleet_view.cc
@@ -110,6 +110,8 @@
     Merge(follower_.OnReply(*reply, event.connection, at), at, changes);
   } else if (const auto* work = std::get_if<dispatch>(&event.message)) {
     Merge(follower_.OnPeerRevision(work->sender_revision, event.connection, at), at, changes);
+    // Datagrams may fail where connections work, and an agent evaluates no plan itself.
+    changes.plan_changed = plan_.Hear(work->sender_revision, work->sender_plan_step, at);
   }
   return changes;
 }
--- a/tests/connection/codec_test.cc
+++ b/tests/connection/codec_test.cc
@@ -77,6 +77,7 @@
           .priority = Any<std::uint32_t>(),
           .fingerprint = Any<std::uint64_t>(),
           .sender_revision = Any<revision>(),
+          .sender_plan_step = Any<std::uint32_t>(),
           .remaining = duration(Any<std::int64_t>()),
           .answer_offset = Any<std::uint64_t>(),
           .request = {.method = Any<std::string>(),
--- a/tests/process/membership/fleet_view_test.cc
+++ b/tests/process/membership/fleet_view_test.cc
@@ -6,7 +6,7 @@
 namespace {
 
 /// One service with an upstream in each of the failure domains a and b. The text "b out" takes b
-/// out; "plan" empties a once nothing runs there.
+/// out; "plan" empties a.
 class fake_parser final : public configuration_parser {
  public:
   checked<configuration> Parse(std::string_view text, std::string_view /*file*/) const override {
@@ -18,6 +18,9 @@
     if (text == "b out") {
       document.domains[1].state = service_state::kOut;
     }
+    if (text == "plan") {
+      document.move_plan = {{.name = "empty a", .empty = {"a"}}};
+    }
     return document;
   }
 };
@@ -76,6 +79,18 @@
   BOOST_TEST(view.DomainInService("a"));
 }
 
+// Guards against an agent that keeps to an earlier step because no datagram reaches it.
+BOOST_FIXTURE_TEST_CASE(DispatchCarriesTheStepOfThePlan, fixture) {
+  fleet_view agent{
+      fleet_options{.self = {.name = "a-1", .role = process_role::kAgent, .domain = "a"}}, parser};
+  agent.OnTime(At());
+  agent.On(document_received{.number = 1, .text = "plan"}, At());
+  agent.On(peer_received{1, dispatch{.sender_revision = 2, .sender_plan_step = 1}}, At());
+  BOOST_TEST(agent.DomainInService("a"));
+  agent.On(peer_received{1, dispatch{.sender_revision = 1, .sender_plan_step = 1}}, At());
+  BOOST_TEST(!agent.DomainInService("a"));
+}
+
 // Guards against a new revision that waits for the next heartbeat interval.
 BOOST_FIXTURE_TEST_CASE(NewRevisionIsAnnouncedAtOnce, fixture) {
   BOOST_TEST(view.OnTime(At()).heartbeat_due);
--- a/tests/support/naive_parts.cc
+++ b/tests/support/naive_parts.cc
@@ -64,6 +64,14 @@
       wrapped_core::Handle(without, at, outputs);
       return;
     }
+    if (const auto* received = std::get_if<peer_received>(&input)) {
+      peer_received without = *received;
+      if (auto* work = std::get_if<dispatch>(&without.message)) {
+        work->sender_plan_step = 0;
+      }
+      wrapped_core::Handle(without, at, outputs);
+      return;
+    }
     wrapped_core::Handle(input, at, outputs);
   }
 
--- a/tests/support/process_fleet.cc
+++ b/tests/support/process_fleet.cc
@@ -333,6 +333,21 @@
   return code;
 }
 
+int process_fleet::Command(std::vector<std::string> arguments, std::string* output) {
+  std::filesystem::remove(folder_ / "command.log");
+  arguments.insert(arguments.begin(), build_ / "berylbarrow");
+  Add("command", std::move(arguments));
+  const int code = WaitExit("command");
+  *output = ReadAll(folder_ / "command.log");
+  return code;
+}
+
+int process_fleet::Check(const std::string& document, std::string* output) {
+  const std::string path = folder_ / "checked.yaml";
+  std::ofstream(path) << document;
+  return Command({"check", path}, output);
+}
+
 std::vector<std::string> process_fleet::Processes() const {
   std::vector<std::string> names;
   for (const auto& [name, address] : operators_) names.push_back(name);
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -71,6 +71,10 @@
   void StartLoad(const std::vector<std::string>& options);
   /// Waits for the load: its exit code. `output` is its table.
   int FinishLoad(std::string* output = nullptr);
+  /// Runs the program `berylbarrow` with these arguments: its exit code and output.
+  int Command(std::vector<std::string> arguments, std::string* output);
+  /// Runs `berylbarrow check` on a document.
+  int Check(const std::string& document, std::string* output);
 
   const std::string& Callers(const std::string& entry) const { return callers_.at(entry); }
   const std::string& Peers(const std::string& process) const { return peers_.at(process); }
