Take single upstreams out in the fleet histories

Operators may take one upstream out of service, which no fleet history did. A new kind of fault publishes the document with one upstream out and, 6 to 8 s later, with the upstream in again. It runs alone, twice and in pairs with the 22 other kinds; the check of drained failure domains covers upstreams as well.

--- a/tests/process/history_checks_test.cc
+++ b/tests/process/history_checks_test.cc
@@ -33,6 +33,8 @@
   const drain_ignoring_parser parser;
   Finds("G3", CheckDrain, ProductParts(parser), {});
   Finds("G3", CheckDrain, ProductParts(parser), {fault_kind::kMovePlan});
+  const upstream_keeping_parser keeping;
+  Finds("G3", CheckDrain, ProductParts(keeping), {fault_kind::kUpstreamOut});
 }
 
 BOOST_AUTO_TEST_CASE(AnswerCheckFindsALostPart) {
--- a/tests/support/fleet_run.cc
+++ b/tests/support/fleet_run.cc
@@ -22,6 +22,7 @@
 constexpr duration kSampleInterval = milliseconds(100);
 constexpr duration kMostExtraDelay = milliseconds(700);
 constexpr duration kLeastDowntime = milliseconds(100);
+constexpr duration kLeastTakenOut = seconds(6);  // the drain takes at most 5 s
 constexpr duration kLeastPartition = seconds(3);
 
 bool AffectsEntry(fault_kind kind) {
@@ -311,6 +312,9 @@
       wanted_.planned = drained_;
       Publish();
       break;
+    case fault_kind::kUpstreamOut:
+      TakeOut(item);
+      break;
     case fault_kind::kInvalidDocument:
       platform_.PublishInvalid();
       break;
@@ -322,6 +326,17 @@
   }
 }
 
+/// Takes one upstream out. Its service keeps another one whatever else is out.
+void fleet_run::TakeOut(const fault& item) {
+  const std::string name = item.target % 2 == 0 ? "draft-1" : "pay-2";
+  wanted_.out.insert(name);
+  Publish();
+  context_.After(kLeastTakenOut + item.lasts / 4, [this, name] {
+    wanted_.out.erase(name);
+    Publish();
+  });
+}
+
 /// Splits the processes in two. The service is on the first side, on both or on neither.
 void fleet_run::Partition(const fault& item) {
   std::set<std::string> side;
--- a/tests/support/fleet_run.h
+++ b/tests/support/fleet_run.h
@@ -59,6 +59,7 @@
   void Kill(const std::string& name, duration downtime);
   void Pause(const std::string& name, duration lasts);
   void Shutdown(const std::string& name);
+  void TakeOut(const fault& item);
   void Partition(const fault& item);
   void Stop(const std::string& name, bool is_graceful);
   void Start(const std::string& name);
--- a/tests/support/naive_parts.cc
+++ b/tests/support/naive_parts.cc
@@ -164,6 +164,19 @@
   return parsed;
 }
 
+checked<configuration> upstream_keeping_parser::Parse(std::string_view text,
+                                                      std::string_view file) const {
+  checked<configuration> parsed = remembering_parser::Parse(text, file);
+  if (parsed) {
+    for (service_options& service : parsed.value().services) {
+      for (upstream_options& upstream : service.upstreams) {
+        upstream.state = service_state::kIn;
+      }
+    }
+  }
+  return parsed;
+}
+
 checked<configuration> first_text_parser::Parse(std::string_view text,
                                                 std::string_view file) const {
   if (first_.empty()) {
--- a/tests/support/naive_parts.h
+++ b/tests/support/naive_parts.h
@@ -32,6 +32,12 @@
   checked<configuration> Parse(std::string_view text, std::string_view file) const override;
 };
 
+/// Takes no single upstream out (G3).
+class upstream_keeping_parser final : public remembering_parser {
+ public:
+  checked<configuration> Parse(std::string_view text, std::string_view file) const override;
+};
+
 /// Refuses every document but the first (G9).
 class first_text_parser final : public remembering_parser {
  public:
