--- a/tests/support/naive_parts.cc
+++ b/tests/support/naive_parts.cc
@@ -64,6 +64,14 @@
       wrapped_core::Handle(without, at, outputs);
       return;
     }
+    if (const auto* received = std::get_if<peer_received>(&input)) {
+      peer_received without = *received;
+      if (auto* work = std::get_if<dispatch>(&without.message)) {
+        work->sender_plan_step = 0;
+      }
+      wrapped_core::Handle(without, at, outputs);
+      return;
+    }
     wrapped_core::Handle(input, at, outputs);
   }
 
@@ -185,6 +193,19 @@
   return parsed;
 }
 
+checked<configuration> upstream_keeping_parser::Parse(std::string_view text,
+                                                      std::string_view file) const {
+  checked<configuration> parsed = remembering_parser::Parse(text, file);
+  if (parsed) {
+    for (service_options& service : parsed.value().services) {
+      for (upstream_options& upstream : service.upstreams) {
+        upstream.state = service_state::kIn;
+      }
+    }
+  }
+  return parsed;
+}
+
 checked<configuration> first_text_parser::Parse(std::string_view text,
                                                 std::string_view file) const {
   if (first_.empty()) {
