Carry the agent's load in every answer head and answer end

Only refusals and heartbeats carried the load, so an entry routed by counts up to half a second old. The head and the last part of an answer carry it now, and the entry takes it over at once. Parts in between do not, so a token costs no further bytes.

Entries count what they have sent since the last report, which already covers most of what the answers tell.

--- a/include/berylbarrow/connection/wire/message.h
+++ b/include/berylbarrow/connection/wire/message.h
@@ -157,11 +157,12 @@
   request_id id;
   std::uint16_t status = 0;
   std::string content_type;
+  upstream_load load;
 
   auto operator<=>(const answer_head&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, status, content_type);
+    archive(id, status, content_type, load);
   }
 };
 
@@ -179,13 +180,14 @@
   std::string bytes;
   answer_end end = answer_end::kMore;
   std::vector<suspect_report> suspects;  // what the agent knows of the fingerprint
+  upstream_load load;
 
   auto operator<=>(const answer_part&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, offset, bytes, end);
     if (end != answer_end::kMore) {
-      archive(suspects);
+      archive(suspects, load);
     }
   }
 };
--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -155,6 +156,8 @@
   // Answers (agent_delivery.cc).
   void Deliver(execution_record& record);
   void Deliver(const execution_record& record, const request_id& id, subscriber& target);
+  void SendEnd(const execution_record& record, const request_id& id, subscriber& target,
+               std::string_view bytes, answer_end end);
   void OnAcknowledgement(const acknowledgement& message);
   void OnCancel(const cancel& message);
   void CancelExecution(execution_record& record);
--- a/src/process/agent/agent_delivery.cc
+++ b/src/process/agent/agent_delivery.cc
@@ -27,45 +27,45 @@
   const connection_id connection = *target.connection;
   if (record.head && !target.has_head) {
     target.has_head = true;
-    Send(connection,
-         answer_head{
-             .id = id, .status = record.head->status, .content_type = record.head->content_type});
+    Send(connection, answer_head{.id = id,
+                                 .status = record.head->status,
+                                 .content_type = record.head->content_type,
+                                 .load = Load()});
   }
   const std::uint64_t end = record.answer.End();
-  const auto suspects = [this, &record](answer_end end) {
-    return end == answer_end::kMore ? std::vector<suspect_report>()
-                                    : suspects_.ReportsOf(record.work.fingerprint, Now());
-  };
   const bool is_lost =
       target.sent < record.answer.Begin() || (record.end != answer_end::kMore && target.sent > end);
   if (is_lost) {
-    target.has_end = true;
-    Send(connection, answer_part{.id = id,
-                                 .offset = target.sent,
-                                 .end = answer_end::kBroken,
-                                 .suspects = suspects(answer_end::kBroken)});
+    SendEnd(record, id, target, {}, answer_end::kBroken);
     return;
   }
   while (record.head && target.sent < end) {
     const std::string_view piece = record.answer.Read(target.sent, kMaxPartBytes);
-    const bool is_last = target.sent + piece.size() == end;
-    const answer_end piece_end = is_last ? record.end : answer_end::kMore;
-    Send(connection, answer_part{.id = id,
-                                 .offset = target.sent,
-                                 .bytes = std::string(piece),
-                                 .end = piece_end,
-                                 .suspects = suspects(piece_end)});
+    if (target.sent + piece.size() == end && record.end != answer_end::kMore) {
+      SendEnd(record, id, target, piece, record.end);
+      return;
+    }
+    Send(connection, answer_part{.id = id, .offset = target.sent, .bytes = std::string(piece)});
     target.sent += piece.size();
-    target.has_end = is_last && record.end != answer_end::kMore;
   }
-  if (record.end != answer_end::kMore && !target.has_end) {
-    target.has_end = true;
-    Send(connection,
-         answer_part{
-             .id = id, .offset = target.sent, .end = record.end, .suspects = suspects(record.end)});
+  if (record.end != answer_end::kMore) {
+    SendEnd(record, id, target, {}, record.end);
   }
 }
 
+void agent_core::SendEnd(const execution_record& record, const request_id& id, subscriber& target,
+                         std::string_view bytes, answer_end end) {
+  target.has_end = true;
+  Send(*target.connection,
+       answer_part{.id = id,
+                   .offset = target.sent,
+                   .bytes = std::string(bytes),
+                   .end = end,
+                   .suspects = suspects_.ReportsOf(record.work.fingerprint, Now()),
+                   .load = Load()});
+  target.sent += bytes.size();
+}
+
 void agent_core::OnAcknowledgement(const acknowledgement& message) {
   execution_record* record = table_.FindByRequest(message.id);
   if (record == nullptr || !record->subscribers.contains(message.id)) {
--- a/src/process/entry/answers.cc
+++ b/src/process/entry/answers.cc
@@ -22,8 +22,16 @@
   return {&request, &*attempt};
 }
 
+void entry_requests::OnLoad(const request_attempt* attempt, const upstream_load& load) {
+  if (attempt != nullptr) {
+    context_.fleet.Members().OnLoad(attempt->run.name, load, context_.Now());
+    peers_.OnLoad(attempt->run.name);
+  }
+}
+
 void entry_requests::OnHead(connection_id connection, const answer_head& head) {
   const auto [request, attempt] = Locate(connection, head.id);
+  OnLoad(attempt, head.load);
   if (request == nullptr || attempt != request->Current() ||
       attempt->state != attempt_state::kActive) {
     ++context_.counters.parts_dropped;
@@ -51,6 +59,9 @@
 void entry_requests::OnPart(connection_id connection, const answer_part& part) {
   OnSuspects(part.suspects);
   const auto [request, attempt] = Locate(connection, part.id);
+  if (part.end != answer_end::kMore) {
+    OnLoad(attempt, part.load);
+  }
   const bool is_current = request != nullptr && attempt == request->Current() &&
                           attempt->state == attempt_state::kActive;
   const std::uint64_t most = std::numeric_limits<std::uint64_t>::max() - part.bytes.size();
@@ -141,8 +152,7 @@
     ++context_.counters.unexpected_messages;
     return;
   }
-  context_.fleet.Members().OnLoad(attempt->run.name, content.load, context_.Now());
-  peers_.OnLoad(attempt->run.name);
+  OnLoad(attempt, content.load);
   const bool is_current = attempt == request->Current();
   const bool has_answered = is_current && request->head.has_value();
   const bool is_not_run = content.certainty == run_certainty::kNotRun && !has_answered;
--- a/src/process/entry/requests.h
+++ b/src/process/entry/requests.h
@@ -159,6 +159,7 @@
   void ScheduleResend(entry_request& request);
   void SendHead(entry_request& request);
   /// Deaths of upstreams that an agent reports with an answer or refusal.
+  void OnLoad(const request_attempt* attempt, const upstream_load& load);
   void OnSuspects(const std::vector<suspect_report>& reports);
   void Acknowledge(entry_request& request, bool finished);
 
--- a/tests/connection/codec_test.cc
+++ b/tests/connection/codec_test.cc
@@ -86,6 +86,7 @@
                    .end = AnyUpTo(answer_end::kBroken)};
   if (part.end != answer_end::kMore) {
     part.suspects = AnySuspects();
+    part.load = AnyLoad();
   }
   return part;
 }
@@ -118,8 +119,10 @@
     case 2:
       return cancel{.id = AnyId()};
     case 3:
-      return answer_head{
-          .id = AnyId(), .status = Any<std::uint16_t>(), .content_type = Any<std::string>()};
+      return answer_head{.id = AnyId(),
+                         .status = Any<std::uint16_t>(),
+                         .content_type = Any<std::string>(),
+                         .load = AnyLoad()};
     case 4:
       return AnyPart();
     case 5:
--- a/tests/process/agent/agent_core_test.cc
+++ b/tests/process/agent/agent_core_test.cc
@@ -20,6 +20,8 @@
   BOOST_TEST(parts[0].bytes == "done");
   BOOST_TEST((parts[1].end == answer_end::kComplete));
   BOOST_TEST(parts[1].offset == 4U);
+  BOOST_TEST((Sent<answer_head>(1)[0].load == upstream_load{.in_flight = 1, .limit = kColdLimit}));
+  BOOST_TEST((parts[1].load == upstream_load{.limit = kColdLimit}));
 }
 
 // Guards against requests that are dropped silently because the hello of an older connection of
--- a/tests/process/entry/entry_core_test.cc
+++ b/tests/process/entry/entry_core_test.cc
@@ -190,6 +190,29 @@
   BOOST_TEST(HeaderOf(reply, "Berylbarrow-Outcome") == "not-run");
 }
 
+// Guards against routing by a heartbeat that is older than the answers since.
+BOOST_FIXTURE_TEST_CASE(AnswersCarryTheLoadForRouting, entry_fixture) {
+  Start();
+  Draft(1);
+  const auto [connection, work] = Sent<dispatch>().at(0);
+  const std::string agent = "d-" + std::to_string(connection / 10);
+  const auto load = [this, &agent = agent] {
+    const auto members = nlohmann::json::parse(core->State().dump()).at("fleet").at("members");
+    for (const auto& item : members) {
+      if (item["name"] == agent) {
+        return item["queued"].get<std::uint32_t>();
+      }
+    }
+    return 0U;
+  };
+  Receive(connection, answer_head{.id = work.id, .status = 200, .load = {.queued = 7, .limit = 4}});
+  BOOST_TEST(load() == 7U);
+  Receive(connection, answer_part{.id = work.id,
+                                  .end = answer_end::kComplete,
+                                  .load = {.queued = 8, .limit = 4}});
+  BOOST_TEST(load() == 8U);
+}
+
 // Guards against an agent that keeps more of an answer than the entry may still ask for.
 BOOST_FIXTURE_TEST_CASE(LongAnswerIsAcknowledgedOnTheWay, entry_fixture) {
   Start();
