Send a cancel after the reconnect if the connection was down

An entry dropped the cancel of a request whose agent was not connected, so the agent went on with work that nobody waited for, until it gave the request up after 5 s without a connected entry, or to its end if the entry came back in time. The entry now keeps such cancels and sends them when the same run of the agent is connected again. At most 1,024 are kept; another run of the agent knows nothing of the request.

entry_core_test covers the same and a new run of the agent.

--- a/src/process/entry/attempts.cc
+++ b/src/process/entry/attempts.cc
@@ -8,6 +8,8 @@
 // Between looks for an agent that may take a waiting request.
 constexpr duration kPollInterval = std::chrono::milliseconds(50);
 constexpr duration kRetryAfter = std::chrono::seconds(1);
+// The oldest give way; agents stop requests without a connected entry by themselves after 5 s.
+constexpr std::size_t kMaxUnsentCancels = 1024;
 
 }  // namespace
 
@@ -100,11 +102,31 @@
 
 void entry_requests::CancelAttempt(const request_attempt& attempt) {
   const agent_link* link = peers_.Find(attempt.run.name);
-  if (link != nullptr && link->connection == attempt.connection) {
-    context_.Emit(peer_send{.connection = attempt.connection, .message = cancel{attempt.id}});
+  if (link == nullptr || attempt.connection == 0) {
+    return;
+  }
+  if (!link->connection) {
+    unsent_cancels_.emplace_back(attempt.run, attempt.id);
+    if (unsent_cancels_.size() > kMaxUnsentCancels) {
+      unsent_cancels_.pop_front();
+    }
+  } else if (link->incarnation == attempt.run.incarnation) {
+    context_.Emit(peer_send{.connection = *link->connection, .message = cancel{attempt.id}});
   }
 }
 
+void entry_requests::SendUnsentCancels(const std::string& agent) {
+  const agent_link* link = peers_.Find(agent);
+  // What another run of the agent had is gone with it.
+  std::erase_if(unsent_cancels_, [&](const auto& item) {
+    const auto& [run, id] = item;
+    if (run.name == agent && run.incarnation == link->incarnation) {
+      context_.Emit(peer_send{.connection = *link->connection, .message = cancel{id}});
+    }
+    return run.name == agent;
+  });
+}
+
 void entry_requests::Lose(entry_request& request, attempt_loss loss) {
   const bool may_return = loss == attempt_loss::kClosed || loss == attempt_loss::kSilent;
   request_attempt& attempt = request.attempts.back();
@@ -194,6 +216,7 @@
 }
 
 void entry_requests::OnAgentOpened(const std::string& agent) {
+  SendUnsentCancels(agent);
   for (const caller_id caller : RequestsAt(agent)) {
     entry_request* request = Find(caller);
     if (request == nullptr) {
--- a/src/process/entry/requests.h
+++ b/src/process/entry/requests.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_SRC_PROCESS_ENTRY_REQUESTS_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
@@ -139,7 +140,9 @@
   void DispatchToOneOf(entry_request& request, const std::vector<routing_candidate>& candidates);
   void Dispatch(entry_request& request, const agent_run& run);
   void SendDispatch(entry_request& request);
+  /// Sends the cancel over the present connection, or once the agent is connected again.
   void CancelAttempt(const request_attempt& attempt);
+  void SendUnsentCancels(const std::string& agent);
   void Lose(entry_request& request, attempt_loss loss);
   void WaitToMove(entry_request& request, attempt_loss loss);
   bool TryElsewhere(entry_request& request);
@@ -173,7 +176,8 @@
   std::map<caller_id, std::unique_ptr<entry_request>> table_;
   std::unordered_map<std::uint64_t, caller_id> attempts_;  // by sequence of the request id
   std::set<std::pair<time_point, caller_id>> timers_;
-  std::set<caller_id> waiting_;  // for a current view
+  std::set<caller_id> waiting_;                                  // for a current view
+  std::deque<std::pair<agent_run, request_id>> unsent_cancels_;  // their agent is not connected
   key_memory refused_keys_;
   key_memory forwarded_keys_;
   std::uint64_t sequence_ = 0;
--- a/tests/process/entry/entry_core_test.cc
+++ b/tests/process/entry/entry_core_test.cc
@@ -207,12 +207,31 @@
   };
   Receive(connection, answer_head{.id = work.id, .status = 200, .load = {.queued = 7, .limit = 4}});
   BOOST_TEST(load() == 7U);
-  Receive(connection, answer_part{.id = work.id,
-                                  .end = answer_end::kComplete,
-                                  .load = {.queued = 8, .limit = 4}});
+  Receive(
+      connection,
+      answer_part{.id = work.id, .end = answer_end::kComplete, .load = {.queued = 8, .limit = 4}});
   BOOST_TEST(load() == 8U);
 }
 
+// Guards against a request that goes on at an agent although its caller or the entry gave it up
+// while the connection was down.
+BOOST_FIXTURE_TEST_CASE(CancelWaitsForTheConnection, entry_fixture) {
+  Start();
+  for (const std::uint64_t run : {1, 2}) {
+    Draft(run);
+    const auto [connection, work] = Sent<dispatch>().at(0);
+    const std::string agent = "d-" + std::to_string(connection / 10);
+    Input(peer_closed{connection});
+    Input(caller_closed{run});
+    Sent<cancel>();
+    Open(agent, connection, run);
+    const auto cancels = Sent<cancel>();
+    // A new run of the agent knows nothing of the request.
+    BOOST_TEST_REQUIRE(cancels.size() == (run == 1 ? 1U : 0U));
+    BOOST_TEST((run == 2 || (cancels[0].first == connection && cancels[0].second.id == work.id)));
+  }
+}
+
 // Guards against an agent that keeps more of an answer than the entry may still ask for.
 BOOST_FIXTURE_TEST_CASE(LongAnswerIsAcknowledgedOnTheWay, entry_fixture) {
   Start();
