Compare streamed answers by their rate only

A cached prompt brings the first byte about four times earlier, which is above the factor of three that counts as slow. A warm engine that served uncached prompts after a run of cached ones was taken for cold. Streamed answers are now compared by the time per byte after the first byte; answers that come at once, as those of plain services, by the time to the first byte. Each kind has its own baseline.

--- a/include/berylbarrow/request/admission/admission_limit.h
+++ b/include/berylbarrow/request/admission/admission_limit.h
@@ -96,8 +96,8 @@
   std::uint64_t cold_resets_ = 0;
   bool was_used_ = false;  // a completion since the last fall
   // Measured while warm only: a cold upstream is slow by nature.
-  slowness_detector first_byte_;
-  slowness_detector per_byte_;
+  slowness_detector first_byte_;  // of answers that are not streamed
+  slowness_detector per_byte_;    // after the first byte of streamed answers
 };
 
 /// Finds restarts of an upstream in its load reports.
--- a/src/request/admission/admission_limit.cc
+++ b/src/request/admission/admission_limit.cc
@@ -8,6 +8,9 @@
 
 // Per-byte times of very short answers consist of noise.
 constexpr std::uint64_t kMinBytesForRate = 64;
+// An answer that arrives at once has no rate: its time after the first byte is that of thread
+// switches.
+constexpr duration kMinStreaming = std::chrono::milliseconds(10);
 constexpr double kAverageWeight = 1.0 / 16;
 
 }  // namespace
@@ -48,12 +51,13 @@
 }
 
 bool cold_start_limit::IsSlow(const completed_work& work) {
-  bool is_slow = first_byte_.Add(static_cast<double>(work.first_byte.count()));
-  if (work.bytes >= kMinBytesForRate) {
-    const auto streaming = static_cast<double>((work.total - work.first_byte).count());
-    is_slow = per_byte_.Add(streaming / static_cast<double>(work.bytes)) || is_slow;
+  const duration streaming = work.total - work.first_byte;
+  // A cached prompt brings the first byte several times earlier than an uncached one, but does not
+  // change the rate after it.
+  if (work.bytes >= kMinBytesForRate && streaming >= kMinStreaming) {
+    return per_byte_.Add(static_cast<double>(streaming.count()) / static_cast<double>(work.bytes));
   }
-  return is_slow;
+  return first_byte_.Add(static_cast<double>(work.first_byte.count()));
 }
 
 void cold_start_limit::OnCompleted(const completed_work& work) {
