Move the counters of the peer manager to a file of their own

Ruled out: a header with the whole implementation class, which would need a third file for as little.

Change: peer_counts holds the counters, what a closed connection adds to them and their values.

Conclusion: connection.peer_manager_test passes.

--- a/src/connection/peer/peer_manager.cc
+++ b/src/connection/peer/peer_manager.cc
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "berylbarrow/connection/wire/codec.h"
-#include "berylbarrow/process/runtime/shared_count.h"
 #include "connection/peer/heartbeat_socket.h"
+#include "connection/peer/peer_counts.h"
 #include "connection/peer/peer_session.h"
 #include "connection/wire/endpoint.h"
 
@@ -32,13 +32,6 @@
 // A free TCP port chosen by the kernel may be in use for UDP.
 constexpr int kPortAttempts = 16;
 
-struct count_set {
-  shared_count open, opened, connect_failures, closed_by_peer, closed_silent, closed_without_hello,
-      closed_queue_full, closed_malformed, refused_connections, bad_addresses, events_delayed,
-      sends_dropped, sends_too_long, pings_sent, heartbeats_sent, heartbeats_not_sent,
-      heartbeats_received, heartbeats_dropped, heartbeats_malformed;
-};
-
 /// A peer to which this process keeps a connection.
 struct outgoing_peer {
   explicit outgoing_peer(boost::asio::io_context& context) : timer(context) {}
@@ -82,7 +75,7 @@
   void SetRevision(revision in_force) { in_force_ = in_force; }
   std::size_t UnwrittenBytes() const;
   void Close();
-  peer_counters Counters() const;
+  peer_counters Counters() const { return counts_.Values(); }
 
   hello Greeting() const override { return {.sender = options_.identity, .in_force = in_force_}; }
   bool OnEvent(peer_session& session, peer_event event) override;
@@ -99,7 +92,6 @@
   void DialLater(const std::shared_ptr<outgoing_peer>& peer);
   void Drop(outgoing_peer& peer);
   bool Full() const;
-  void Count(close_reason reason);
   bool Deliver(peer_event event);
   void ArmSinkRetry();
   void RetrySink();
@@ -120,7 +112,7 @@
   std::map<std::string, std::shared_ptr<outgoing_peer>, std::less<>> outgoing_;
   std::deque<peer_event> pending_;                    // events the sink had no space for
   std::vector<std::weak_ptr<peer_session>> waiting_;  // sessions that read nothing until then
-  count_set counts_;
+  peer_counts counts_;
 };
 
 checked<std::string> peer_manager::impl::Listen() {
@@ -304,7 +296,7 @@
 }
 
 void peer_manager::impl::OnClosed(peer_session& session, close_reason reason) {
-  Count(reason);
+  counts_.Count(reason);
   const auto found = sessions_.find(session.Id());
   if (found == sessions_.end()) return;
   const std::shared_ptr<outgoing_peer> peer = found->second.outgoing.lock();
@@ -317,31 +309,6 @@
   DialLater(peer);
 }
 
-void peer_manager::impl::Count(close_reason reason) {
-  switch (reason) {
-    case close_reason::kLocal:
-      break;
-    case close_reason::kConnectFailed:
-      ++counts_.connect_failures;
-      break;
-    case close_reason::kPeer:
-      ++counts_.closed_by_peer;
-      break;
-    case close_reason::kSilent:
-      ++counts_.closed_silent;
-      break;
-    case close_reason::kNoHello:
-      ++counts_.closed_without_hello;
-      break;
-    case close_reason::kQueueFull:
-      ++counts_.closed_queue_full;
-      break;
-    case close_reason::kMalformed:
-      ++counts_.closed_malformed;
-      break;
-  }
-}
-
 bool peer_manager::impl::Deliver(peer_event event) {
   if (pending_.empty() && sink_(event)) return true;
   ++counts_.events_delayed;
@@ -392,28 +359,6 @@
   pending_.clear();
 }
 
-peer_counters peer_manager::impl::Counters() const {
-  return {.open = counts_.open,
-          .opened = counts_.opened,
-          .connect_failures = counts_.connect_failures,
-          .closed_by_peer = counts_.closed_by_peer,
-          .closed_silent = counts_.closed_silent,
-          .closed_without_hello = counts_.closed_without_hello,
-          .closed_queue_full = counts_.closed_queue_full,
-          .closed_malformed = counts_.closed_malformed,
-          .refused_connections = counts_.refused_connections,
-          .bad_addresses = counts_.bad_addresses,
-          .events_delayed = counts_.events_delayed,
-          .sends_dropped = counts_.sends_dropped,
-          .sends_too_long = counts_.sends_too_long,
-          .pings_sent = counts_.pings_sent,
-          .heartbeats_sent = counts_.heartbeats_sent,
-          .heartbeats_not_sent = counts_.heartbeats_not_sent,
-          .heartbeats_received = counts_.heartbeats_received,
-          .heartbeats_dropped = counts_.heartbeats_dropped,
-          .heartbeats_malformed = counts_.heartbeats_malformed};
-}
-
 peer_manager::peer_manager(boost::asio::io_context& context, peer_manager_options options,
                            peer_event_sink sink)
     : impl_(std::make_shared<impl>(context, std::move(options), std::move(sink))) {}
