Connect entries to 2 of 3 agents in a third of the fleet histories

The histories connected every entry to every agent. With subset_size 2 an entry reaches the owner of a key outside its subset over a link made on demand, and callers of such an entry see fewer upstreams. No naive part is specific to subsets.

Plans are left out.

--- a/tests/support/fleet_document.cc
+++ b/tests/support/fleet_document.cc
@@ -76,7 +76,8 @@
        << "}\n    limits: {in_flight: " << kPaymentInFlight << ", queue: 3}\n";
   WriteService(text, "payments", out);
   text << "accounts:\n  - {name: large, weight: 4}\n  - {name: small, weight: 1}\n"
-       << "address_lifetime: 2s\nisolation_timeout: 2s\ngrant: {epoch: 3s, epochs_kept: 2}\n";
+       << "address_lifetime: 2s\nisolation_timeout: 2s\ngrant: {epoch: 3s, epochs_kept: 2}\n"
+       << "subset_size: " << wanted.subset_size << '\n';
   if (!wanted.planned.empty()) {
     text << "move_plan:\n  - {name: fill, fill: [" << (wanted.planned == "a" ? "b" : "a")
          << "], proceed_when: {warm_share_at_least: 0.5, hold: 1s}}\n  - {name: empty, empty: ["
--- a/tests/support/fleet_document.h
+++ b/tests/support/fleet_document.h
@@ -33,8 +33,9 @@
 
 /// What operators want.
 struct fleet_state {
-  std::set<std::string> out;  // failure domains and upstreams
-  std::string planned;        // failure domain that the plan empties and fills again, or empty
+  std::set<std::string> out;       // failure domains and upstreams
+  std::string planned;             // failure domain that the plan empties and fills again, or empty
+  std::uint32_t subset_size = 24;  // agents per service that an entry connects to
 };
 constexpr std::uint32_t kPlanSteps = 3;
 
--- a/tests/support/fleet_run.cc
+++ b/tests/support/fleet_run.cc
@@ -72,14 +72,18 @@
       upstreams_[place.name] = std::make_unique<fleet_upstream>(context_, processes_, place);
     }
   }
-  platform_.Publish({});
+  // The conditions of a plan need an entry that hears all upstreams.
+  const bool is_planned = schedule_.Has(fault_kind::kMovePlan);
+  if (!is_planned && schedule_.seed % 3 == 0) {
+    wanted_.subset_size = 2;
+  }
+  Publish();
   for (const fleet_place& place : FleetPlaces()) {
     Start(place.name);
   }
   // Without the payment agent in "a", the two in "b" must stay.
   const bool is_replica_gone = schedule_.Has(fault_kind::kReplicaGone);
   drained_ = schedule_.seed % 2 == 0 || is_replica_gone ? "a" : "b";
-  const bool is_planned = schedule_.Has(fault_kind::kMovePlan);
   if (!is_planned) {
     PublishDrain();
   }
