--- a/include/berylbarrow/process/membership/fleet_view.h
+++ b/include/berylbarrow/process/membership/fleet_view.h
@@ -47,8 +47,8 @@
   fleet_changes OnTime(const moment& at);
   fleet_changes On(const peer_opened& event, const moment& at);
   fleet_changes On(const peer_closed& event, const moment& at);
-  /// Handles configuration requests and replies and the revision and step of a dispatch; other messages
-  /// only show that the peer is alive.
+  /// Handles configuration requests and replies and the revision and step of a dispatch; other
+  /// messages only show that the peer is alive.
   fleet_changes On(const peer_received& event, const moment& at);
   fleet_changes On(const heartbeat_received& event, const moment& at);
   fleet_changes On(const document_received& event, const moment& at);
