Keep a listed leaving instance out when an older list arrives

Cause: a process took every instance list as the newest. The list lags and carries no version, so an older list that arrives later brought a leaving upstream back into service.

Ruled out: ignoring live states for good, which would never bring a replaced instance back; ordering lists by their content, which has no order.

Change: an instance listed as leaving counts as leaving until its agent has another incarnation, or until no list has said so for 30 s. The histories answer every other read after such a change with the older list.

--- a/include/berylbarrow/process/membership/fleet_view.h
+++ b/include/berylbarrow/process/membership/fleet_view.h
@@ -78,12 +78,20 @@
  private:
   void Merge(follower_actions actions, const moment& at, fleet_changes& changes);
   void ReportRefusals(fleet_changes& changes);
+  bool IsListedLeaving(const std::string& name) const;
+
+  /// A list said that the instance leaves.
+  struct leaving_mark {
+    time_point until;               // unless a list says so again
+    std::uint64_t incarnation = 0;  // of the process there; 0: not heard of
+  };
 
   fleet_options options_;
   member_table members_;
   configuration_follower follower_;
   plan_progress plan_;
   std::map<std::string, instance_record> instances_;
+  std::map<std::string, leaving_mark> leaving_marks_;
   time_point next_heartbeat_;
   std::uint64_t heartbeat_sequence_ = 0;
   revision reported_refusal_ = 0;  // the last refused revision that was logged
--- a/src/process/membership/fleet_view.cc
+++ b/src/process/membership/fleet_view.cc
@@ -7,6 +7,10 @@
 namespace berylbarrow {
 namespace {
 
+// An older list may arrive after a newer one; it must not bring a leaving instance back. Longer
+// than lists lag.
+constexpr duration kLeavingHold = std::chrono::seconds(30);
+
 follower_options FollowerOptions(const fleet_options& options) {
   follower_options result = options.follower;
   result.self = options.self;
@@ -141,14 +145,31 @@
   return changes;
 }
 
-fleet_changes fleet_view::On(const instances_received& event, const moment& /*at*/) {
+fleet_changes fleet_view::On(const instances_received& event, const moment& at) {
   instances_.clear();
+  std::erase_if(leaving_marks_, [&at](const auto& item) { return item.second.until <= at.now; });
   for (const instance_record& record : event.instances) {
     instances_.emplace(record.name, record);
+    if (record.leaving) {
+      const member* known = members_.Find(record.name);
+      leaving_marks_[record.name] = {
+          .until = at.now + kLeavingHold,
+          .incarnation = known == nullptr ? 0 : known->identity.incarnation};
+    }
   }
   return {};
 }
 
+bool fleet_view::IsListedLeaving(const std::string& name) const {
+  const auto mark = leaving_marks_.find(name);
+  if (mark == leaving_marks_.end()) {
+    return false;
+  }
+  const member* known = members_.Find(name);
+  return known == nullptr || mark->second.incarnation == 0 ||
+         known->identity.incarnation == mark->second.incarnation;
+}
+
 heartbeat fleet_view::NextHeartbeat(process_state state) {
   const auto current = follower_.Current();
   return {.sender = options_.self,
@@ -172,8 +193,7 @@
     return false;
   }
   // The list lags, so it can only mark a further instance as leaving, never bring one back.
-  const auto listed = instances_.find(upstream.name);
-  return listed == instances_.end() || !listed->second.leaving;
+  return !IsListedLeaving(upstream.name);
 }
 
 domain_observations fleet_view::Observe(time_point now) const {
@@ -207,7 +227,7 @@
 nlohmann::json fleet_view::State(const moment& at) const {
   nlohmann::json instances = nlohmann::json::array();
   for (const auto& [name, record] : instances_) {
-    instances.push_back({{"name", name}, {"leaving", record.leaving}});
+    instances.push_back({{"name", name}, {"leaving", IsListedLeaving(name)}});
   }
   const auto observed = Observe(at.now);
   nlohmann::json domains = nlohmann::json::array();
--- a/tests/process/membership/fleet_view_test.cc
+++ b/tests/process/membership/fleet_view_test.cc
@@ -36,13 +36,16 @@
     return view.Current()->value.services[0].upstreams[index];
   }
 
-  void Beat(const std::string& name, process_state state, std::uint64_t sequence) {
-    view.On(heartbeat_received{.from = "x",
-                               .content = {.sender = {.name = name, .incarnation = 1},
-                                           .sequence = sequence,
-                                           .state = state,
-                                           .load = {.in_flight = 2}}},
-            At());
+  void Beat(const std::string& name, process_state state, std::uint64_t sequence,
+            std::uint64_t run = 1) {
+    view.On(
+        heartbeat_received{
+            .from = "x",
+            .content = {.sender = {.name = name, .incarnation = run, .generation = run},
+                        .sequence = sequence,
+                        .state = state,
+                        .load = {.in_flight = 2}}},
+        At());
   }
 };
 
@@ -68,6 +71,26 @@
   BOOST_TEST(!view.UpstreamInService(Upstream(1)));
 }
 
+// Guards against an older list that arrives late and brings a leaving upstream back, and against an
+// upstream that stays out for good.
+BOOST_FIXTURE_TEST_CASE(OlderInstanceListBringsNothingBack, fixture) {
+  const auto list = [this](bool leaving) {
+    view.On(instances_received{.instances = {{.name = "b-1", .leaving = leaving}}}, At());
+    return view.UpstreamInService(Upstream(1));
+  };
+  view.OnTime(At());
+  view.On(document_received{.number = 1, .text = "first"}, At());
+  Beat("b-1", process_state::kServing, 1);
+  BOOST_TEST(!list(true));
+  BOOST_TEST(!list(false));
+  clock.Advance(std::chrono::seconds(31));
+  BOOST_TEST(list(false));
+  BOOST_TEST(!list(true));
+  // A replaced process is another instance.
+  Beat("b-1", process_state::kServing, 1, 2);
+  BOOST_TEST(list(false));
+}
+
 // Guards against work for a failure domain that the document takes out.
 BOOST_FIXTURE_TEST_CASE(DomainTakenOutIsOutOfService, fixture) {
   view.OnTime(At());
--- a/tests/support/fleet_platform.cc
+++ b/tests/support/fleet_platform.cc
@@ -12,6 +12,9 @@
 constexpr duration kPollInterval = seconds(30);
 constexpr duration kLeastAnswer = milliseconds(1);
 constexpr duration kMostAnswer = milliseconds(5);
+// Reads of the instance list after a change; every other one is answered with the list before it.
+constexpr duration kInstanceInterval = milliseconds(1400);
+constexpr int kOlderLists = 4;
 
 }  // namespace
 
@@ -124,9 +127,17 @@
 }
 
 void fleet_platform::MarkLeaving(const std::string& name, duration lag) {
+  const instances_received older = Instances();
   leaving_.insert(name);
   for (auto& [other, process] : processes_.All()) {
     SendInstances(other, lag);
+    for (int i = 0; i < kOlderLists; ++i) {
+      const duration read = lag + (2 * i + 1) * kInstanceInterval;
+      context_.After(read, [this, other = other, older] {
+        processes_.Give(other, processes_.At(other).life, older);
+      });
+      SendInstances(other, read + kInstanceInterval);
+    }
   }
 }
 
@@ -137,7 +148,7 @@
   }
 }
 
-void fleet_platform::SendInstances(const std::string& name, duration lag) {
+instances_received fleet_platform::Instances() const {
   instances_received list;
   for (const auto& [other, process] : processes_.All()) {
     if (gone_.contains(other)) {
@@ -148,14 +159,19 @@
                               .domain = process.place.domain,
                               .leaving = leaving_.contains(other)});
   }
+  return list;
+}
+
+void fleet_platform::SendInstances(const std::string& name, duration lag) {
   const std::size_t count = leaving_.size() + gone_.size();
-  context_.After(lag + context_.Between(kLeastAnswer, kMostAnswer), [this, name, list, count] {
-    // The list lags, but a process reads it in order.
-    if (count >= listed_[name]) {
-      listed_[name] = count;
-      processes_.Give(name, processes_.At(name).life, list);
-    }
-  });
+  context_.After(lag + context_.Between(kLeastAnswer, kMostAnswer),
+                 [this, name, list = Instances(), count] {
+                   // The list lags, but a process reads it in order.
+                   if (count >= listed_[name]) {
+                     listed_[name] = count;
+                     processes_.Give(name, processes_.At(name).life, list);
+                   }
+                 });
 }
 
 }  // namespace berylbarrow
--- a/tests/support/fleet_platform.h
+++ b/tests/support/fleet_platform.h
@@ -51,6 +51,7 @@
   bool IsReachableFrom(const std::string& name) const;
   void Tick(const std::string& name, std::uint64_t life, std::uint64_t number);
   void Answer(fleet_process& process, const configuration_watch& watch);
+  instances_received Instances() const;
   void SendInstances(const std::string& name, duration lag);
 
   fleet_context& context_;
