Refuse move plans whose conditions no entry can judge

Cause: an entry judges in_flight_at_most and warm_share_at_least by the upstreams that it hears. With subset_size below the upstreams of a service, or with entries_per_service below the entries, it does not hear all of them, and the plan stops or goes on too early.

Change: the document check reports both keys with the number that is needed.

Conclusion: such a plan is refused before it is in force instead of stopping in the middle of a move.

--- a/src/version/configuration/document_parser.cc
+++ b/src/version/configuration/document_parser.cc
@@ -1,5 +1,6 @@
 #include "berylbarrow/version/configuration/document_parser.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -78,6 +79,34 @@
   }
 }
 
+bool HasCondition(const plan_step& step) {
+  return step.proceed_when.in_flight_at_most || step.proceed_when.warm_share_at_least;
+}
+
+/// Entries judge the conditions of a plan by the upstreams that they hear. One that does not hear
+/// all of them would stop the plan, or go on too early.
+void CheckPlanIsSeen(map_reader& document, const configuration& value) {
+  if (std::none_of(value.move_plan.begin(), value.move_plan.end(), HasCondition)) {
+    return;
+  }
+  const std::string reason =
+      ", but a move plan with conditions needs entries that hear every upstream: ";
+  std::size_t most = 0;
+  for (const service_options& service : value.services) {
+    most = std::max(most, service.upstreams.size());
+  }
+  if (value.subset_size < most) {
+    document.Report(document.At("subset_size"),
+                    "has subset_size " + std::to_string(value.subset_size) + reason +
+                        "the largest service has " + std::to_string(most) + " upstreams");
+  }
+  if (value.entries_per_service < value.entries.size()) {
+    document.Report(document.At("entries_per_service"),
+                    "has entries_per_service " + std::to_string(value.entries_per_service) +
+                        reason + "there are " + std::to_string(value.entries.size()) + " entries");
+  }
+}
+
 void ReadDocument(const yaml_node& root, document_context& context) {
   map_reader document(root, "the document", context.found);
   ReadDomains(document, context);
@@ -90,6 +119,7 @@
   document.ReadCount("subset_size", context.value.subset_size, {1, 1000});
   document.ReadCount("entries_per_service", context.value.entries_per_service, {2, 1000});
   document.RefuseOtherKeys();
+  CheckPlanIsSeen(document, context.value);
 }
 
 }  // namespace
--- a/tests/version/document_parser_test.cc
+++ b/tests/version/document_parser_test.cc
@@ -198,6 +198,7 @@
     fill: [spare]\n =>     fill: [south]\n => 39:12: move plan step "empty-north" empties every failure domain that serves service "payments"
 state: in}\naccounts => state: out}\naccounts => 39:12: move plan step "empty-north" empties every failure domain that serves service "payments"
     empty: [north]\n =>  => 38:11: move plan step "empty-north" has neither the key "empty" nor the key "fill"
+subset_size: 12 => subset_size: 1 => 44:14: the document has subset_size 1, but a move plan with conditions needs entries that hear every upstream: the largest service has 2 upstreams
 empty: [north] => empty: [north]\n    fill: [north] => 40:11: move plan step "empty-north" both empties and fills failure domain "north"
 )"));
 }
