--- a/tests/support/naive_parts.cc
+++ b/tests/support/naive_parts.cc
@@ -40,6 +40,16 @@
   return parts;
 }
 
+template <typename Entry>
+fleet_parts WrappingEntries(const configuration_parser& parser) {
+  fleet_parts parts = ProductParts(parser);
+  parts.make_entry = [make = parts.make_entry](const process_identity& identity,
+                                               std::uint64_t seed) {
+    return std::make_unique<Entry>(make(identity, seed));
+  };
+  return parts;
+}
+
 class never_leaving_agent final : public wrapped_core<agent_decisions> {
  public:
   using wrapped_core::wrapped_core;
@@ -162,21 +172,11 @@
 }
 
 fleet_parts DroppingSuspects(const configuration_parser& parser) {
-  fleet_parts parts = ProductParts(parser);
-  parts.make_entry = [make = parts.make_entry](const process_identity& identity,
-                                               std::uint64_t seed) {
-    return std::make_unique<suspect_dropping_entry>(make(identity, seed));
-  };
-  return parts;
+  return WrappingEntries<suspect_dropping_entry>(parser);
 }
 
 fleet_parts LosingParts(const configuration_parser& parser) {
-  fleet_parts parts = ProductParts(parser);
-  parts.make_entry = [make = parts.make_entry](const process_identity& identity,
-                                               std::uint64_t seed) {
-    return std::make_unique<part_losing_entry>(make(identity, seed));
-  };
-  return parts;
+  return WrappingEntries<part_losing_entry>(parser);
 }
 
 checked<configuration> drain_ignoring_parser::Parse(std::string_view text,
