Let the newest instance list decide whether an instance leaves

Change: a mark matters only when the newest list does not show the instance as leaving.

Figures: entry_property_test stopped at schedule 2884 before and passes all 3,000 after; history_test passes.

--- a/src/process/membership/fleet_view.cc
+++ b/src/process/membership/fleet_view.cc
@@ -161,6 +161,10 @@
 }
 
 bool fleet_view::IsListedLeaving(const std::string& name) const {
+  const auto listed = instances_.find(name);
+  if (listed != instances_.end() && listed->second.leaving) {
+    return true;
+  }
   const auto mark = leaving_marks_.find(name);
   if (mark == leaving_marks_.end()) {
     return false;
