Pass on the news of upstream deaths between entries at once

An entry that heard of a death in a heartbeat kept the news for its next one, up to 500 ms; the answer that carried the same news was then no news and caused no heartbeat either. With a subset that lacks the agent, another entry ran the repeated request meanwhile.

Ruled out: lost datagrams (the schedules have none).

Change: an entry passes on news of deaths at once, from whomever it hears it. Reports print faults with the numbers that Replay takes, because a shortened schedule could not be replayed from its kinds.

--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -169,7 +169,10 @@
     return;
   }
   Apply(context_.fleet.On(event, context_.at));
-  context_.suspects.Merge(event.content.suspects, context_.Now());
+  // Passed on at once: an entry whose subset lacks the agent hears of it from other entries only.
+  if (context_.suspects.Merge(event.content.suspects, context_.Now())) {
+    peers_.SendHeartbeats();
+  }
   const member* known = members.Find(name);
   const bool is_taken = known != nullptr &&
                         known->identity.incarnation == event.content.sender.incarnation &&
--- a/tests/process/history_test.cc
+++ b/tests/process/history_test.cc
@@ -6,7 +6,6 @@
 #include <functional>
 #include <iostream>
 #include <random>
-#include <sstream>
 
 #include "support/fleet_run.h"
 #include "support/share_table.h"
@@ -54,18 +53,23 @@
   std::uint64_t seed = 0;
   std::uint64_t schedules = 0;
 
+  void HoldAll(const std::vector<fault_schedule>& all) {
+    for (const fault_schedule& schedule : all) {
+      ++schedules;
+      const violations found = CheckAll(RunFleet(schedule, parts));
+      if (!found.empty()) {
+        Report(schedule, found);
+      }
+    }
+  }
+
   /// Runs `count` schedules with these faults.
   void Hold(const std::vector<fault_kind>& kinds, std::uint64_t count) {
     for (std::uint64_t i = 0; i < count; ++i) {
       if (++seed % kStride != 0) {
         continue;
       }
-      ++schedules;
-      const fault_schedule schedule = MakeSchedule(seed, kinds);
-      const violations found = CheckAll(RunFleet(schedule, parts));
-      if (!found.empty()) {
-        Report(schedule, found);
-      }
+      HoldAll({MakeSchedule(seed, kinds)});
     }
   }
 };
@@ -105,25 +109,20 @@
 // Guards against a check that blames processes for steps of the only revision that they can read.
 // A soak run found these schedules.
 BOOST_FIXTURE_TEST_CASE(PlanOfAnOlderRevision, product) {
-  const auto make = [](fault_kind kind, std::int64_t at, std::int64_t lasts, std::size_t target) {
-    return fault{kind, std::chrono::milliseconds(at), std::chrono::milliseconds(lasts), target};
-  };
-  const std::vector<fault_schedule> schedules = {
-      {2016635179821390243,
-       {make(fault_kind::kTwoOperators, 6698, 6959, 53), make(fault_kind::kMovePlan, 2862, 5652, 4),
-        make(fault_kind::kServiceOlder, 5936, 6579, 47)}},
-      {17352649621027848776U,
-       {make(fault_kind::kServiceOlder, 5230, 6941, 19),
-        make(fault_kind::kUpstreamOut, 7007, 7475, 8),
-        make(fault_kind::kMovePlan, 2872, 2464, 28)}},
-      {4016432285854842614,
-       {make(fault_kind::kServiceDown, 2824, 7441, 18), make(fault_kind::kMovePlan, 3814, 7089, 42),
-        make(fault_kind::kUpstreamOut, 4375, 5024, 13),
-        make(fault_kind::kServiceOlder, 4877, 5929, 31)}}};
-  for (const fault_schedule& schedule : schedules) {
-    const violations found = CheckAll(RunFleet(schedule, parts));
-    BOOST_TEST(found.empty(), schedule.Text() << (found.empty() ? "" : "\n  " + found.front()));
-  }
+  HoldAll({{2016635179821390243U, ReadFaults("11 6698 6959 53 21 2862 5652 4 10 5936 6579 47")},
+           {17352649621027848776U, ReadFaults("10 5230 6941 19 22 7007 7475 8 21 2872 2464 28")},
+           {4016432285854842614U,
+            ReadFaults("8 2824 7441 18 21 3814 7089 42 22 4375 5024 13 10 4877 5929 31")}});
+}
+
+// Guards against entries that keep the news of a death for their next heartbeat, while a caller
+// sends the request again through an entry whose subset lacks the agent. A soak run with seed 13
+// found these schedules.
+BOOST_FIXTURE_TEST_CASE(NewsOfCrashesBetweenSubsets, product) {
+  HoldAll({{3282679761605045967U, ReadFaults("7 2163 2453 30")},
+           {6864711857447662848U, ReadFaults("7 2459 6062 3")},
+           {15670083606129954096U, ReadFaults("7 2423 6955 16")},
+           {14199386950117376136U, ReadFaults("7 2433 6481 21")}});
 }
 
 /// One fault for half of the schedules, two to four for the others.
@@ -168,19 +167,14 @@
   shares.Print(std::cout);
 }
 
-// Replays the faults named in BERYLBARROW_FAULTS, by number, with BERYLBARROW_SEED and writes what
-// the processes do.
+// Replays the faults in BERYLBARROW_FAULTS, in the numbers that a report has in brackets, with
+// BERYLBARROW_SEED and writes what the processes do.
 BOOST_FIXTURE_TEST_CASE(Replay, product) {
   const char* faults = std::getenv("BERYLBARROW_FAULTS");
   if (faults == nullptr) {
     return;
   }
-  std::istringstream numbers(faults);
-  std::vector<fault_kind> kinds;
-  for (std::size_t number = 0; numbers >> number;) {
-    kinds.push_back(KindAt(number));
-  }
-  const fault_schedule schedule = MakeSchedule(SeedFromEnvironment(), kinds);
+  const fault_schedule schedule{.seed = SeedFromEnvironment(), .faults = ReadFaults(faults)};
   std::cout << schedule.Text() << '\n';
   const violations found = CheckAll(RunFleet(schedule, parts, &std::cout));
   if (!found.empty()) {
--- a/tests/support/fault_schedule.cc
+++ b/tests/support/fault_schedule.cc
@@ -30,12 +30,29 @@
 
 std::string fault::Text() const {
   std::ostringstream text;
-  text << FaultName(kind) << " at " << std::chrono::duration_cast<milliseconds>(at).count()
-       << " ms for " << std::chrono::duration_cast<milliseconds>(lasts).count() << " ms, target "
-       << target;
+  const auto at_ms = std::chrono::duration_cast<milliseconds>(at).count();
+  const auto lasts_ms = std::chrono::duration_cast<milliseconds>(lasts).count();
+  text << FaultName(kind) << " at " << at_ms << " ms for " << lasts_ms << " ms, target " << target
+       << " (" << static_cast<int>(kind) << ' ' << at_ms << ' ' << lasts_ms << ' ' << target << ')';
   return text.str();
 }
 
+std::vector<fault> ReadFaults(const std::string& text) {
+  std::istringstream numbers(text);
+  std::vector<fault> faults;
+  std::size_t kind = 0;
+  std::int64_t at_ms = 0;
+  std::int64_t lasts_ms = 0;
+  std::size_t target = 0;
+  while (numbers >> kind >> at_ms >> lasts_ms >> target) {
+    faults.push_back({.kind = static_cast<fault_kind>(kind),
+                      .at = milliseconds(at_ms),
+                      .lasts = milliseconds(lasts_ms),
+                      .target = target});
+  }
+  return faults;
+}
+
 std::string fault_schedule::Text() const {
   std::ostringstream text;
   text << "seed " << seed;
--- a/tests/support/fault_schedule.h
+++ b/tests/support/fault_schedule.h
@@ -56,6 +56,9 @@
   std::string Text() const;
 };
 
+/// Reads faults as fault::Text prints them in brackets: kind, time and length in ms, target.
+std::vector<fault> ReadFaults(const std::string& text);
+
 /// Faults of these kinds at times and targets that follow from the seed.
 fault_schedule MakeSchedule(std::uint64_t seed, const std::vector<fault_kind>& kinds);
 
