Use one type for named counters

Three files had a struct of a counter's name and member. The template of the process counters is now in its own header. agent_core_test, entry_core_test and metrics_test pass; lint is clean.

--- a/src/process/agent/agent_report.cc
+++ b/src/process/agent/agent_report.cc
@@ -4,29 +4,25 @@
 #include <string_view>
 
 #include "berylbarrow/process/agent/agent_core.h"
+#include "process/runtime/named_counter.h"
 
 namespace berylbarrow {
 namespace {
 
-struct named_counter {
-  std::string_view name;
-  std::uint64_t agent_counters::*value;
-};
-
 constexpr std::array kCounters{
-    named_counter{"started", &agent_counters::started},
-    named_counter{"completed", &agent_counters::completed},
-    named_counter{"broken", &agent_counters::broken},
-    named_counter{"not_sent", &agent_counters::not_sent},
-    named_counter{"cancelled", &agent_counters::cancelled},
-    named_counter{"joins", &agent_counters::joins},
-    named_counter{"reattached", &agent_counters::reattached},
-    named_counter{"duplicates", &agent_counters::duplicates},
-    named_counter{"tombstone_hits", &agent_counters::tombstone_hits},
-    named_counter{"held", &agent_counters::held},
-    named_counter{"parts_dropped", &agent_counters::parts_dropped},
-    named_counter{"upstream_deaths", &agent_counters::upstream_deaths},
-    named_counter{"unexpected", &agent_counters::unexpected},
+    named_counter<agent_counters>{"started", &agent_counters::started},
+    named_counter<agent_counters>{"completed", &agent_counters::completed},
+    named_counter<agent_counters>{"broken", &agent_counters::broken},
+    named_counter<agent_counters>{"not_sent", &agent_counters::not_sent},
+    named_counter<agent_counters>{"cancelled", &agent_counters::cancelled},
+    named_counter<agent_counters>{"joins", &agent_counters::joins},
+    named_counter<agent_counters>{"reattached", &agent_counters::reattached},
+    named_counter<agent_counters>{"duplicates", &agent_counters::duplicates},
+    named_counter<agent_counters>{"tombstone_hits", &agent_counters::tombstone_hits},
+    named_counter<agent_counters>{"held", &agent_counters::held},
+    named_counter<agent_counters>{"parts_dropped", &agent_counters::parts_dropped},
+    named_counter<agent_counters>{"upstream_deaths", &agent_counters::upstream_deaths},
+    named_counter<agent_counters>{"unexpected", &agent_counters::unexpected},
 };
 
 const char* CertaintyName(run_certainty certainty) {
@@ -118,7 +114,7 @@
     text << "berylbarrow_agent_refusals_total{reason=\"" << ReasonName(kind.first)
          << "\",outcome=\"" << CertaintyName(kind.second) << "\"} " << count << '\n';
   }
-  for (const named_counter& counter : kCounters) {
+  for (const named_counter<agent_counters>& counter : kCounters) {
     write(std::string(counter.name) + "_total", counters_.*counter.value);
   }
   write("cold_resets_total", limit_->ColdResets());
--- a/src/process/entry/status.cc
+++ b/src/process/entry/status.cc
@@ -7,27 +7,23 @@
 #include <string_view>
 
 #include "berylbarrow/process/membership/member_names.h"
+#include "process/runtime/named_counter.h"
 
 namespace berylbarrow {
 namespace {
 
-struct named_counter {
-  std::string_view name;
-  std::uint64_t entry_counters::*value;
-};
-
 constexpr std::array kCounters{
-    named_counter{"address_responses", &entry_counters::address_responses},
-    named_counter{"attempts", &entry_counters::attempts},
-    named_counter{"retries_refused", &entry_counters::retries_refused},
-    named_counter{"reattachments", &entry_counters::reattachments},
-    named_counter{"resends", &entry_counters::resends},
-    named_counter{"resumptions", &entry_counters::resumptions},
-    named_counter{"parts_dropped", &entry_counters::parts_dropped},
-    named_counter{"unexpected_messages", &entry_counters::unexpected_messages},
-    named_counter{"refused_requests", &entry_counters::refused_requests},
-    named_counter{"refused_keys", &entry_counters::refused_keys},
-    named_counter{"ignored_heartbeats", &entry_counters::ignored_heartbeats},
+    named_counter<entry_counters>{"address_responses", &entry_counters::address_responses},
+    named_counter<entry_counters>{"attempts", &entry_counters::attempts},
+    named_counter<entry_counters>{"retries_refused", &entry_counters::retries_refused},
+    named_counter<entry_counters>{"reattachments", &entry_counters::reattachments},
+    named_counter<entry_counters>{"resends", &entry_counters::resends},
+    named_counter<entry_counters>{"resumptions", &entry_counters::resumptions},
+    named_counter<entry_counters>{"parts_dropped", &entry_counters::parts_dropped},
+    named_counter<entry_counters>{"unexpected_messages", &entry_counters::unexpected_messages},
+    named_counter<entry_counters>{"refused_requests", &entry_counters::refused_requests},
+    named_counter<entry_counters>{"refused_keys", &entry_counters::refused_keys},
+    named_counter<entry_counters>{"ignored_heartbeats", &entry_counters::ignored_heartbeats},
 };
 
 }  // namespace
@@ -75,7 +71,7 @@
 
 nlohmann::json CountersJson(const entry_counters& counters) {
   nlohmann::json result = nlohmann::json::object();
-  for (const named_counter& counter : kCounters) {
+  for (const named_counter<entry_counters>& counter : kCounters) {
     result[std::string(counter.name)] = counters.*counter.value;
   }
   nlohmann::json requests = nlohmann::json::array();
@@ -94,7 +90,7 @@
     out << "berylbarrow_requests_total{service=" << std::quoted(key.first) << ",outcome=\""
         << OutcomeName(key.second) << "\"} " << count << '\n';
   }
-  for (const named_counter& counter : kCounters) {
+  for (const named_counter<entry_counters>& counter : kCounters) {
     out << "# TYPE berylbarrow_" << counter.name << "_total counter\n"
         << "berylbarrow_" << counter.name << "_total " << counters.*counter.value << '\n';
   }
--- a/src/process/runtime/process_counters.cc
+++ b/src/process/runtime/process_counters.cc
@@ -3,15 +3,11 @@
 #include <array>
 #include <string_view>
 
+#include "process/runtime/named_counter.h"
+
 namespace berylbarrow {
 namespace {
 
-template <typename Counters>
-struct named_counter {
-  std::string_view name;
-  std::uint64_t Counters::*value;
-};
-
 template <typename Counters, std::size_t Count>
 std::string Text(const std::string& group, const Counters& counters,
                  const std::array<named_counter<Counters>, Count>& names) {
