Read the instance list only when it has changed

Cause: every process read all records of the instance list every 2 s: 41.5 KB/s at the design size, most of the control traffic that was left after links were bounded (55.2 KB/s for an entry, 48.3 KB/s for an agent).

Longer intervals would let a leaving upstream get work for as long.

Change: reads carry If-None-Match with the entity tag of the last list; 304 means unchanged. The stand-in answers with entity tags.

--- a/benchmarks/capacity/budget.cc
+++ b/benchmarks/capacity/budget.cc
@@ -29,7 +29,9 @@
 constexpr double kPollSeconds = 30;
 constexpr double kInstanceSeconds = 2;
 constexpr double kInstanceBytes = 88;  // one record of the instance list
-constexpr double kHttpBytes = 350;     // headers of a request and its answer
+// An instance that is restarted leaves the list and comes back.
+constexpr double kInstanceChangesPerDay = 2 * kRestartsPerDay;
+constexpr double kHttpBytes = 350;  // headers of a request and its answer
 constexpr double kMaxExecutions = 4096;
 
 constexpr double kMega = 1e6;
@@ -78,9 +80,12 @@
   role.Add("document in force", Text(kChangesPerDay) + " changes a day",
            {.cpu = changes * (s.parse + apply), .wire = changes * s.document_bytes});
   role.Add("poll of the configuration service", "every 30 s", {.wire = kHttpBytes / kPollSeconds});
-  role.Add("instance list", Text(kEntries + kUpstreams) + " records every 2 s",
+  role.Add("instance list",
+           "read every 2 s; " + Text(kEntries + kUpstreams) + " records sent at " +
+               Text(kInstanceChangesPerDay) + " changes a day",
            {.memory = (kEntries + kUpstreams) * 200,
-            .wire = (kHttpBytes + (kEntries + kUpstreams) * kInstanceBytes) / kInstanceSeconds});
+            .wire = kHttpBytes / kInstanceSeconds + (kEntries + kUpstreams) * kInstanceBytes *
+                                                        kInstanceChangesPerDay / kSecondsPerDay});
 }
 
 void AddEntry(table& rows, const slopes& s) {
--- a/src/connection/http/http_get.cc
+++ b/src/connection/http/http_get.cc
@@ -43,6 +43,7 @@
     request_.version(11);
     request_.set(http::field::host, options_.address);
     request_.set(http::field::connection, "close");
+    if (!options_.etag.empty()) request_.set(http::field::if_none_match, options_.etag);
     if (!options_.body.empty()) {
       request_.set(http::field::content_type, "application/json");
       request_.body() = options_.body;
@@ -89,6 +90,7 @@
                        self->Finish({.error = {},
                                      .status = response.result_int(),
                                      .revision = std::string(response["Revision"]),
+                                     .etag = std::string(response[http::field::etag]),
                                      .body = std::move(response.body())});
                      });
   }
--- a/src/connection/http/http_get.h
+++ b/src/connection/http/http_get.h
@@ -20,12 +20,14 @@
   duration timeout = duration::zero();  // for the whole exchange
   std::size_t max_body_bytes = 0;
   std::string body = {};  // makes it a POST if not empty
+  std::string etag = {};  // of the version that the caller has; not sent if empty
 };
 
 struct http_get_reply {
   std::string error;  // why there is no response; empty if there is one
   unsigned status = 0;
   std::string revision;  // value of the header "Revision"
+  std::string etag;      // value of the header "ETag"
   std::string body;
 };
 
--- a/src/connection/http/platform_client.cc
+++ b/src/connection/http/platform_client.cc
@@ -110,6 +110,7 @@
   std::unique_ptr<http_get> configuration_request_;
   std::unique_ptr<http_get> refresh_request_;
   std::unique_ptr<http_get> instance_request_;
+  std::string instances_etag_;  // of the last list passed on
   boost::asio::steady_timer configuration_timer_;
   boost::asio::steady_timer instance_timer_;
   boost::asio::steady_timer sink_timer_;
@@ -196,15 +197,19 @@
 }
 
 void platform_client::impl::ReadInstances() {
-  instance_request_ = std::make_unique<http_get>(
-      context_, Request(options_.instance_list, "/instances", duration::zero()),
-      [this](const http_get_reply& reply) { HandleInstances(reply); });
+  http_get_options request = Request(options_.instance_list, "/instances", duration::zero());
+  request.etag = instances_etag_;
+  instance_request_ =
+      std::make_unique<http_get>(context_, std::move(request),
+                                 [this](const http_get_reply& reply) { HandleInstances(reply); });
 }
 
 void platform_client::impl::HandleInstances(const http_get_reply& reply) {
+  const bool is_unchanged =
+      reply.error.empty() && reply.status == kStatusNotModified && !instances_etag_.empty();
   std::optional<instances_received> list;
   if (reply.error.empty() && reply.status == kStatusOk) list = ParseInstances(reply.body);
-  if (!list) {
+  if (!list && !is_unchanged) {
     ++instance_failures_;
     const duration backoff = Backoff(instance_failures_in_a_row_);
     return Schedule(instance_timer_, std::max(backoff, options_.instance_interval / 2),
@@ -212,7 +217,10 @@
   }
   ++instance_reads_;
   instance_failures_in_a_row_ = 0;
-  Emit(*std::move(list));
+  if (list) {
+    instances_etag_ = reply.etag;
+    Emit(*std::move(list));
+  }
   Schedule(instance_timer_, Jitter(options_.instance_interval), &impl::ReadInstances);
 }
 
--- a/tests/connection/platform_client_test.cc
+++ b/tests/connection/platform_client_test.cc
@@ -44,6 +44,8 @@
   void Up() {
     RunOn(duty_.Context(), [&] { Bind(); });
   }
+  /// Reads of the instance list that were answered without the list.
+  int Unchanged() const { return unchanged_; }
   std::string Address() const { return "127.0.0.1:" + std::to_string(port_); }
   int Requests(const std::string& target) const {
     const std::lock_guard lock(mutex_);
@@ -101,7 +103,13 @@
     return std::stoull(target.substr(target.find("after=") + 6));
   }
   void Answer(const exchange_pointer& state) {
-    if (state->target == "/instances") return Write(state, "200 OK", "", instances_);
+    if (state->target == "/instances") {
+      const std::string etag = '"' + std::to_string(std::hash<std::string>()(instances_)) + '"';
+      const bool is_known = state->input.find("If-None-Match: " + etag) != std::string::npos;
+      unchanged_ += is_known ? 1 : 0;
+      return is_known ? Write(state, "304 Not Modified", "", "")
+                      : Write(state, "200 OK", "ETag: " + etag + "\r\n", instances_);
+    }
     const std::string header = "Revision: " + std::to_string(revision_) + "\r\n";
     if (!stale_ && revision_ <= After(state->target)) {
       return Write(state, "304 Not Modified", header, "");
@@ -123,6 +131,7 @@
   std::string text_;
   std::string instances_ = "[]";
   std::atomic<bool> stale_{false};
+  std::atomic<int> unchanged_{0};
   std::vector<exchange_pointer> waiting_;
   mutable std::mutex mutex_;
   std::vector<std::string> targets_;
@@ -261,5 +270,18 @@
   BOOST_TEST((client.Events<instances_received>()[0].instances == std::vector{expected}));
 }
 
+// Guards against reading the whole list again and again, and against a change that is missed.
+BOOST_AUTO_TEST_CASE(UnchangedInstancesAreNotSentAgain) {
+  platform service;
+  reader client(
+      {.instance_list = service.Address(), .instance_interval = std::chrono::milliseconds(20)});
+  client.Start();
+  BOOST_TEST(WaitFor([&] { return service.Unchanged() >= 3; }));
+  BOOST_TEST(client.Events<instances_received>().size() == 1U);
+  service.SetInstances(R"([{"name":"a","address":"127.0.0.1:1","domain":"d","state":"leaving"}])");
+  BOOST_TEST(WaitFor([&] { return client.Events<instances_received>().size() == 2U; }));
+  BOOST_TEST(client.Counters().instance_failures == 0U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tools/platform/platform.cc
+++ b/tools/platform/platform.cc
@@ -1,5 +1,7 @@
 #include "platform/platform.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -47,7 +49,7 @@
   } else if (path == "/config" && connection->Method() == "GET") {
     OnConfig(connection);
   } else if (path == "/instances" && connection->Method() == "GET") {
-    connection->Reply(200, kJson, instances_);
+    OnInstanceRead(connection);
   } else {
     connection->Reply(404, kJson, ErrorText("no such path"));
   }
@@ -97,6 +99,13 @@
   connection->Reply(200, kJson, "{}");
 }
 
+void platform::OnInstanceRead(const connection_ptr& connection) {
+  const std::string etag =
+      '"' + std::to_string(XXH64(instances_.data(), instances_.size(), 0)) + '"';
+  const bool is_known = connection->Header("If-None-Match") == etag;
+  connection->Reply(is_known ? 304 : 200, kJson, is_known ? "" : instances_, {{"ETag", etag}});
+}
+
 void platform::OnInstances(const connection_ptr& connection) {
   auto text = connection->Request().body();
   if (!nlohmann::json::parse(text, nullptr, false).is_array()) {
--- a/tools/platform/platform.h
+++ b/tools/platform/platform.h
@@ -41,6 +41,7 @@
   void OnAdmin(const connection_ptr& connection);
   void OnFault(const connection_ptr& connection);
   void OnConfig(const connection_ptr& connection);
+  void OnInstanceRead(const connection_ptr& connection);
   void OnInstances(const connection_ptr& connection);
   /// Number of the revision that readers see at present; 0: none.
   std::uint64_t Visible() const;
