Pass on news of upstream deaths from one place, and not without end

Cause: heartbeats and answers were merged into the suspect table by two copies of the same code. The loss of a failure domain under load can fill the table at once.

Change: entry_peers::OnSuspects serves both callers; a counter that displaces another one is stored but is no news. Two comments were wrong or badly broken.

--- a/include/berylbarrow/request/suspect/suspect_table.h
+++ b/include/berylbarrow/request/suspect/suspect_table.h
@@ -35,7 +35,8 @@
   void OnDeath(std::uint64_t fingerprint, std::uint64_t observer, time_point now);
   /// The request ran alone and completed.
   void OnCompletedAlone(std::uint64_t fingerprint);
-  /// Returns whether a death was not known before.
+  /// Returns whether a death was not known before. What displaces another counter is no news: peers
+  /// with full tables would tell each other without end what each has displaced.
   bool Merge(const std::vector<suspect_report>& reports, time_point now);
   /// A non-idempotent suspect is refused from the first death on.
   suspect_verdict Judge(std::uint64_t fingerprint, bool idempotent, time_point now) const;
--- a/src/process/agent/agent_core.cc
+++ b/src/process/agent/agent_core.cc
@@ -178,9 +178,9 @@
   });
 }
 
-/// Addresses of the entries that chose this agent: those that are heard or connected; and of the
-/// other candidates of its group. Heartbeats to
-/// all 340 entries of the planned size would take 115 KB/s of the 9 KB/s that a node may spend.
+/// Addresses of the entries that chose this agent, which are heard or connected, and of the other
+/// candidates of its group. Heartbeats to all 340 entries of the planned size would take 115 KB/s
+/// of the 9 KB/s that a node may spend.
 std::set<std::string> agent_core::HeartbeatTargets() const {
   const auto current = fleet_.Current();
   std::set<std::string> addresses;
--- a/src/process/entry/answers.cc
+++ b/src/process/entry/answers.cc
@@ -48,16 +48,8 @@
   request->head = head;
 }
 
-void entry_requests::OnSuspects(const std::vector<suspect_report>& reports) {
-  // Peers hear of it at once: the caller may send the request again through another entry before
-  // the next regular heartbeat.
-  if (context_.suspects.Merge(reports, context_.Now())) {
-    peers_.SendHeartbeats();
-  }
-}
-
 void entry_requests::OnPart(connection_id connection, const answer_part& part) {
-  OnSuspects(part.suspects);
+  peers_.OnSuspects(part.suspects);
   const auto [request, attempt] = Locate(connection, part.id);
   if (part.end != answer_end::kMore) {
     OnLoad(attempt, part.load);
@@ -146,7 +138,7 @@
 }
 
 void entry_requests::OnRefusal(connection_id connection, const refusal& content) {
-  OnSuspects(content.suspects);
+  peers_.OnSuspects(content.suspects);
   const auto [request, attempt] = Locate(connection, content.id);
   if (request == nullptr || attempt->state == attempt_state::kNotRun) {
     ++context_.counters.unexpected_messages;
--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -169,10 +169,7 @@
     return;
   }
   Apply(context_.fleet.On(event, context_.at));
-  // Passed on at once: an entry whose subset lacks the agent hears of it from other entries only.
-  if (context_.suspects.Merge(event.content.suspects, context_.Now())) {
-    peers_.SendHeartbeats();
-  }
+  peers_.OnSuspects(event.content.suspects);
   const member* known = members.Find(name);
   const bool is_taken = known != nullptr &&
                         known->identity.incarnation == event.content.sender.incarnation &&
--- a/src/process/entry/peers.cc
+++ b/src/process/entry/peers.cc
@@ -127,6 +127,14 @@
   }
 }
 
+void entry_peers::OnSuspects(const std::vector<suspect_report>& reports) {
+  // Passed on at once: the caller may send the request again through another entry, whose subset
+  // lacks the agent, before the next regular heartbeat.
+  if (context_.suspects.Merge(reports, context_.Now())) {
+    SendHeartbeats();
+  }
+}
+
 void entry_peers::SendHeartbeats() {
   heartbeat content = context_.fleet.NextHeartbeat(context_.state);
   context_.suspects.Expire(context_.Now());
--- a/src/process/entry/peers.h
+++ b/src/process/entry/peers.h
@@ -39,6 +39,8 @@
   std::string OnOpened(const peer_opened& event);
   std::string OnClosed(connection_id connection);
   void OnLoad(const std::string& agent);
+  /// Deaths of upstreams that a peer reports in a heartbeat, an answer or a refusal.
+  void OnSuspects(const std::vector<suspect_report>& reports);
   void SendHeartbeats();
   /// Closes links that nothing needs and forgets peers that were silent for long.
   void Sweep();
--- a/src/process/entry/requests.h
+++ b/src/process/entry/requests.h
@@ -161,9 +161,8 @@
                                                      const request_id& id);
   void ScheduleResend(entry_request& request);
   void SendHead(entry_request& request);
-  /// Deaths of upstreams that an agent reports with an answer or refusal.
+  /// Load that an agent reports with an answer or refusal.
   void OnLoad(const request_attempt* attempt, const upstream_load& load);
-  void OnSuspects(const std::vector<suspect_report>& reports);
   void Acknowledge(entry_request& request, bool finished);
 
   entry_context& context_;
--- a/src/request/suspect/suspect_table.cc
+++ b/src/request/suspect/suspect_table.cc
@@ -42,14 +42,16 @@
       continue;
     }
     const key name{report.fingerprint, report.observer};
-    if (!entries_.contains(name)) {
+    const bool is_new = !entries_.contains(name);
+    const bool displaces = is_new && entries_.size() >= kMaxEntries;
+    if (is_new) {
       MakeRoom();
       entries_[name].last_death = now - age;
     }
     entry& item = entries_[name];
     // A repeated report must not renew the age, or peers would keep an entry alive for ever.
     if (report.deaths > item.deaths) {
-      is_news = true;
+      is_news = is_news || !displaces;
       item.last_death = std::max(item.last_death, now - age);
     }
     item.deaths = std::max(item.deaths, report.deaths);
--- a/tests/request/suspect_table_test.cc
+++ b/tests/request/suspect_table_test.cc
@@ -83,5 +83,21 @@
   BOOST_TEST((Judge(2) == suspect_verdict::kAlone));
 }
 
+// Guards against peers with full tables that send each other heartbeats without end, because each
+// passes on at once what the other has displaced.
+BOOST_FIXTURE_TEST_CASE(FullTableHasNoNewsButOfKnownCounters, fixture) {
+  const auto merge = [this](std::uint64_t fingerprint, std::uint32_t deaths) {
+    return table.Merge({{.fingerprint = fingerprint, .deaths = deaths, .observer = kSelf}},
+                       clock.Now());
+  };
+  for (std::uint64_t fingerprint = 1; fingerprint <= suspect_table::kMaxEntries; ++fingerprint) {
+    BOOST_TEST(merge(fingerprint, 1));
+  }
+  BOOST_TEST(!merge(1, 1));
+  BOOST_TEST(merge(1, 2));
+  BOOST_TEST(!merge(1000, 1));
+  BOOST_TEST((Judge(1000) == suspect_verdict::kAlone));
+}
+
 }  // namespace
 }  // namespace berylbarrow
