Add a gateway: an entry that reaches upstreams itself, and the users' platform as its first adapter

Cause: on the users' platform only some upstreams have a process of ours beside them, callers bring no grants, and the store can only be read. The entry and agent pair does not fit there.

Change: routes, accounts and keys as an immutable view, an upstream registry that survives an absent instance list, a board of loads, a waiting line, an event splitter, a crash counter, gossip between gateways, and one-thread relaying; platform/ holds names, formats and calls.

--- /dev/null
+++ b/include/berylbarrow/connection/http/http_server.h
@@ -0,0 +1,103 @@
+#ifndef BERYLBARROW_CONNECTION_HTTP_HTTP_SERVER_H_
+#define BERYLBARROW_CONNECTION_HTTP_HTTP_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "berylbarrow/connection/http/http_parser.h"
+#include "berylbarrow/process/runtime/time.h"
+
+namespace berylbarrow {
+
+struct http_answer {
+  unsigned status = 200;
+  std::string reason;  // empty: the usual one
+  std::vector<header_field> fields;
+  std::string body;
+  bool close = false;  // the connection ends after this answer
+};
+
+/// Where the answer to one request goes. Valid until the answer is complete or `OnCallerGone`.
+class answer_sink {
+ public:
+  virtual ~answer_sink() = default;
+  virtual void SendAnswer(const http_answer& answer) = 0;
+  /// Sends the head of an answer whose body follows in parts.
+  virtual void BeginStream(const http_answer& head) = 0;
+  virtual void SendPart(std::string_view bytes) = 0;
+  virtual void EndStream() = 0;
+  /// Ends the connection so that the caller sees that the answer is not complete.
+  virtual void Abort() = 0;
+};
+
+/// One request while it is being answered.
+class served_request {
+ public:
+  virtual ~served_request() = default;
+  /// The caller has left, or reads nothing. The sink must not be used any more.
+  virtual void OnCallerGone() = 0;
+};
+
+class request_handler {
+ public:
+  virtual ~request_handler() = default;
+  /// A whole request. May answer through `sink` at once and return null.
+  virtual std::shared_ptr<served_request> OnRequest(http_head&& head, std::string&& body,
+                                                    answer_sink& sink) = 0;
+  /// The request could not be read and has been answered with `status`.
+  virtual void OnRejectedRequest(unsigned /*status*/, std::string_view /*reason*/) {}
+};
+
+struct http_server_options {
+  std::uint32_t max_connections = 1024;
+  std::uint32_t max_header_bytes = 16384;
+  std::uint64_t max_body_bytes = 4U << 20U;
+  duration header_timeout = std::chrono::seconds(3);
+  duration idle_timeout = std::chrono::seconds(15);
+  duration silence_limit = std::chrono::seconds(5);      // of unacknowledged bytes
+  std::size_t max_unsent_bytes = std::size_t{1} << 20U;  // a caller that does not read
+};
+
+class http_server_connection;
+
+/// Serves HTTP/1.1 on one address. Runs on the thread of `context`.
+class http_server {
+ public:
+  /// Throws std::runtime_error if the address cannot be used.
+  http_server(boost::asio::io_context& context, const std::string& address,
+              const http_server_options& options, const runtime_clock& clock,
+              request_handler& handler);
+  ~http_server();
+
+  void SetOptions(const http_server_options& options) { options_ = options; }
+  /// From now on each answer ends its connection.
+  void CloseAfterAnswers() { closing_ = true; }
+  void StopListening();
+  /// Ends connections that took too long. Called a few times a second.
+  void CheckTimeouts(time_point now);
+
+  std::size_t ConnectionCount() const { return connections_.size(); }
+
+ private:
+  friend class http_server_connection;
+
+  void Accept();
+  void Remove(http_server_connection& connection);
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  http_server_options options_;
+  const runtime_clock& clock_;
+  request_handler& handler_;
+  bool closing_ = false;
+  std::unordered_set<std::shared_ptr<http_server_connection>> connections_;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_CONNECTION_HTTP_HTTP_SERVER_H_
--- /dev/null
+++ b/include/berylbarrow/connection/http/upstream_link.h
@@ -0,0 +1,108 @@
+#ifndef BERYLBARROW_CONNECTION_HTTP_UPSTREAM_LINK_H_
+#define BERYLBARROW_CONNECTION_HTTP_UPSTREAM_LINK_H_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "berylbarrow/connection/http/http_parser.h"
+#include "berylbarrow/process/runtime/time.h"
+
+namespace berylbarrow {
+
+enum class link_failure : std::uint8_t {
+  kNotSent,   // no byte of the request has left this process
+  kNoAnswer,  // the request may have been read; no byte of an answer came
+  kCutShort,  // the connection broke inside the answer
+  kGarbled,   // the answer is not HTTP
+};
+
+/// Receives the answer to one request. Every call may be the last one; `OnAnswerEnd` and
+/// `OnLinkFailure` always are.
+class exchange_handler {
+ public:
+  virtual ~exchange_handler() = default;
+  /// Returns false to skip this answer, because it belongs to another request.
+  virtual bool OnAnswerHead(const http_head& head) = 0;
+  /// More of the body is in `body`; what the handler takes out is not shown again.
+  virtual void OnAnswerBody(std::string& body) = 0;
+  virtual void OnAnswerEnd(const http_head& head, std::string&& body) = 0;
+  virtual void OnLinkFailure(link_failure failure) = 0;
+};
+
+struct upstream_link_options {
+  std::string address;  // "IP:port"
+  std::uint64_t max_answer_bytes = 8U << 20U;
+  duration connect_timeout = std::chrono::milliseconds(500);
+  duration silence_limit = std::chrono::seconds(3);  // of unacknowledged bytes
+};
+
+/// One connection to an upstream. Serves one request at a time.
+class upstream_link final : public std::enable_shared_from_this<upstream_link> {
+ public:
+  /// `on_idle_end` is called when the connection ends while no request uses it.
+  upstream_link(boost::asio::io_context& context, const upstream_link_options& options,
+                const runtime_clock& clock, std::function<void(upstream_link&)> on_idle_end);
+
+  /// Sends `request` (whole message) and gives the answer to `handler`. Connects first if needed.
+  /// `is_head`: the answer has no body whatever its fields say.
+  void Exchange(std::string request, bool is_head, exchange_handler* handler);
+  /// Ends the connection. The handler is not called any more.
+  void Close();
+  /// Called regularly: gives up a connection attempt that takes too long.
+  void CheckTimeouts(time_point now);
+
+  bool IsOpen() const { return state_ == state::kIdle || state_ == state::kBusy; }
+  bool IsIdle() const { return state_ == state::kIdle; }
+  time_point IdleSince() const { return idle_since_; }
+  /// How long the upstream keeps an idle connection, if it said so.
+  std::optional<duration> KeepAliveHint() const { return keep_alive_; }
+  const std::string& Address() const { return options_.address; }
+  /// Head of the answer that is being read.
+  const http_head& AnswerHead() const { return parser_->Head(); }
+
+ private:
+  enum class state : std::uint8_t { kNew, kConnecting, kIdle, kBusy, kClosed };
+
+  void Connect();
+  void OnConnected(const boost::system::error_code& error);
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t size);
+  void ParseInput();
+  void HandleComplete();
+  void HandleEnd(const boost::system::error_code& error);
+  void BeginParser();
+  void Fail(link_failure failure);
+  void ReadKeepAlive(const http_head& head);
+
+  boost::asio::ip::tcp::socket socket_;
+  upstream_link_options options_;
+  const runtime_clock& clock_;
+  std::function<void(upstream_link&)> on_idle_end_;
+  state state_ = state::kNew;
+  exchange_handler* handler_ = nullptr;
+  std::string output_;
+  std::size_t written_ = 0;
+  bool write_pending_ = false;
+  bool reading_ = false;
+  bool is_head_ = false;
+  bool head_shown_ = false;
+  bool skipping_ = false;
+  std::string input_;
+  std::optional<response_parser> parser_;
+  time_point connect_started_;
+  time_point idle_since_;
+  std::optional<duration> keep_alive_;
+  static constexpr std::size_t kReadBytes = 8192;
+  std::array<char, kReadBytes> buffer_{};
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_CONNECTION_HTTP_UPSTREAM_LINK_H_
--- /dev/null
+++ b/include/berylbarrow/process/membership/fleet_members.h
@@ -0,0 +1,74 @@
+#ifndef BERYLBARROW_PROCESS_MEMBERSHIP_FLEET_MEMBERS_H_
+#define BERYLBARROW_PROCESS_MEMBERSHIP_FLEET_MEMBERS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "berylbarrow/process/membership/fleet_beat.h"
+#include "berylbarrow/process/runtime/time.h"
+
+namespace berylbarrow {
+
+struct fleet_members_options {
+  std::vector<std::string> seeds;  // addresses, stale ones among them
+  /// A member from which nothing was heard for so long is not live.
+  duration lifetime = std::chrono::milliseconds(1500);
+  /// A member that is not live is still told of this process for so long.
+  duration forget_after = std::chrono::seconds(60);
+  /// Seeds from which nothing is heard are asked this often.
+  duration seed_interval = std::chrono::seconds(1);
+  std::size_t hints_per_beat = 6;
+};
+
+/// Which processes of the fleet exist and live, as far as their beats show. Every process that
+/// hears a beat answers with its own, so that two live seeds, or one, are enough to find all.
+class fleet_members {
+ public:
+  fleet_members(const fleet_members_options& options, const fleet_member& self);
+
+  fleet_member& Self() { return self_; }
+  const fleet_member& Self() const { return self_; }
+
+  /// Returns whether the member was not live before.
+  bool OnBeat(const fleet_beat& beat, time_point now);
+  /// Names of members that were live and have not been heard since; each is returned once.
+  std::vector<std::string> TakeLost(time_point now);
+  /// Where to send a beat now. Companions beat to gateways only; gateways to all gateways, and now
+  /// and then to companions, so that these learn of new gateways.
+  std::vector<std::string> Targets(time_point now);
+  /// Some of the members, by turns.
+  std::vector<member_hint> NextHints();
+
+  bool IsLive(const std::string& name, time_point now) const;
+  /// Live gateways, this process included if it is one.
+  std::uint32_t LiveGateways(time_point now) const;
+  /// Callers' addresses of the ready gateways, this one included if it is one: first those of
+  /// `domain`, as long as there are `enough` of them, otherwise all.
+  std::vector<std::string> ReadyAddresses(const std::string& domain, std::size_t enough,
+                                          time_point now) const;
+  std::vector<fleet_member> Live(time_point now) const;
+
+ private:
+  struct known_member {
+    fleet_member member;
+    std::uint64_t sequence = 0;
+    time_point heard = time_point::min();
+    bool was_live = false;
+  };
+
+  void Learn(const member_hint& hint, time_point now);
+
+  fleet_members_options options_;
+  fleet_member self_;
+  std::map<std::string, known_member> members_;  // by name
+  std::map<std::string, time_point> hinted_;     // addresses never heard from
+  time_point next_seeds_ = time_point::min();
+  time_point next_companions_ = time_point::min();
+  std::string last_hint_;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_PROCESS_MEMBERSHIP_FLEET_MEMBERS_H_
--- /dev/null
+++ b/include/berylbarrow/process/membership/upstream_registry.h
@@ -0,0 +1,69 @@
+#ifndef BERYLBARROW_PROCESS_MEMBERSHIP_UPSTREAM_REGISTRY_H_
+#define BERYLBARROW_PROCESS_MEMBERSHIP_UPSTREAM_REGISTRY_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "berylbarrow/process/runtime/time.h"
+
+namespace berylbarrow {
+
+/// What an upstream publishes of itself.
+struct upstream_record {
+  std::string id;
+  std::string service;
+  std::string address;  // "IP:port"
+  std::string domain;
+  std::uint32_t slots = 1;
+  bool leaving = false;
+  duration cold_left = duration::zero();  // when it was published
+  std::uint64_t born = 0;                 // start of the incarnation; 0: unknown
+  auto operator<=>(const upstream_record&) const = default;
+};
+
+struct upstream_registry_options {
+  /// Records that vanished while the instance list was away stay in use for so long after its
+  /// return: live upstreams publish again within that time.
+  duration lapse_grace = std::chrono::milliseconds(1800);
+};
+
+struct known_upstream {
+  upstream_record record;
+  time_point cold_until = time_point::min();
+  std::optional<time_point> missing_since;  // lapsed while the instance list was away
+};
+
+/// The upstreams that may be used, from an instance list that lags and is away at times.
+class upstream_registry {
+ public:
+  explicit upstream_registry(const upstream_registry_options& options) : options_(options) {}
+
+  void Put(const upstream_record& record, time_point now);
+  void Remove(const std::string& id, time_point now);
+  /// The whole list. Upstreams that are not in it are removed.
+  void Replace(const std::vector<upstream_record>& records, time_point now);
+  /// The instance list does not answer.
+  void OnSourceLost();
+  /// It answers again. To be called before what it answers is put in.
+  void OnSourceRegained(time_point now);
+  /// Forgets the lapsed records whose grace is over.
+  void Advance(time_point now);
+
+  const std::map<std::string, known_upstream>& Upstreams() const { return upstreams_; }
+  /// Rises with every change.
+  std::uint64_t Revision() const { return revision_; }
+
+ private:
+  upstream_registry_options options_;
+  std::map<std::string, known_upstream> upstreams_;
+  std::uint64_t revision_ = 0;
+  bool source_lost_ = false;
+  time_point grace_until_ = time_point::min();
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_PROCESS_MEMBERSHIP_UPSTREAM_REGISTRY_H_
--- a/include/berylbarrow/process/settings/settings.h
+++ b/include/berylbarrow/process/settings/settings.h
@@ -20,6 +20,8 @@
   log_level level = log_level::kInfo;
   log_format format = log_format::kText;
   std::map<std::string, log_level> modules;  // overrides `level` for one module
+  /// Events of one module and name that are logged in a second; further ones are counted.
+  std::uint32_t max_events_per_second = 10;
   auto operator<=>(const log_options&) const = default;
 };
 
--- /dev/null
+++ b/src/connection/http/http_parser.cc
@@ -0,0 +1,138 @@
+#include "berylbarrow/connection/http/http_parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+#include <utility>
+
+namespace berylbarrow {
+namespace {
+
+namespace http = boost::beast::http;
+
+std::string ToString(boost::beast::string_view text) { return {text.data(), text.size()}; }
+
+}  // namespace
+
+bool EqualNames(std::string_view left, std::string_view right) {
+  return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
+}
+
+std::string_view http_head::Find(std::string_view name) const {
+  for (const header_field& each : fields) {
+    if (EqualNames(each.name, name)) return each.value;
+  }
+  return {};
+}
+
+bool http_head::Has(std::string_view name) const { return Count(name) > 0; }
+
+std::size_t http_head::Count(std::string_view name) const {
+  return static_cast<std::size_t>(
+      std::count_if(fields.begin(), fields.end(),
+                    [&](const header_field& each) { return EqualNames(each.name, name); }));
+}
+
+template <bool IsRequest>
+http_parser<IsRequest>::http_parser(const limits& limits) {
+  base::eager(true);
+  base::header_limit(limits.header_bytes);
+  base::body_limit(limits.body_bytes);
+}
+
+template <bool IsRequest>
+parse_state http_parser<IsRequest>::Parse(std::string& input) {
+  std::size_t used = 0;
+  parse_state state = parse_state::kNeedMore;
+  while (used < input.size() && state == parse_state::kNeedMore) {
+    started_ = true;
+    error_code error;
+    const std::size_t parsed =
+        base::put(boost::asio::buffer(input.data() + used, input.size() - used), error);
+    used += parsed;
+    if (error == http::error::need_more) break;
+    if (error) state = Fail(error);
+    if (!error && base::is_done()) state = parse_state::kComplete;
+    if (!error && parsed == 0) break;
+  }
+  input.erase(0, used);
+  // A body of length zero is complete with the head.
+  if (state == parse_state::kNeedMore && base::is_done()) state = parse_state::kComplete;
+  return state;
+}
+
+template <bool IsRequest>
+parse_state http_parser<IsRequest>::ParseEnd() {
+  if (!head_complete_) return parse_state::kFailed;
+  error_code error;
+  base::put_eof(error);
+  if (error) return Fail(error);
+  return base::is_done() ? parse_state::kComplete : parse_state::kFailed;
+}
+
+template <bool IsRequest>
+parse_state http_parser<IsRequest>::Fail(const error_code& error) {
+  body_too_large_ = error == http::error::body_limit;
+  header_too_large_ = error == http::error::header_limit;
+  return parse_state::kFailed;
+}
+
+template <bool IsRequest>
+void http_parser<IsRequest>::on_request_impl(http::verb /*verb*/, text method, text target,
+                                             int version, error_code& /*error*/) {
+  head_.method = ToString(method);
+  head_.target = ToString(target);
+  head_.version = static_cast<unsigned>(version);
+}
+
+template <bool IsRequest>
+void http_parser<IsRequest>::on_response_impl(int code, text reason, int version,
+                                              error_code& /*error*/) {
+  head_.status = static_cast<unsigned>(code);
+  head_.reason = ToString(reason);
+  head_.version = static_cast<unsigned>(version);
+}
+
+template <bool IsRequest>
+void http_parser<IsRequest>::on_field_impl(http::field /*field*/, text name, text value,
+                                           error_code& /*error*/) {
+  // Fields of a chunked trailer come after the head and are dropped.
+  if (!head_complete_) head_.fields.push_back({ToString(name), ToString(value)});
+}
+
+template <bool IsRequest>
+void http_parser<IsRequest>::on_header_impl(error_code& /*error*/) {
+  head_complete_ = true;
+}
+
+template <bool IsRequest>
+void http_parser<IsRequest>::on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                                               error_code& /*error*/) {
+  has_body_length_ = length.has_value();
+}
+
+template <bool IsRequest>
+std::size_t http_parser<IsRequest>::on_body_impl(text body, error_code& /*error*/) {
+  body_.append(body.data(), body.size());
+  return body.size();
+}
+
+template <bool IsRequest>
+void http_parser<IsRequest>::on_chunk_header_impl(std::uint64_t /*size*/, text /*extensions*/,
+                                                  error_code& /*error*/) {}
+
+template <bool IsRequest>
+std::size_t http_parser<IsRequest>::on_chunk_body_impl(std::uint64_t /*remain*/, text body,
+                                                       error_code& /*error*/) {
+  body_.append(body.data(), body.size());
+  return body.size();
+}
+
+template <bool IsRequest>
+void http_parser<IsRequest>::on_finish_impl(error_code& /*error*/) {}
+
+template class http_parser<true>;
+template class http_parser<false>;
+
+}  // namespace berylbarrow
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,4 +1,5 @@
 #include <chrono>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <exception>
 #include <fstream>
@@ -16,10 +17,13 @@
 #include "berylbarrow/process/cli/check.h"
 #include "berylbarrow/process/entry/entry_core.h"
 #include "berylbarrow/process/entry/run_entry.h"
+#include "berylbarrow/process/gateway/gateway.h"
+#include "berylbarrow/process/gateway/gateway_settings.h"
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/process/settings/settings.h"
 #include "berylbarrow/process/telemetry/log.h"
 #include "berylbarrow/version/configuration/document_parser.h"
+#include "platform/platform.h"
 #include "process/cli/show.h"
 
 namespace berylbarrow {
@@ -29,12 +33,15 @@
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
 
+constexpr const char* kSettingsVariable = "BERYLBARROW_SETTINGS";
+
 constexpr const char* kUsage =
     R"(berylbarrow moves live model serving between failure domains.
 
 Usage:
   berylbarrow entry SETTINGS            run an entry
   berylbarrow agent SETTINGS            run the agent of one upstream
+  berylbarrow gateway [SETTINGS]        run an entry that reaches the upstreams itself
   berylbarrow check FILE                check settings or a published document
   berylbarrow state ADDRESS             print the state of a process
   berylbarrow status ADDRESS [--table]  print the fleet as one entry sees it
@@ -53,6 +60,8 @@
   std::string summary;
   std::string notes;  // examples and exit codes
   bool has_table = false;
+  const char* default_variable =
+      nullptr;  // of the environment; holds the argument if none is given
   int (*run)(const std::string& argument, bool table);
 };
 
@@ -66,10 +75,10 @@
           .generation = static_cast<std::uint64_t>(clock.WallNow().time_since_epoch().count())};
 }
 
-/// Prints what is wrong with the settings on standard error. `exit_code` is set if there is no
-/// value.
-std::optional<process_settings> ReadSettings(process_role role, const std::string& path,
-                                             int& exit_code) {
+/// Reads settings with `parse`(text, path). Prints what is wrong with them on standard error;
+/// `exit_code` is set if there is no value.
+template <typename Settings, typename Parse>
+std::optional<Settings> ReadSettings(const std::string& path, int& exit_code, Parse parse) {
   std::ifstream file(path);
   const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
   if (!file.is_open() || file.bad()) {
@@ -77,7 +86,7 @@
     exit_code = kExitUsage;
     return std::nullopt;
   }
-  checked<process_settings> settings = ParseSettings(role, text, path);
+  checked<Settings> settings = parse(text, path);
   if (settings) return std::move(settings.value());
   for (const finding& each : settings.error()) {
     std::cerr << each.file << ":" << each.line << ":" << each.column << ": " << each.message
@@ -87,9 +96,17 @@
   return std::nullopt;
 }
 
+std::optional<process_settings> ReadProcessSettings(process_role role, const std::string& path,
+                                                    int& exit_code) {
+  return ReadSettings<process_settings>(path, exit_code,
+                                        [role](const std::string& text, const std::string& file) {
+                                          return ParseSettings(role, text, file);
+                                        });
+}
+
 int RunEntryCommand(const std::string& path, bool /*table*/) {
   int exit_code = kExitOk;
-  const auto settings = ReadSettings(process_role::kEntry, path, exit_code);
+  const auto settings = ReadProcessSettings(process_role::kEntry, path, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
   logger::Configure(settings->log, settings->name, settings->domain, clock);
@@ -105,7 +122,7 @@
 
 int RunAgentCommand(const std::string& path, bool /*table*/) {
   int exit_code = kExitOk;
-  const auto settings = ReadSettings(process_role::kAgent, path, exit_code);
+  const auto settings = ReadProcessSettings(process_role::kAgent, path, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
   logger::Configure(settings->log, settings->name, settings->domain, clock);
@@ -120,6 +137,15 @@
   return RunAgent(*settings, std::move(core), clock, identity);
 }
 
+int RunGatewayCommand(const std::string& path, bool /*table*/) {
+  int exit_code = kExitOk;
+  const auto settings = ReadSettings<gateway_settings>(path, exit_code, ParseGatewaySettings);
+  if (!settings) return exit_code;
+  const system_clock clock;
+  logger::Configure(settings->log, settings->name, settings->domain, clock);
+  return RunGateway(*settings, platform::MakeGatewayPlatform(*settings, clock), clock);
+}
+
 int RunCheckCommand(const std::string& path, bool /*table*/) {
   return RunCheck(path, std::cout, std::cerr);
 }
@@ -157,6 +183,15 @@
        .notes = "Example:\n  berylbarrow agent agent-1.yaml\n\n" + run_codes,
        .has_table = false,
        .run = RunAgentCommand},
+      {.name = "gateway",
+       .argument = "SETTINGS",
+       .summary = "Runs an entry that reaches the upstreams itself, with the YAML settings in "
+                  "SETTINGS or in the file that " +
+                  std::string(kSettingsVariable) + " names.",
+       .notes = "Example:\n  berylbarrow gateway gateway-1.yaml\n\n" + run_codes,
+       .has_table = false,
+       .default_variable = kSettingsVariable,
+       .run = RunGatewayCommand},
       {.name = "check",
        .argument = "FILE",
        .summary = "Checks the settings of a process or a published document and prints every "
@@ -203,8 +238,11 @@
       return kExitOk;
     }
     const bool given = parsed.count("argument") > 0;
-    const auto arguments =
+    auto arguments =
         given ? parsed["argument"].as<std::vector<std::string>>() : std::vector<std::string>();
+    const char* const fallback =
+        chosen.default_variable == nullptr ? nullptr : std::getenv(chosen.default_variable);
+    if (arguments.empty() && fallback != nullptr) arguments.emplace_back(fallback);
     if (arguments.size() != 1) {
       return UsageError("\"" + chosen.name + "\" needs exactly one " + chosen.argument);
     }
--- /dev/null
+++ b/src/process/gateway/gateway_settings.cc
@@ -0,0 +1,144 @@
+#include "berylbarrow/process/gateway/gateway_settings.h"
+
+#include <optional>
+#include <utility>
+
+#include "process/runtime/map_reader.h"
+#include "process/runtime/scalar_format.h"
+#include "process/runtime/yaml_tree.h"
+
+namespace berylbarrow {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Reads the sections that gateways and companions have in common.
+class section_reader {
+ public:
+  section_reader(const yaml_node& root, finding_list& found)
+      : file_(root, "the settings file", found), found_(found) {}
+
+  std::optional<map_reader> Section(std::string_view key, need needed) {
+    const yaml_node* node = file_.FindMap(key, needed);
+    if (node == nullptr) return std::nullopt;
+    return std::optional<map_reader>(std::in_place, *node, std::string(key), found_);
+  }
+
+  void ReadProcess(std::string& name, std::string& domain) {
+    auto section = Section("process", need::kRequired);
+    if (!section) return;
+    section->ReadName("name", name, need::kRequired);
+    section->ReadName("domain", domain, need::kRequired);
+    section->RefuseOtherKeys();
+  }
+
+  void ReadSeeds(std::vector<std::string>& seeds) {
+    for (const placed_text& seed : file_.ReadTexts("seeds")) {
+      if (auto address = ReadAddress(seed.text)) {
+        seeds.push_back(*std::move(address));
+        continue;
+      }
+      file_.Report(seed.at, "has the item " + Quote(seed.text) +
+                                " in seeds, which is not an IP address and port such as "
+                                "10.0.0.1:7000");
+    }
+  }
+
+  void ReadLog(log_options& log) {
+    auto section = Section("log", need::kOptional);
+    if (!section) return;
+    section->ReadChoice("level", {"debug", "info", "warning", "error"}, log.level);
+    section->ReadChoice("format", {"text", "json"}, log.format);
+    section->ReadCount("max_events_per_second", log.max_events_per_second, {1, 100'000});
+    section->RefuseOtherKeys();
+  }
+
+  void Finish() { file_.RefuseOtherKeys(); }
+
+ private:
+  map_reader file_;
+  finding_list& found_;
+};
+
+void ReadBounds(map_reader& section, gateway_bounds& bounds) {
+  section.ReadTime("shutdown_grace", bounds.shutdown_grace,
+                   {milliseconds(500), std::chrono::minutes(10)});
+  section.ReadTime("key_lifetime", bounds.key_lifetime, {milliseconds(500), std::chrono::hours(1)});
+  section.ReadFlag("strict_keys", bounds.strict_keys);
+  section.ReadTime("retry_window", bounds.retry_window,
+                   {milliseconds(100), std::chrono::minutes(10)});
+  section.ReadShare("retry_share", bounds.retry_share);
+  section.ReadCount("retry_slack", bounds.retry_slack, {0, 1'000'000});
+  section.ReadTime("address_lifetime", bounds.address_lifetime,
+                   {milliseconds(100), std::chrono::minutes(1)});
+  section.ReadTime("stall", bounds.stall, {milliseconds(10), std::chrono::minutes(1)});
+  section.RefuseOtherKeys();
+}
+
+gateway_settings ReadGateway(const yaml_node& root, finding_list& found) {
+  gateway_settings settings;
+  section_reader file(root, found);
+  file.ReadProcess(settings.name, settings.domain);
+  if (auto listen = file.Section("listen", need::kRequired)) {
+    listen->ReadAddress("callers", settings.callers_address, need::kRequired);
+    listen->ReadAddress("readiness", settings.readiness_address, need::kRequired);
+    listen->ReadAddress("directory", settings.directory_address, need::kRequired);
+    listen->ReadAddress("peers", settings.peers_address, need::kRequired);
+    listen->ReadAddress("metrics", settings.metrics_address, need::kOptional);
+    listen->RefuseOtherKeys();
+  }
+  if (auto store = file.Section("store", need::kRequired)) {
+    store->ReadAddress("address", settings.store_address, need::kRequired);
+    store->RefuseOtherKeys();
+  }
+  if (auto bounds = file.Section("bounds", need::kOptional)) ReadBounds(*bounds, settings.bounds);
+  if (auto limits = file.Section("limits", need::kOptional)) {
+    limits->ReadCount("max_connections", settings.max_connections, {1, 65'535});
+    limits->RefuseOtherKeys();
+  }
+  file.ReadSeeds(settings.seeds);
+  file.ReadLog(settings.log);
+  file.Finish();
+  return settings;
+}
+
+companion_settings ReadCompanion(const yaml_node& root, finding_list& found) {
+  companion_settings settings;
+  section_reader file(root, found);
+  file.ReadProcess(settings.name, settings.domain);
+  if (auto listen = file.Section("listen", need::kRequired)) {
+    listen->ReadAddress("peers", settings.peers_address, need::kRequired);
+    listen->ReadAddress("metrics", settings.metrics_address, need::kOptional);
+    listen->RefuseOtherKeys();
+  }
+  if (auto upstream = file.Section("upstream", need::kRequired)) {
+    upstream->ReadAddress("address", settings.upstream_address, need::kRequired);
+    upstream->RefuseOtherKeys();
+  }
+  file.ReadSeeds(settings.seeds);
+  file.ReadLog(settings.log);
+  file.Finish();
+  return settings;
+}
+
+template <typename Settings>
+checked<Settings> ParseWith(Settings (*read)(const yaml_node&, finding_list&),
+                            std::string_view text, std::string_view file) {
+  finding_list found(file);
+  Settings settings;
+  if (const auto root = LoadYaml(text, found)) settings = read(*root, found);
+  if (!found.Empty()) return std::move(found).Take();
+  return settings;
+}
+
+}  // namespace
+
+checked<gateway_settings> ParseGatewaySettings(std::string_view text, std::string_view file) {
+  return ParseWith(ReadGateway, text, file);
+}
+
+checked<companion_settings> ParseCompanionSettings(std::string_view text, std::string_view file) {
+  return ParseWith(ReadCompanion, text, file);
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/process/gateway/link_pool.cc
@@ -0,0 +1,75 @@
+#include "process/gateway/link_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace berylbarrow {
+
+bool link_pool::IsExpired(const upstream_link& link, time_point now) const {
+  // Half of the time that the upstream names, so that the link is not closed while it is taken.
+  const duration limit = link.KeepAliveHint() ? *link.KeepAliveHint() / 2 : options_.idle_lifetime;
+  return now - link.IdleSince() > limit;
+}
+
+std::shared_ptr<upstream_link> link_pool::Take(const std::string& upstream_id,
+                                               const std::string& address, bool must_be_fresh) {
+  const time_point now = clock_.Now();
+  links& idle = idle_[upstream_id];
+  while (!idle.empty()) {
+    std::shared_ptr<upstream_link> link = std::move(idle.back());
+    idle.pop_back();
+    const bool fresh = !must_be_fresh || now - link->IdleSince() <= options_.fresh_for;
+    if (link->IsIdle() && link->Address() == address && !IsExpired(*link, now) && fresh) {
+      busy_.insert(link);
+      return link;
+    }
+    link->Close();
+  }
+  ++connects_;
+  upstream_link_options options = options_.link;
+  options.address = address;
+  auto link = std::make_shared<upstream_link>(
+      context_, options, clock_, [this, upstream_id](upstream_link& ended) {
+        links& all = idle_[upstream_id];
+        all.erase(std::remove_if(all.begin(), all.end(),
+                                 [&](const auto& each) { return each.get() == &ended; }),
+                  all.end());
+      });
+  busy_.insert(link);
+  return link;
+}
+
+void link_pool::Return(const std::string& upstream_id, const std::shared_ptr<upstream_link>& link) {
+  busy_.erase(link);
+  if (!link->IsIdle()) return;
+  links& idle = idle_[upstream_id];
+  if (idle.size() >= options_.max_idle_per_upstream) {
+    idle.front()->Close();
+    idle.erase(idle.begin());
+  }
+  idle.push_back(link);
+}
+
+void link_pool::CheckTimeouts(time_point now) {
+  const links busy(busy_.begin(), busy_.end());
+  for (const auto& link : busy) link->CheckTimeouts(now);
+  for (auto each = idle_.begin(); each != idle_.end();) {
+    links& idle = each->second;
+    const auto expired = std::remove_if(idle.begin(), idle.end(), [&](const auto& link) {
+      if (!IsExpired(*link, now)) return false;
+      link->Close();
+      return true;
+    });
+    idle.erase(expired, idle.end());
+    each = idle.empty() ? idle_.erase(each) : std::next(each);
+  }
+}
+
+void link_pool::Forget(const std::string& upstream_id) {
+  const auto found = idle_.find(upstream_id);
+  if (found == idle_.end()) return;
+  for (const auto& link : found->second) link->Close();
+  idle_.erase(found);
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/process/gateway/relay_context.h
@@ -0,0 +1,51 @@
+#ifndef BERYLBARROW_SRC_PROCESS_GATEWAY_RELAY_CONTEXT_H_
+#define BERYLBARROW_SRC_PROCESS_GATEWAY_RELAY_CONTEXT_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "berylbarrow/connection/http/exchange_dialect.h"
+#include "berylbarrow/process/gateway/gateway_settings.h"
+#include "berylbarrow/process/telemetry/metrics.h"
+#include "berylbarrow/request/admission/waiting_line.h"
+#include "berylbarrow/request/dispatch/upstream_board.h"
+#include "berylbarrow/request/routing/retry_budget.h"
+#include "berylbarrow/request/suspect/crash_counter.h"
+#include "process/gateway/link_pool.h"
+
+namespace berylbarrow {
+
+class relayed_request;
+
+/// What the requests of a gateway share. On one thread.
+struct relay_context {
+  const gateway_settings& settings;
+  const exchange_dialect& dialect;
+  const runtime_clock& clock;
+  upstream_board& board;
+  link_pool& links;
+  crash_counter& crashes;
+  metrics& counts;
+  std::mt19937_64& random;
+  /// Retries of one service, this gateway's part.
+  std::map<std::string, retry_budget>& budgets;
+
+  double Draw() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
+};
+
+/// How requests reach the gateway that holds them.
+class relay_host {
+ public:
+  virtual ~relay_host() = default;
+  /// A place may have come free at the service.
+  virtual void OnPlaceFree(const std::string& service) = 0;
+  /// The request has its final answer and is forgotten.
+  virtual void OnRelayDone(waiting_id id) = 0;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_SRC_PROCESS_GATEWAY_RELAY_CONTEXT_H_
--- /dev/null
+++ b/src/process/membership/fleet_members.cc
@@ -0,0 +1,134 @@
+#include "berylbarrow/process/membership/fleet_members.h"
+
+#include <algorithm>
+#include <set>
+
+namespace berylbarrow {
+namespace {
+
+constexpr duration kCompanionInterval = std::chrono::seconds(2);
+constexpr duration kHintLifetime = std::chrono::seconds(10);
+
+}  // namespace
+
+fleet_members::fleet_members(const fleet_members_options& options, const fleet_member& self)
+    : options_(options), self_(self) {}
+
+void fleet_members::Learn(const member_hint& hint, time_point now) {
+  if (hint.name == self_.name || members_.count(hint.name) > 0) return;
+  if (hint.role == member_role::kGateway || self_.role == member_role::kGateway) {
+    hinted_.emplace(hint.peers_address, now);
+  }
+}
+
+bool fleet_members::OnBeat(const fleet_beat& beat, time_point now) {
+  if (beat.self.name == self_.name) return false;
+  known_member& known = members_[beat.self.name];
+  const bool same_run = known.member.incarnation == beat.self.incarnation;
+  // A datagram that was overtaken by a newer one.
+  if (same_run && beat.sequence <= known.sequence && known.heard != time_point::min()) return false;
+  const bool is_new =
+      known.heard == time_point::min() || now - known.heard > options_.lifetime || !same_run;
+  known = {.member = beat.self, .sequence = beat.sequence, .heard = now, .was_live = true};
+  hinted_.erase(beat.self.peers_address);
+  for (const member_hint& hint : beat.hints) Learn(hint, now);
+  return is_new;
+}
+
+std::vector<std::string> fleet_members::TakeLost(time_point now) {
+  std::vector<std::string> lost;
+  for (auto& [name, known] : members_) {
+    if (!known.was_live || now - known.heard <= options_.lifetime) continue;
+    known.was_live = false;
+    lost.push_back(name);
+  }
+  return lost;
+}
+
+std::vector<std::string> fleet_members::Targets(time_point now) {
+  std::set<std::string> targets;
+  const bool tell_companions = self_.role == member_role::kGateway && now >= next_companions_;
+  if (tell_companions) next_companions_ = now + kCompanionInterval;
+  for (auto each = members_.begin(); each != members_.end();) {
+    const known_member& known = each->second;
+    if (now - known.heard > options_.forget_after) {
+      each = members_.erase(each);
+      continue;
+    }
+    if (known.member.role == member_role::kGateway || tell_companions) {
+      targets.insert(known.member.peers_address);
+    }
+    ++each;
+  }
+  for (auto each = hinted_.begin(); each != hinted_.end();) {
+    if (now - each->second > kHintLifetime) {
+      each = hinted_.erase(each);
+      continue;
+    }
+    targets.insert(each->first);
+    ++each;
+  }
+  if (now >= next_seeds_) {
+    next_seeds_ = now + options_.seed_interval;
+    targets.insert(options_.seeds.begin(), options_.seeds.end());
+  }
+  targets.erase(self_.peers_address);
+  return {targets.begin(), targets.end()};
+}
+
+std::vector<member_hint> fleet_members::NextHints() {
+  std::vector<member_hint> hints;
+  auto each = members_.upper_bound(last_hint_);
+  for (std::size_t i = 0; i < members_.size() && hints.size() < options_.hints_per_beat; ++i) {
+    if (each == members_.end()) each = members_.begin();
+    if (each->second.was_live) {
+      const fleet_member& member = each->second.member;
+      hints.push_back(
+          {.name = member.name, .role = member.role, .peers_address = member.peers_address});
+    }
+    last_hint_ = each->first;
+    ++each;
+  }
+  return hints;
+}
+
+bool fleet_members::IsLive(const std::string& name, time_point now) const {
+  const auto found = members_.find(name);
+  return found != members_.end() && found->second.heard != time_point::min() &&
+         now - found->second.heard <= options_.lifetime;
+}
+
+std::vector<fleet_member> fleet_members::Live(time_point now) const {
+  std::vector<fleet_member> live;
+  for (const auto& [name, known] : members_) {
+    if (now - known.heard <= options_.lifetime) live.push_back(known.member);
+  }
+  return live;
+}
+
+std::uint32_t fleet_members::LiveGateways(time_point now) const {
+  std::uint32_t count = self_.role == member_role::kGateway ? 1 : 0;
+  for (const auto& [name, known] : members_) {
+    const bool live = now - known.heard <= options_.lifetime;
+    if (live && known.member.role == member_role::kGateway) ++count;
+  }
+  return count;
+}
+
+std::vector<std::string> fleet_members::ReadyAddresses(const std::string& domain,
+                                                       std::size_t enough, time_point now) const {
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  const auto add = [&](const fleet_member& member) {
+    if (member.role != member_role::kGateway || !member.ready) return;
+    (member.domain == domain ? near : far).push_back(member.callers_address);
+  };
+  add(self_);
+  for (const auto& [name, known] : members_) {
+    if (now - known.heard <= options_.lifetime) add(known.member);
+  }
+  if (near.size() < enough) near.insert(near.end(), far.begin(), far.end());
+  return near;
+}
+
+}  // namespace berylbarrow
--- a/src/process/telemetry/log.cc
+++ b/src/process/telemetry/log.cc
@@ -16,7 +16,6 @@
 namespace berylbarrow {
 namespace {
 
-constexpr std::uint32_t kMaxEventsPerWindow = 10;
 constexpr auto kWindow = std::chrono::seconds(1);
 constexpr std::array<const char*, 4> kLevelNames{"DEBUG", "INFO", "WARNING", "ERROR"};
 
@@ -94,7 +93,7 @@
       window.start = now;
       window.logged = 0;
     }
-    if (window.logged >= kMaxEventsPerWindow) {
+    if (window.logged >= options_.max_events_per_second) {
       ++window.suppressed;
       return;
     }
--- /dev/null
+++ b/src/request/dispatch/upstream_board.cc
@@ -0,0 +1,302 @@
+#include "berylbarrow/request/dispatch/upstream_board.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace berylbarrow {
+namespace {
+
+constexpr double kLatencyWeight = 0.15;   // of the newest answer in the moving average
+constexpr double kFailurePenalty = 0.35;  // in slots, per recent failure
+
+double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
+
+}  // namespace
+
+std::uint32_t UpstreamHash(const std::string& id) {
+  return static_cast<std::uint32_t>(XXH64(id.data(), id.size(), 0));
+}
+
+void upstream_board::SetUpstreams(const upstream_registry& registry, const routing_view* view,
+                                  time_point now) {
+  for (auto each = upstreams_.begin(); each != upstreams_.end();) {
+    const bool listed = registry.Upstreams().count(each->first) > 0;
+    each = listed ? std::next(each) : upstreams_.erase(each);
+  }
+  for (const auto& [id, known] : registry.Upstreams()) {
+    upstream_state& state = upstreams_[id];
+    if (state.record.born != known.record.born) {
+      state.failures = 0;
+      state.failures_in_row = 0;
+      state.blocked_until = time_point::min();
+    }
+    if (state.record.address != known.record.address) state.blocked_until = time_point::min();
+    state.record = known.record;
+    state.cold_until = std::max(state.cold_until, known.cold_until);
+    if (known.record.cold_left <= duration::zero() && known.cold_until <= now &&
+        state.cold_until < now + state.cold_start) {
+      state.cold_until = std::min(state.cold_until, known.cold_until);
+    }
+    const service_profile* profile =
+        view == nullptr ? nullptr : view->FindService(known.record.service);
+    if (profile == nullptr) continue;
+    state.engine = profile->engine;
+    state.cold_start = profile->cold_start;
+    state.cold_per_second = profile->cold_requests_per_second;
+  }
+}
+
+void upstream_board::SetEvacuated(const std::set<std::string>& domains, time_point now) {
+  for (auto& [id, state] : upstreams_) {
+    const bool returns =
+        evacuated_.count(state.record.domain) > 0 && domains.count(state.record.domain) == 0;
+    // Nothing ran there for a while, so the upstreams may have turned cold.
+    if (returns) state.cold_until = std::max(state.cold_until, now + state.cold_start);
+  }
+  evacuated_ = domains;
+}
+
+std::uint32_t upstream_board::Load(const upstream_state& state, time_point now) const {
+  const std::uint32_t hash = UpstreamHash(state.record.id);
+  std::uint32_t load = state.in_flight;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.at > options_.peer_load_lifetime) continue;
+    const auto found = peer.in_flight.find(hash);
+    if (found != peer.in_flight.end()) load += found->second;
+  }
+  return load;
+}
+
+std::uint32_t upstream_board::Capacity(const upstream_state& state) const {
+  const std::uint32_t slots = std::max(1U, state.record.slots);
+  if (state.engine) return slots + options_.engine_ahead;
+  return slots + static_cast<std::uint32_t>(slots * options_.plain_queue_per_slot);
+}
+
+bool upstream_board::IsUsable(const upstream_state& state, const dispatch_query& query) const {
+  return state.record.service == query.service && !state.record.leaving &&
+         evacuated_.count(state.record.domain) == 0 && query.excluded.count(state.record.id) == 0;
+}
+
+bool upstream_board::IsGroupOpen(const upstream_state& state, time_point now) const {
+  const bool fresh = state.report && now - state.reported_at <= options_.report_lifetime;
+  return !fresh || state.report->open;
+}
+
+double upstream_board::ColdTokens(const upstream_state& state, time_point now) const {
+  const double rate = state.cold_per_second * options_.cold_margin / entries_;
+  const double burst = std::max(1.0, rate / 4);
+  if (state.cold_tokens_at == time_point::min()) return burst;
+  return std::min(burst, state.cold_tokens + rate * Seconds(now - state.cold_tokens_at));
+}
+
+bool upstream_board::HasColdRoom(const upstream_state& state, time_point now) const {
+  if (now >= state.cold_until || state.cold_per_second <= 0) return true;
+  return ColdTokens(state, now) >= 1;
+}
+
+double upstream_board::FailureScore(const upstream_state& state, time_point now) const {
+  if (state.failures <= 0) return 0;
+  const double halves = Seconds(now - state.failures_at) / Seconds(options_.failure_half_life);
+  return state.failures * std::exp2(-halves);
+}
+
+double upstream_board::PassTime(const upstream_state& state, double requests) const {
+  const engine_profile& engine = *state.engine;
+  const double context_k = (engine.usual_prompt + engine.usual_answer / 2.0) / 1000.0;
+  const double step =
+      engine.step_ms + requests * (engine.per_sequence_ms + engine.per_context_k_ms * context_k);
+  const double pace = state.report ? std::max(0.5, state.report->pace) : 1.0;
+  return pace * engine.stride * step;
+}
+
+upstream_board::group_loads upstream_board::GroupLoads(const std::string& service,
+                                                       time_point now) const {
+  group_loads groups;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.record.service != service || !state.engine || !state.report) continue;
+    if (state.report->group.empty()) continue;
+    double& slowest = groups[state.report->group];
+    slowest = std::max(slowest, PassTime(state, Load(state, now)));
+  }
+  return groups;
+}
+
+double upstream_board::Score(const upstream_state& state, const dispatch_query& query,
+                             const group_loads& groups, time_point now) const {
+  const double slots = std::max(1U, state.record.slots);
+  const double load = Load(state, now) + 1.0;
+  double score = load / slots;
+  if (state.engine) {
+    double pass = PassTime(state, load);
+    if (state.report) {
+      const auto group = groups.find(state.report->group);
+      if (group != groups.end()) pass = std::max(pass, group->second);
+    }
+    score = 0.5 * score + 0.5 * pass / std::max(1.0, PassTime(state, slots));
+  } else if (state.latency_ms > 0) {
+    score = load * state.latency_ms / 1000.0;
+  }
+  const bool is_remote = state.record.domain != query.domain;
+  const double unit = state.engine || state.latency_ms <= 0 ? 1.0 : state.latency_ms / 1000.0 * 4;
+  score += unit * ((is_remote ? options_.remote_penalty : 0.0) +
+                   kFailurePenalty * FailureScore(state, now));
+  return score;
+}
+
+dispatch_choice upstream_board::Choose(const dispatch_query& query, time_point now) const {
+  const group_loads groups = GroupLoads(query.service, now);
+  dispatch_choice choice;
+  const upstream_state* best = nullptr;
+  const upstream_state* least_blocked = nullptr;
+  double best_score = 0;
+  double spread = query.draw;
+  for (const auto& [id, state] : upstreams_) {
+    if (!IsUsable(state, query)) continue;
+    const std::uint32_t load = Load(state, now);
+    if (load >= Capacity(state)) {
+      choice.obstacle = dispatch_obstacle::kAllBusy;
+      continue;
+    }
+    if (!HasColdRoom(state, now)) {
+      choice.obstacle = std::max(choice.obstacle, dispatch_obstacle::kColdLimit);
+      continue;
+    }
+    if (now < state.blocked_until || !IsGroupOpen(state, now)) {
+      if (least_blocked == nullptr || state.blocked_until < least_blocked->blocked_until) {
+        least_blocked = &state;
+      }
+      continue;
+    }
+    // Equal upstreams are told apart by a low-discrepancy sequence, so that entries that see the
+    // same loads do not all choose the same one.
+    spread = std::fmod(spread + 0.6180339887, 1.0);
+    const double score = Score(state, query, groups, now) + 0.02 * spread;
+    if (best == nullptr || score < best_score) {
+      best = &state;
+      best_score = score;
+    }
+  }
+  const bool all_blocked = best == nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream;
+  if (all_blocked && least_blocked != nullptr && IsGroupOpen(*least_blocked, now)) {
+    best = least_blocked;
+  }
+  if (best == nullptr) {
+    if (least_blocked != nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream) {
+      choice.obstacle = dispatch_obstacle::kAllBusy;
+    }
+    return choice;
+  }
+  return {.upstream_id = best->record.id,
+          .address = best->record.address,
+          .load = Load(*best, now),
+          .obstacle = dispatch_obstacle::kNone};
+}
+
+void upstream_board::OnSent(const std::string& id, std::uint32_t tokens, time_point now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  upstream_state& state = found->second;
+  ++state.in_flight;
+  state.tokens += tokens;
+  if (now < state.cold_until) {
+    state.cold_tokens = ColdTokens(state, now) - 1;
+    state.cold_tokens_at = now;
+  }
+}
+
+void upstream_board::Block(upstream_state& state, time_point now) {
+  const std::uint32_t doublings = std::min(4U, state.failures_in_row);
+  const duration span =
+      std::min(options_.longest_block, options_.first_block * (1U << doublings) / 2);
+  state.blocked_until = std::max(state.blocked_until, now + span);
+}
+
+void upstream_board::OnFinished(const std::string& id, std::uint32_t tokens,
+                                attempt_outcome outcome, duration latency, time_point now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  upstream_state& state = found->second;
+  if (state.in_flight > 0) --state.in_flight;
+  state.tokens -= std::min<std::uint64_t>(state.tokens, tokens);
+  if (outcome == attempt_outcome::kServed) {
+    state.failures_in_row = 0;
+    const double ms = Seconds(latency) * 1000.0;
+    state.latency_ms =
+        state.latency_ms <= 0 ? ms : state.latency_ms + kLatencyWeight * (ms - state.latency_ms);
+    return;
+  }
+  if (outcome == attempt_outcome::kAbandoned) return;
+  state.failures = FailureScore(state, now) + 1;
+  state.failures_at = now;
+  ++state.failures_in_row;
+  const bool at_once = outcome == attempt_outcome::kUnreachable ||
+                       outcome == attempt_outcome::kMisdirected ||
+                       outcome == attempt_outcome::kRefused;
+  if (at_once || state.failures_in_row >= 2) Block(state, now);
+}
+
+void upstream_board::OnColdLeft(const std::string& id, duration left, time_point now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  found->second.cold_until = std::max(found->second.cold_until, now + left);
+}
+
+void upstream_board::OnReport(const engine_report& report, time_point now) {
+  const auto found = upstreams_.find(report.upstream_id);
+  if (found == upstreams_.end()) return;
+  found->second.report = report;
+  found->second.reported_at = now;
+}
+
+void upstream_board::OnPeerLoad(const std::string& peer,
+                                const std::map<std::uint32_t, std::uint32_t>& in_flight,
+                                time_point now) {
+  peers_[peer] = {.in_flight = in_flight, .at = now};
+}
+
+void upstream_board::ForgetPeer(const std::string& peer) { peers_.erase(peer); }
+
+std::map<std::uint32_t, std::uint32_t> upstream_board::OwnLoad() const {
+  std::map<std::uint32_t, std::uint32_t> load;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.in_flight > 0) load[UpstreamHash(id)] = state.in_flight;
+  }
+  return load;
+}
+
+double upstream_board::TakenShare(const std::string& service, time_point now) const {
+  double taken = 0;
+  double places = 0;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.record.service != service || state.record.leaving) continue;
+    if (evacuated_.count(state.record.domain) > 0) continue;
+    taken += std::min(Load(state, now), state.record.slots);
+    places += state.record.slots;
+  }
+  return places <= 0 ? 1.0 : taken / places;
+}
+
+nlohmann::json upstream_board::State(time_point now) const {
+  nlohmann::json all = nlohmann::json::array();
+  for (const auto& [id, state] : upstreams_) {
+    all.push_back({{"id", id},
+                   {"service", state.record.service},
+                   {"failure_domain", state.record.domain},
+                   {"leaving", state.record.leaving},
+                   {"in_flight", state.in_flight},
+                   {"load", Load(state, now)},
+                   {"slots", state.record.slots},
+                   {"failures", FailureScore(state, now)},
+                   {"blocked", now < state.blocked_until},
+                   {"cold", now < state.cold_until},
+                   {"group", state.report ? state.report->group : ""},
+                   {"pace", state.report ? state.report->pace : 1.0}});
+  }
+  return all;
+}
+
+}  // namespace berylbarrow
