Let companions of a rank group keep its expert map fitting the load

Change: a process beside each engine reports its load to the gateways and, with the companions of its group, prepares better layouts and switches to them behind a hold on rank 0.

--- a/include/berylbarrow/process/gateway/gateway_settings.h
+++ b/include/berylbarrow/process/gateway/gateway_settings.h
@@ -49,6 +49,8 @@
   std::string peers_address;  // UDP
   std::string metrics_address;
   std::string upstream_address;
+  std::string service;  // of the upstream
+  std::string store_address;
   std::vector<std::string> seeds;
   log_options log;
   auto operator<=>(const companion_settings&) const = default;
--- a/include/berylbarrow/process/membership/fleet_beat.h
+++ b/include/berylbarrow/process/membership/fleet_beat.h
@@ -22,9 +22,10 @@
   std::string peers_address;    // UDP
   std::string callers_address;  // gateways only
   bool ready = false;           // takes new connections of callers
+  std::string group;            // of ranks; companions only
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(name, role, domain, incarnation, peers_address, callers_address, ready);
+    archive(name, role, domain, incarnation, peers_address, callers_address, ready, group);
   }
   auto operator<=>(const fleet_member&) const = default;
 };
@@ -34,9 +35,10 @@
   std::string name;
   member_role role = member_role::kGateway;
   std::string peers_address;
+  std::string group;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(name, role, peers_address);
+    archive(name, role, peers_address, group);
   }
   auto operator<=>(const member_hint&) const = default;
 };
--- a/include/berylbarrow/process/membership/fleet_members.h
+++ b/include/berylbarrow/process/membership/fleet_members.h
@@ -49,6 +49,8 @@
   std::vector<std::string> ReadyAddresses(const std::string& domain, std::size_t enough,
                                           time_point now) const;
   std::vector<fleet_member> Live(time_point now) const;
+  /// Addresses of the companions of a rank group, as far as hints have told of them.
+  std::vector<std::string> GroupAddresses(const std::string& group) const;
 
  private:
   struct known_member {
@@ -64,6 +66,7 @@
   fleet_member self_;
   std::map<std::string, known_member> members_;  // by name
   std::map<std::string, time_point> hinted_;     // addresses never heard from
+  std::map<std::string, std::string> groups_;    // of companions, by address
   time_point next_seeds_ = time_point::min();
   time_point next_companions_ = time_point::min();
   std::string last_hint_;
--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -18,7 +18,7 @@
 
 /// What the process beside a model engine reports of it.
 struct engine_report {
-  std::string upstream_id;
+  std::string address;  // of the upstream
   std::string group;  // of ranks that run each pass together; empty: none
   std::uint64_t epoch = 0;
   std::uint32_t rank = 0;
@@ -28,7 +28,7 @@
   std::uint32_t waiting = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(upstream_id, group, epoch, rank, open, pace, running, waiting);
+    archive(address, group, epoch, rank, open, pace, running, waiting);
   }
   auto operator<=>(const engine_report&) const = default;
 };
--- /dev/null
+++ b/include/berylbarrow/version/expert/rank_layout.h
@@ -0,0 +1,58 @@
+#ifndef BERYLBARROW_VERSION_EXPERT_RANK_LAYOUT_H_
+#define BERYLBARROW_VERSION_EXPERT_RANK_LAYOUT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "berylbarrow/version/expert/expert_map.h"
+
+namespace berylbarrow {
+
+/// Which experts each rank holds, by layer; ranks may have places that are free. Unlike expert_map,
+/// a rank holds an expert once, and an expert's load is shared evenly by the ranks that hold it.
+class rank_layout {
+ public:
+  rank_layout() = default;
+  /// Empty lists for every layer and rank. `shape.slots_per_rank` bounds each list.
+  explicit rank_layout(const group_shape& shape);
+
+  const group_shape& Shape() const { return shape_; }
+  const std::vector<expert_index>& At(std::uint32_t layer, std::uint32_t rank) const;
+  void Set(std::uint32_t layer, std::uint32_t rank, std::vector<expert_index> experts);
+  /// Whether each expert is on at least one rank, no list is too long, and none names an expert
+  /// twice or one that does not exist.
+  bool IsSound() const;
+  auto operator<=>(const rank_layout&) const = default;
+
+ private:
+  std::size_t Index(std::uint32_t layer, std::uint32_t rank) const;
+
+  group_shape shape_;
+  std::vector<std::vector<expert_index>> lists_;
+};
+
+/// Time of a pass in which all ranks wait, layer by layer, for the most loaded one, over the time
+/// with equal ranks.
+double PassSkew(const rank_layout& layout, const expert_load& load);
+
+/// Experts that some rank must copy to go from one layout to the other: the most of any rank.
+std::size_t LongestCopy(const rank_layout& from, const rank_layout& to);
+
+struct layout_planner_options {
+  std::size_t max_new_per_layer = 4;  // experts that one rank may copy in one layer
+  std::size_t max_new_per_rank = 6;   // and in all layers together
+  /// A step must lower the layer's potential by this share, or it is not worth a copy.
+  double least_gain = 0.02;
+};
+
+/// Improves a layout by single copies, best first: an expert of the most loaded ranks also goes to
+/// a rank that has a free place, or a place whose expert others hold too. Each step lowers the sum
+/// of the sixth powers of the rank loads, which follows the maximum and has no plateaus.
+rank_layout PlanLayout(const rank_layout& current, const expert_load& load,
+                       const layout_planner_options& options);
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_VERSION_EXPERT_RANK_LAYOUT_H_
--- a/src/main.cc
+++ b/src/main.cc
@@ -15,6 +15,7 @@
 #include "berylbarrow/process/agent/agent_core.h"
 #include "berylbarrow/process/agent/run_agent.h"
 #include "berylbarrow/process/cli/check.h"
+#include "berylbarrow/process/companion/companion.h"
 #include "berylbarrow/process/entry/entry_core.h"
 #include "berylbarrow/process/entry/run_entry.h"
 #include "berylbarrow/process/gateway/gateway.h"
@@ -23,6 +24,7 @@
 #include "berylbarrow/process/settings/settings.h"
 #include "berylbarrow/process/telemetry/log.h"
 #include "berylbarrow/version/configuration/document_parser.h"
+#include "platform/engine_api.h"
 #include "platform/platform.h"
 #include "process/cli/show.h"
 
@@ -42,6 +44,7 @@
   berylbarrow entry SETTINGS            run an entry
   berylbarrow agent SETTINGS            run the agent of one upstream
   berylbarrow gateway [SETTINGS]        run an entry that reaches the upstreams itself
+  berylbarrow companion [SETTINGS]      run the process beside a model engine
   berylbarrow check FILE                check settings or a published document
   berylbarrow state ADDRESS             print the state of a process
   berylbarrow status ADDRESS [--table]  print the fleet as one entry sees it
@@ -146,6 +149,15 @@
   return RunGateway(*settings, platform::MakeGatewayPlatform(*settings, clock), clock);
 }
 
+int RunCompanionCommand(const std::string& path, bool /*table*/) {
+  int exit_code = kExitOk;
+  const auto settings = ReadSettings<companion_settings>(path, exit_code, ParseCompanionSettings);
+  if (!settings) return exit_code;
+  const system_clock clock;
+  logger::Configure(settings->log, settings->name, settings->domain, clock);
+  return RunCompanion(*settings, platform::engine_api(), clock);
+}
+
 int RunCheckCommand(const std::string& path, bool /*table*/) {
   return RunCheck(path, std::cout, std::cerr);
 }
@@ -192,6 +204,15 @@
        .has_table = false,
        .default_variable = kSettingsVariable,
        .run = RunGatewayCommand},
+      {.name = "companion",
+       .argument = "SETTINGS",
+       .summary = "Runs the companion of a model engine, with the YAML settings in SETTINGS or in "
+                  "the file that " +
+                  std::string(kSettingsVariable) + " names.",
+       .notes = "Example:\n  berylbarrow companion companion-1.yaml\n\n" + run_codes,
+       .has_table = false,
+       .default_variable = kSettingsVariable,
+       .run = RunCompanionCommand},
       {.name = "check",
        .argument = "FILE",
        .summary = "Checks the settings of a process or a published document and prints every "
--- /dev/null
+++ b/src/process/companion/companion.cc
@@ -0,0 +1,458 @@
+#include "process/companion/companion.h"
+
+#include <algorithm>
+#include <csignal>
+#include <numeric>
+#include <stdexcept>
+#include <utility>
+
+#include "berylbarrow/process/telemetry/log.h"
+#include "connection/http/endpoint.h"
+
+namespace berylbarrow {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr duration kActiveTick = milliseconds(8);
+constexpr duration kIdleTick = milliseconds(40);
+constexpr duration kBeatInterval = milliseconds(250);
+constexpr duration kStatusInterval = milliseconds(100);
+constexpr duration kCountsInterval = milliseconds(250);
+constexpr duration kListsInterval = milliseconds(500);
+constexpr duration kStateInterval = milliseconds(150);
+constexpr duration kGreetingInterval = std::chrono::seconds(1);
+constexpr duration kLoadInterval = milliseconds(300);
+constexpr duration kPlanInterval = milliseconds(200);
+constexpr duration kLayoutResend = milliseconds(250);
+constexpr duration kConsiderInterval = milliseconds(300);
+constexpr duration kProfileRetry = milliseconds(500);
+constexpr duration kProfileInterval = std::chrono::seconds(30);
+constexpr duration kLoadLifetime = std::chrono::seconds(2);
+constexpr duration kLoadHalfLife = milliseconds(500);
+constexpr duration kCallTimeout = milliseconds(300);
+constexpr duration kOrderTimeout = milliseconds(150);
+constexpr duration kLongestLeave = milliseconds(1500);
+// Versions of one coordinator differ from those of another one that knows the same highest one.
+constexpr std::uint64_t kVersionStep = std::uint64_t{1} << 20U;
+
+fleet_member MakeSelf(const companion_settings& settings, std::uint64_t incarnation) {
+  return {.name = settings.name,
+          .role = member_role::kCompanion,
+          .domain = settings.domain,
+          .incarnation = incarnation,
+          .peers_address = settings.peers_address};
+}
+
+boost::asio::ip::udp::endpoint UdpEndpoint(const std::string& address) {
+  const auto parsed = ParseHttpEndpoint(address);
+  return {parsed.address(), parsed.port()};
+}
+
+}  // namespace
+
+companion::companion(const companion_settings& settings, const engine_dialect& dialect,
+                     const runtime_clock& clock)
+    : settings_(settings),
+      dialect_(dialect),
+      clock_(clock),
+      random_(std::random_device{}()),
+      members_({.seeds = settings.seeds}, MakeSelf(settings, random_())),
+      switch_({}, members_.Self().incarnation),
+      engine_(context_, settings.upstream_address, kCallTimeout, clock),
+      orders_(context_, settings.upstream_address, kOrderTimeout, clock),
+      store_(context_, settings.store_address, std::chrono::seconds(1), clock),
+      metrics_handler_([this](const http_head& head) { return AnswerMetrics(head); }),
+      rates_(kLoadHalfLife) {
+  if (!settings.metrics_address.empty()) {
+    metrics_server_ = std::make_unique<http_server>(context_, settings.metrics_address,
+                                                    http_server_options{}, clock, metrics_handler_);
+  }
+  socket_ = std::make_shared<heartbeat_socket>(
+      context_,
+      [this](std::string_view datagram, const endpoint& from) { OnDatagram(datagram, from); });
+  if (const auto error = socket_->Bind(UdpEndpoint(settings.peers_address))) {
+    throw std::runtime_error("cannot use " + settings.peers_address + ": " + error.message());
+  }
+}
+
+int companion::Run() {
+  logger::Event(log_level::kInfo, "process", "process_started",
+                {{"role", "companion"},
+                 {"version", BERYLBARROW_VERSION},
+                 {"incarnation", std::to_string(members_.Self().incarnation)},
+                 {"upstream", settings_.upstream_address},
+                 {"peers", settings_.peers_address}});
+  socket_->Start();
+  signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+    if (error) return;
+    logger::Event(log_level::kInfo, "process", "shutdown_requested");
+    leaving_ = true;
+    leaving_since_ = clock_.Now();
+  });
+  Tick();
+  context_.run();
+  logger::Event(log_level::kInfo, "process", "process_finished");
+  logger::Flush();
+  return 0;
+}
+
+void companion::Tick() {
+  const time_point now = clock_.Now();
+  engine_.Advance(now);
+  orders_.Advance(now);
+  store_.Advance(now);
+  ReadProfile(now);
+  CallEngine(now);
+  Consider(now);
+  PlaceOrders(now);
+  SendState(now);
+  SendPlan(now);
+  if (now >= next_beat_) Beat(now);
+  const bool active = switch_.IsActive();
+  // A switch that has begun is brought to its end, so that the group does not wait for it.
+  if (leaving_ && (!active || now - leaving_since_ > kLongestLeave)) {
+    context_.stop();
+    return;
+  }
+  tick_.expires_after(active ? kActiveTick : kIdleTick);
+  tick_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) Tick();
+  });
+}
+
+void companion::Beat(time_point now) {
+  next_beat_ = now + kBeatInterval;
+  fleet_beat beat{.self = members_.Self(), .sequence = ++beat_sequence_};
+  if (status_) {
+    beat.reports.push_back({.address = settings_.upstream_address,
+                            .group = status_->rank.group,
+                            .epoch = status_->rank.epoch,
+                            .rank = status_->rank.rank,
+                            .open = status_->rank.group.empty() || status_->rank.open,
+                            .pace = status_->pace,
+                            .running = status_->running,
+                            .waiting = status_->waiting});
+  }
+  const std::string datagram = EncodeBeat(beat);
+  for (const std::string& target : members_.Targets(now)) Send(datagram, UdpEndpoint(target));
+}
+
+void companion::Send(const std::string& datagram, const endpoint& to) {
+  socket_->Send(datagram, to);
+}
+
+void companion::ReadProfile(time_point now) {
+  if (profile_called_ || now < next_profile_) return;
+  profile_called_ = true;
+  store_.Call(dialect_.ProfileCall(), [this](const http_result& result) {
+    profile_called_ = false;
+    std::optional<engine_profile> profile;
+    if (result.status == 200) profile = dialect_.ReadProfile(result.body, settings_.service);
+    next_profile_ = clock_.Now() + (profile || profile_ ? kProfileInterval : kProfileRetry);
+    if (!profile) return;
+    if (!profile_) logger::Event(log_level::kInfo, "engine", "profile_known");
+    profile_ = profile;
+  });
+}
+
+void companion::CallEngine(time_point now) {
+  if (!status_called_ && now >= next_status_) {
+    status_called_ = true;
+    next_status_ = now + (switch_.IsActive() ? duration::zero() : kStatusInterval);
+    engine_.Call(dialect_.StatusCall(), [this, now](const http_result& result) {
+      status_called_ = false;
+      OnStatus(result, now);
+    });
+  }
+  if (!status_ || status_->rank.group.empty()) return;
+  if (!counts_called_ && now >= next_counts_) {
+    counts_called_ = true;
+    next_counts_ = now + kCountsInterval;
+    engine_.Call(dialect_.CountsCall(), [this](const http_result& result) {
+      counts_called_ = false;
+      OnCounts(result);
+    });
+  }
+  const bool lists_known = own_lists_ && own_lists_->epoch == status_->rank.epoch &&
+                           own_lists_->version == status_->rank.mapping;
+  if (!lists_known && !lists_called_ && now >= next_lists_) {
+    lists_called_ = true;
+    next_lists_ = now + milliseconds(50);
+    engine_.Call(dialect_.ListsCall(), [this](const http_result& result) {
+      lists_called_ = false;
+      OnLists(result);
+    });
+  }
+}
+
+void companion::OnStatus(const http_result& result, time_point asked) {
+  auto status = result.status == 200 ? dialect_.ReadStatus(result.body) : std::nullopt;
+  if (!status) {
+    if (status_) logger::Event(log_level::kWarning, "engine", "engine_lost");
+    status_.reset();
+    return;
+  }
+  const bool new_epoch = !status_ || status_->rank.epoch != status->rank.epoch ||
+                         status_->rank.group != status->rank.group;
+  if (new_epoch) {
+    logger::Event(log_level::kInfo, "engine", "epoch_begins",
+                  {{"group", status->rank.group},
+                   {"epoch", std::to_string(status->rank.epoch)},
+                   {"rank", std::to_string(status->rank.rank)}});
+    ranks_.clear();
+    coordinator_.reset();
+    draft_.reset();
+    own_lists_.reset();
+    rates_.Clear();
+  }
+  status_ = std::move(status);
+  members_.Self().group = status_->rank.group;
+  switch_.OnStatus(status_->rank, asked);
+  if (switch_.IsActive()) PlaceOrders(clock_.Now());
+}
+
+void companion::OnCounts(const http_result& result) {
+  if (result.status != 200) return;
+  const auto counts = dialect_.ReadCounts(result.body);
+  if (counts) rates_.Observe(counts->counts, clock_.Now());
+}
+
+void companion::OnLists(const http_result& result) {
+  if (result.status == 200) own_lists_ = dialect_.ReadLists(result.body);
+}
+
+std::optional<group_shape> companion::Shape() const {
+  if (!profile_ || !status_ || status_->rank.size == 0) return std::nullopt;
+  return group_shape{.ranks = status_->rank.size,
+                     .layers = profile_->expert_layers,
+                     .experts = profile_->experts,
+                     .slots_per_rank = profile_->expert_slots};
+}
+
+void companion::PlaceOrders(time_point now) {
+  for (const rank_order& order : switch_.Advance(now)) {
+    const bool prepares = order.kind == order_kind::kPrepare;
+    if (prepares && (!draft_ || draft_->version != order.version || !draft_->IsComplete()))
+      continue;
+    counts_.Count("orders", {});
+    orders_.Call(dialect_.OrderCall(order, prepares ? &draft_->layout : nullptr),
+                 [order](const http_result& result) {
+                   logger::Event(log_level::kInfo, "engine", "order_answered",
+                                 {{"order", std::to_string(static_cast<int>(order.kind))},
+                                  {"version", std::to_string(order.version)},
+                                  {"step", std::to_string(order.step)},
+                                  {"epoch", std::to_string(order.epoch)},
+                                  {"status", std::to_string(result.status)}});
+                 });
+  }
+  if (switch_.Finished() != finished_) {
+    finished_ = switch_.Finished();
+    counts_.Count("map_switches", {});
+  }
+  if (switch_.Stage() != last_stage_) {
+    last_stage_ = switch_.Stage();
+    next_plan_ = now;
+    logger::Event(log_level::kInfo, "engine", "switch_stage",
+                  {{"stage", std::to_string(static_cast<int>(last_stage_))},
+                   {"step", std::to_string(status_ ? status_->rank.step : 0)}});
+  }
+}
+
+void companion::OnDatagram(std::string_view datagram, const endpoint& from) {
+  if (const auto message = DecodeRankMessage(datagram)) {
+    OnRankMessage(*message, from);
+    return;
+  }
+  const auto beat = DecodeBeat(datagram);
+  if (beat) members_.OnBeat(*beat, clock_.Now());
+}
+
+void companion::OnRankMessage(const rank_message& message, const endpoint& from) {
+  if (!status_) return;
+  const time_point now = clock_.Now();
+  const auto is_ours = [&](const std::string& group, std::uint64_t epoch) {
+    return group == status_->rank.group && epoch == status_->rank.epoch;
+  };
+  if (!message.plan.empty() && is_ours(message.plan.front().group, message.plan.front().epoch)) {
+    coordinator_ = from;
+    const switch_plan& plan = message.plan.front();
+    switch_.OnPlan(plan, now);
+    for (const layout_part& part : message.layout) {
+      const auto shape = Shape();
+      if (!shape) break;
+      if (!draft_ || draft_->version != part.version) {
+        draft_ = layout_draft{.version = part.version, .layout = rank_layout(*shape)};
+      }
+      if (!MergePart(part, draft_->layout)) continue;
+      for (std::uint32_t i = 0; i < part.layers; ++i) draft_->layers.insert(part.first_layer + i);
+      if (draft_->IsComplete() && draft_->layout.IsSound()) switch_.OnLayoutKnown(part.version);
+    }
+    PlaceOrders(now);
+  }
+  if (message.state.empty()) return;
+  const member_state& state = message.state.front();
+  if (!is_ours(state.group, state.epoch)) return;
+  if (state.rank == 0) coordinator_ = from;
+  switch_.OnMember(state, now);
+  rank_view& view = ranks_[state.rank];
+  view.address = from;
+  view.epoch = state.epoch;
+  for (const layout_part& part : message.lists) MergeLists(view, part);
+  const auto shape = Shape();
+  for (const load_part& part : message.load) {
+    if (!shape) break;
+    view.load.resize(std::size_t{shape->layers} * shape->experts, 0);
+    if (MergePart(part, view.load)) view.load_at = now;
+  }
+  if (switch_.IsActive()) PlaceOrders(now);
+}
+
+void companion::MergeLists(rank_view& view, const layout_part& part) {
+  auto shape = Shape();
+  if (!shape) return;
+  shape->ranks = 1;
+  if (!view.lists || view.lists_version != part.version) {
+    view.lists = rank_layout(*shape);
+    view.lists_version = part.version;
+    view.layers.clear();
+  }
+  if (!MergePart(part, *view.lists)) return;
+  for (std::uint32_t i = 0; i < part.layers; ++i) view.layers.insert(part.first_layer + i);
+}
+
+void companion::SendState(time_point now) {
+  const auto state = switch_.State();
+  if (!state) return;
+  const bool active = switch_.IsActive();
+  if (now < next_state_ && !active) return;
+  next_state_ = now + kStateInterval;
+  rank_message message{.state = {*state}};
+  if (now >= next_greeting_ && !coordinator_) {
+    next_greeting_ = now + kGreetingInterval;
+    const std::string greeting = EncodeRankMessage(message);
+    for (const std::string& address : members_.GroupAddresses(state->group)) {
+      Send(greeting, UdpEndpoint(address));
+    }
+  }
+  if (state->rank == 0 || !coordinator_) return;
+  const bool load_due = now >= next_load_ && !rates_.PerSecond().empty();
+  if (!load_due) {
+    Send(EncodeRankMessage(message), *coordinator_);
+    return;
+  }
+  next_load_ = now + kLoadInterval;
+  auto shape = Shape();
+  if (own_lists_ && shape && own_lists_->experts.size() == shape->layers) {
+    shape->ranks = 1;
+    rank_layout lists(*shape);
+    for (std::uint32_t layer = 0; layer < shape->layers; ++layer) {
+      lists.Set(layer, 0, own_lists_->experts[layer]);
+    }
+    message.lists = SplitLayout(lists, own_lists_->version);
+    message.lists.resize(std::min<std::size_t>(message.lists.size(), 1));
+  }
+  for (const load_part& part : SplitLoad(rates_.PerSecond())) {
+    message.load = {part};
+    Send(EncodeRankMessage(message), *coordinator_);
+    message.lists.clear();
+  }
+}
+
+void companion::SendPlan(time_point now) {
+  const auto plan = switch_.Plan();
+  if (!plan) return;
+  if (now < next_plan_ && !switch_.IsActive()) return;
+  next_plan_ = now + kPlanInterval;
+  const std::string text = EncodeRankMessage({.plan = {*plan}});
+  std::vector<std::string> layouts;
+  if (plan->stage == switch_stage::kPreparing && draft_ && now >= next_layout_) {
+    next_layout_ = now + kLayoutResend;
+    for (const layout_part& part : SplitLayout(draft_->layout, draft_->version)) {
+      layouts.push_back(EncodeRankMessage({.plan = {*plan}, .layout = {part}}));
+    }
+  }
+  std::set<endpoint> told;
+  for (const auto& [rank, view] : ranks_) {
+    told.insert(view.address);
+    Send(text, view.address);
+    for (const std::string& layout : layouts) Send(layout, view.address);
+  }
+  if (ranks_.size() + 1 >= status_->rank.size) return;
+  for (const std::string& address : members_.GroupAddresses(plan->group)) {
+    const endpoint to = UdpEndpoint(address);
+    if (told.count(to) == 0) Send(text, to);
+  }
+}
+
+std::optional<rank_layout> companion::CurrentLayout() const {
+  const auto shape = Shape();
+  if (!shape || !own_lists_ || own_lists_->version != status_->rank.mapping) return std::nullopt;
+  if (own_lists_->experts.size() != shape->layers) return std::nullopt;
+  rank_layout layout(*shape);
+  for (std::uint32_t layer = 0; layer < shape->layers; ++layer) {
+    layout.Set(layer, 0, own_lists_->experts[layer]);
+    for (const auto& [rank, view] : ranks_) {
+      if (rank >= shape->ranks || !view.lists || view.layers.size() != shape->layers) {
+        return std::nullopt;
+      }
+      if (view.lists_version != status_->rank.mapping) return std::nullopt;
+      layout.Set(layer, rank, view.lists->At(layer, 0));
+    }
+  }
+  return layout.IsSound() ? std::optional(std::move(layout)) : std::nullopt;
+}
+
+std::optional<expert_load> companion::GroupLoad(time_point now) const {
+  expert_load sum = rates_.PerSecond();
+  for (const auto& [rank, view] : ranks_) {
+    if (view.load.size() != sum.size() || now - view.load_at > kLoadLifetime) return std::nullopt;
+    for (std::size_t i = 0; i < sum.size(); ++i) sum[i] += view.load[i];
+  }
+  const double total = std::accumulate(sum.begin(), sum.end(), 0.0);
+  return total > 0 ? std::optional(std::move(sum)) : std::nullopt;
+}
+
+void companion::Consider(time_point now) {
+  if (leaving_ || now < next_consideration_ || !switch_.CanBegin(now)) return;
+  next_consideration_ = now + kConsiderInterval;
+  const auto layout = CurrentLayout();
+  const auto load = GroupLoad(now);
+  if (!layout || !load ||
+      load->size() != std::size_t{profile_->expert_layers} * profile_->experts) {
+    return;
+  }
+  const double copy_seconds =
+      profile_->expert_link_mbps > 0 ? profile_->expert_mb * 8 / profile_->expert_link_mbps : 0.1;
+  const auto chosen =
+      ChooseLayout(*layout, *load,
+                   {.copy_seconds = copy_seconds, .max_new_per_layer = profile_->max_new_experts});
+  if (!chosen) return;
+  const std::uint64_t version =
+      (switch_.HighestVersion() / kVersionStep + 1) * kVersionStep + random_() % kVersionStep;
+  logger::Event(log_level::kInfo, "engine", "switch_begins",
+                {{"version", std::to_string(version)},
+                 {"skew", std::to_string(chosen->skew_before)},
+                 {"planned_skew", std::to_string(chosen->skew_after)},
+                 {"copies", std::to_string(chosen->longest_copy)}});
+  draft_ = layout_draft{.version = version, .layout = chosen->layout};
+  for (std::uint32_t i = 0; i < chosen->layout.Shape().layers; ++i) draft_->layers.insert(i);
+  switch_.OnLayoutKnown(version);
+  switch_.Begin(version, now);
+  next_layout_ = now;
+}
+
+http_answer companion::AnswerMetrics(const http_head& head) {
+  if (head.target != "/metrics") return {.status = 404};
+  return {.status = 200,
+          .fields = {{"Content-Type", "text/plain; version=0.0.4"}},
+          .body = counts_.Exposition()};
+}
+
+int RunCompanion(const companion_settings& settings, const engine_dialect& dialect,
+                 const runtime_clock& clock) {
+  companion process(settings, dialect, clock);
+  return process.Run();
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/process/companion/rank_message.cc
@@ -0,0 +1,108 @@
+#include "process/companion/rank_message.h"
+
+#include <algorithm>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cmath>
+#include <sstream>
+
+#include "connection/wire/input_archive.h"
+
+namespace berylbarrow {
+namespace {
+
+constexpr std::uint32_t kMagic = 0x62620002;
+constexpr std::size_t kPartBytes = 900;
+
+std::string EncodeLayer(const rank_layout& layout, std::uint32_t layer) {
+  std::string lists;
+  for (std::uint32_t rank = 0; rank < layout.Shape().ranks; ++rank) {
+    const auto& experts = layout.At(layer, rank);
+    lists += static_cast<char>(experts.size());
+    for (const expert_index expert : experts) lists += static_cast<char>(expert);
+  }
+  return lists;
+}
+
+}  // namespace
+
+std::string EncodeRankMessage(const rank_message& message) {
+  std::ostringstream bytes;
+  cereal::PortableBinaryOutputArchive archive(
+      bytes, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
+  archive(kMagic, message);
+  return std::move(bytes).str();
+}
+
+std::optional<rank_message> DecodeRankMessage(std::string_view datagram) {
+  try {
+    input_archive archive(datagram);
+    std::uint32_t magic = 0;
+    archive(magic);
+    if (magic != kMagic) return std::nullopt;
+    rank_message message;
+    archive(message);
+    return archive.Remaining() == 0 ? std::optional(std::move(message)) : std::nullopt;
+  } catch (const cereal::Exception&) {
+    return std::nullopt;
+  }
+}
+
+std::vector<layout_part> SplitLayout(const rank_layout& layout, std::uint64_t version) {
+  std::vector<layout_part> parts;
+  for (std::uint32_t layer = 0; layer < layout.Shape().layers; ++layer) {
+    const std::string lists = EncodeLayer(layout, layer);
+    if (parts.empty() || parts.back().lists.size() + lists.size() > kPartBytes) {
+      parts.push_back({.version = version, .first_layer = layer});
+    }
+    ++parts.back().layers;
+    parts.back().lists += lists;
+  }
+  return parts;
+}
+
+bool MergePart(const layout_part& part, rank_layout& layout) {
+  const group_shape& shape = layout.Shape();
+  if (std::uint64_t{part.first_layer} + part.layers > shape.layers) return false;
+  std::size_t at = 0;
+  for (std::uint32_t layer = part.first_layer; layer < part.first_layer + part.layers; ++layer) {
+    for (std::uint32_t rank = 0; rank < shape.ranks; ++rank) {
+      if (at >= part.lists.size()) return false;
+      const auto length = static_cast<unsigned char>(part.lists[at++]);
+      if (length > shape.slots_per_rank || at + length > part.lists.size()) return false;
+      std::vector<expert_index> experts;
+      for (std::size_t i = 0; i < length; ++i) {
+        experts.push_back(static_cast<unsigned char>(part.lists[at++]));
+      }
+      layout.Set(layer, rank, std::move(experts));
+    }
+  }
+  return at == part.lists.size();
+}
+
+std::vector<load_part> SplitLoad(const std::vector<double>& load) {
+  std::vector<load_part> parts;
+  const double highest = load.empty() ? 0 : *std::max_element(load.begin(), load.end());
+  for (std::size_t first = 0; first < load.size(); first += kPartBytes) {
+    load_part part{.first = static_cast<std::uint32_t>(first), .highest = highest};
+    const std::size_t end = std::min(load.size(), first + kPartBytes);
+    for (std::size_t i = first; i < end; ++i) {
+      const double share = highest > 0 ? std::sqrt(std::max(0.0, load[i] / highest)) : 0;
+      part.values += static_cast<char>(static_cast<unsigned char>(std::lround(255 * share)));
+    }
+    parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
+bool MergePart(const load_part& part, std::vector<double>& load) {
+  if (std::uint64_t{part.first} + part.values.size() > load.size()) return false;
+  for (std::size_t i = 0; i < part.values.size(); ++i) {
+    const double share = static_cast<unsigned char>(part.values[i]) / 255.0;
+    load[part.first + i] = share * share * part.highest;
+  }
+  return true;
+}
+
+}  // namespace berylbarrow
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -52,13 +52,6 @@
 
 }  // namespace
 
-std::shared_ptr<served_request> information_handler::OnRequest(http_head&& head,
-                                                               std::string&& /*body*/,
-                                                               answer_sink& sink) {
-  sink.SendAnswer(answer_(head));
-  return nullptr;
-}
-
 gateway::gateway(const gateway_settings& settings, const gateway_platform& platform,
                  const runtime_clock& clock)
     : settings_(settings),
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -16,23 +16,12 @@
 #include "berylbarrow/process/membership/upstream_registry.h"
 #include "connection/peer/heartbeat_socket.h"
 #include "process/gateway/admission_gate.h"
+#include "process/gateway/information_handler.h"
 #include "process/gateway/relay_context.h"
 #include "process/gateway/relayed_request.h"
 
 namespace berylbarrow {
 
-/// Answers the directory's, readiness and metrics addresses.
-class information_handler final : public request_handler {
- public:
-  using answerer = std::function<http_answer(const http_head& head)>;
-  explicit information_handler(answerer answer) : answer_(std::move(answer)) {}
-  std::shared_ptr<served_request> OnRequest(http_head&& head, std::string&& body,
-                                            answer_sink& sink) override;
-
- private:
-  answerer answer_;
-};
-
 class gateway final : public request_handler, public platform_sink, public relay_host {
  public:
   gateway(const gateway_settings& settings, const gateway_platform& platform,
--- a/src/process/gateway/gateway_settings.cc
+++ b/src/process/gateway/gateway_settings.cc
@@ -113,8 +113,13 @@
   }
   if (auto upstream = file.Section("upstream", need::kRequired)) {
     upstream->ReadAddress("address", settings.upstream_address, need::kRequired);
+    upstream->ReadName("service", settings.service, need::kRequired);
     upstream->RefuseOtherKeys();
   }
+  if (auto store = file.Section("store", need::kRequired)) {
+    store->ReadAddress("address", settings.store_address, need::kRequired);
+    store->RefuseOtherKeys();
+  }
   file.ReadSeeds(settings.seeds);
   file.ReadLog(settings.log);
   file.Finish();
--- /dev/null
+++ b/src/process/gateway/information_handler.h
@@ -0,0 +1,31 @@
+#ifndef BERYLBARROW_SRC_PROCESS_GATEWAY_INFORMATION_HANDLER_H_
+#define BERYLBARROW_SRC_PROCESS_GATEWAY_INFORMATION_HANDLER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "berylbarrow/connection/http/http_server.h"
+
+namespace berylbarrow {
+
+/// Answers each request at once by a function of its head: addresses, readiness, metrics.
+class information_handler final : public request_handler {
+ public:
+  using answerer = std::function<http_answer(const http_head& head)>;
+  explicit information_handler(answerer answer) : answer_(std::move(answer)) {}
+
+  std::shared_ptr<served_request> OnRequest(http_head&& head, std::string&& /*body*/,
+                                            answer_sink& sink) override {
+    sink.SendAnswer(answer_(head));
+    return nullptr;
+  }
+
+ private:
+  answerer answer_;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_SRC_PROCESS_GATEWAY_INFORMATION_HANDLER_H_
--- a/src/process/membership/fleet_members.cc
+++ b/src/process/membership/fleet_members.cc
@@ -15,7 +15,9 @@
     : options_(options), self_(self) {}
 
 void fleet_members::Learn(const member_hint& hint, time_point now) {
-  if (hint.name == self_.name || members_.count(hint.name) > 0) return;
+  if (hint.name == self_.name) return;
+  if (hint.role == member_role::kCompanion) groups_[hint.peers_address] = hint.group;
+  if (members_.count(hint.name) > 0) return;
   if (hint.role == member_role::kGateway || self_.role == member_role::kGateway) {
     hinted_.emplace(hint.peers_address, now);
   }
@@ -83,8 +85,10 @@
     if (each == members_.end()) each = members_.begin();
     if (each->second.was_live) {
       const fleet_member& member = each->second.member;
-      hints.push_back(
-          {.name = member.name, .role = member.role, .peers_address = member.peers_address});
+      hints.push_back({.name = member.name,
+                       .role = member.role,
+                       .peers_address = member.peers_address,
+                       .group = member.group});
     }
     last_hint_ = each->first;
     ++each;
@@ -106,6 +110,14 @@
   return live;
 }
 
+std::vector<std::string> fleet_members::GroupAddresses(const std::string& group) const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, of] : groups_) {
+    if (of == group && !group.empty()) addresses.push_back(address);
+  }
+  return addresses;
+}
+
 std::uint32_t fleet_members::LiveGateways(time_point now) const {
   std::uint32_t count = self_.role == member_role::kGateway ? 1 : 0;
   for (const auto& [name, known] : members_) {
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -246,7 +246,9 @@
 }
 
 void upstream_board::OnReport(const engine_report& report, time_point now) {
-  const auto found = upstreams_.find(report.upstream_id);
+  const auto found = std::find_if(upstreams_.begin(), upstreams_.end(), [&](const auto& each) {
+    return each.second.record.address == report.address;
+  });
   if (found == upstreams_.end()) return;
   found->second.report = report;
   found->second.reported_at = now;
--- /dev/null
+++ b/src/version/expert/layout_chooser.cc
@@ -0,0 +1,63 @@
+#include "berylbarrow/version/expert/layout_chooser.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace berylbarrow {
+namespace {
+
+// Copies of one rank that are tried, fewest first.
+constexpr std::array<std::size_t, 5> kCopyLimits{2, 4, 7, 11, 18};
+
+}  // namespace
+
+std::optional<chosen_layout> ChooseLayout(const rank_layout& current, const expert_load& load,
+                                          const layout_chooser_options& options) {
+  const double before = PassSkew(current, load);
+  std::optional<chosen_layout> best;
+  double best_value = 0;
+  for (const std::size_t limit : kCopyLimits) {
+    rank_layout planned = PlanLayout(
+        current, load, {.max_new_per_layer = options.max_new_per_layer, .max_new_per_rank = limit});
+    const double after = PassSkew(planned, load);
+    const std::size_t copies = LongestCopy(current, planned);
+    const double copy = static_cast<double>(copies) * options.copy_seconds;
+    const double saved = (1 - after / before) * std::max(0.0, options.horizon_seconds - copy);
+    const double value = saved - options.copy_slowdown * copy - options.switch_seconds;
+    if (value <= best_value) continue;
+    best_value = value;
+    best = chosen_layout{.layout = std::move(planned),
+                         .skew_before = before,
+                         .skew_after = after,
+                         .longest_copy = copies};
+  }
+  return best;
+}
+
+void rate_average::Observe(const std::vector<std::uint64_t>& counters, time_point now) {
+  const bool anew = last_.size() != counters.size() || !last_at_ ||
+                    !std::equal(counters.begin(), counters.end(), last_.begin(),
+                                [](std::uint64_t is, std::uint64_t was) { return is >= was; });
+  if (anew) {
+    rates_.assign(counters.size(), 0);
+  } else if (now > *last_at_) {
+    const double elapsed = std::chrono::duration<double>(now - *last_at_).count();
+    const double half = std::chrono::duration<double>(half_life_).count();
+    const double keep = std::exp2(-elapsed / half);
+    for (std::size_t i = 0; i < counters.size(); ++i) {
+      const double rate = static_cast<double>(counters[i] - last_[i]) / elapsed;
+      rates_[i] = keep * rates_[i] + (1 - keep) * rate;
+    }
+  }
+  last_ = counters;
+  last_at_ = now;
+}
+
+void rate_average::Clear() {
+  last_.clear();
+  last_at_.reset();
+  rates_.clear();
+}
+
+}  // namespace berylbarrow
--- /dev/null
+++ b/src/version/expert/map_switch.cc
@@ -0,0 +1,249 @@
+#include "berylbarrow/version/expert/map_switch.h"
+
+#include <algorithm>
+
+namespace berylbarrow {
+
+void map_switch::Reset() {
+  members_.clear();
+  sent_.clear();
+  stage_ = switch_stage::kIdle;
+  target_ = {};
+  released_to_ = 0;
+  plan_.reset();
+  committed_.reset();
+  known_layouts_.clear();
+}
+
+void map_switch::OnStatus(const rank_status& status, time_point asked) {
+  const bool same_run = status_ && status_->group == status.group &&
+                        status_->epoch == status.epoch && status_->rank == status.rank;
+  if (!same_run) Reset();
+  status_ = status;
+  status_asked_ = asked;
+  highest_version_ = std::max({highest_version_, status.mapping, status.prepared.value_or(0),
+                               status.armed ? status.armed->version : 0});
+  // The pass has begun: what the rank was armed for is in use, or can no longer come into use.
+  if (committed_ && status.step >= committed_->step && !status.armed) committed_.reset();
+  if (status.armed && !committed_) committed_ = *status.armed;
+}
+
+void map_switch::OnMember(const member_state& state, time_point now) {
+  if (!status_ || state.group != status_->group || state.epoch != status_->epoch) return;
+  if (state.rank == status_->rank) return;
+  members_[state.rank] = {.state = state, .at = now};
+  highest_version_ = std::max({highest_version_, state.mapping, state.prepared, state.armed.version,
+                               state.committed.version});
+}
+
+void map_switch::OnPlan(const switch_plan& plan, time_point /*now*/) {
+  if (!status_ || plan.group != status_->group || plan.epoch != status_->epoch) return;
+  if (IsCoordinator() && plan.incarnation != incarnation_) return;
+  if (left_behind_.count(plan.incarnation) > 0) return;
+  if (followed_ != 0 && followed_ != plan.incarnation) left_behind_.insert(followed_);
+  followed_ = plan.incarnation;
+  plan_ = plan;
+}
+
+void map_switch::OnLayoutKnown(std::uint64_t version) { known_layouts_.insert(version); }
+
+bool map_switch::IsCoordinator() const {
+  return status_ && !status_->group.empty() && status_->rank == 0;
+}
+
+bool map_switch::IsActive() const {
+  const bool planned = plan_ && plan_->stage != switch_stage::kIdle;
+  return stage_ != switch_stage::kIdle || planned || committed_.has_value() ||
+         (status_ && status_->held);
+}
+
+bool map_switch::AllFresh(time_point now) const {
+  return status_ && members_.size() + 1 == status_->size &&
+         std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
+           return now - each.second.at <= options_.member_lifetime;
+         });
+}
+
+template <typename Condition>
+bool map_switch::AllMembers(time_point now, Condition condition) const {
+  return AllFresh(now) && std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
+           return each.second.state.heard == incarnation_ && condition(each.second.state);
+         });
+}
+
+bool map_switch::CanBegin(time_point now) const {
+  if (!IsCoordinator() || stage_ != switch_stage::kIdle || !status_->open) return false;
+  if (status_->held || status_->armed || committed_) return false;
+  return AllMembers(now, [&](const member_state& state) {
+    return state.mapping == status_->mapping && state.armed.version == 0 &&
+           state.committed.version == 0;
+  });
+}
+
+void map_switch::Enter(switch_stage stage, time_point now) {
+  stage_ = stage;
+  stage_since_ = now;
+}
+
+void map_switch::Begin(std::uint64_t version, time_point now) {
+  target_ = {.version = version, .step = 0};
+  highest_version_ = std::max(highest_version_, version);
+  Enter(switch_stage::kPreparing, now);
+}
+
+void map_switch::ChooseStep() {
+  std::uint64_t latest = status_->step;
+  for (const auto& [rank, each] : members_) latest = std::max(latest, each.state.step);
+  target_.step = std::max(latest, target_.step) + options_.lead_steps;
+}
+
+void map_switch::Order(const rank_order& order, duration pause, time_point now,
+                       std::vector<rank_order>& orders) {
+  const auto sent = sent_.find(order);
+  // The report must be newer than the order, or the order's effect cannot show in it.
+  if (sent != sent_.end() && (now - sent->second < pause || status_asked_ <= sent->second)) return;
+  sent_[order] = now;
+  orders.push_back(order);
+}
+
+void map_switch::AdvanceRecovery(time_point now, std::vector<rank_order>& orders) {
+  const std::uint64_t held = *status_->held;
+  if (!AllMembers(now, [](const member_state&) { return true; })) return;
+  std::optional<armed_map> committed = committed_;
+  for (const auto& [rank, each] : members_) {
+    if (each.state.committed.version != 0) committed = each.state.committed;
+  }
+  if (committed && committed->step >= held) {
+    target_ = *committed;
+    Enter(switch_stage::kArming, now);
+    return;
+  }
+  released_to_ = std::max(released_to_, held);
+  Order({.kind = order_kind::kGo, .epoch = status_->epoch, .step = held}, options_.resend_after,
+        now, orders);
+}
+
+void map_switch::AdvanceCoordinator(time_point now, std::vector<rank_order>& orders) {
+  const rank_status& own = *status_;
+  const auto go = [&](std::uint64_t step) {
+    Order({.kind = order_kind::kGo, .epoch = own.epoch, .step = step}, options_.resend_after, now,
+          orders);
+  };
+  switch (stage_) {
+    case switch_stage::kIdle:
+      if (!own.held) return;
+      // An order of before may be carried out late.
+      if (*own.held <= released_to_) return go(*own.held);
+      Enter(switch_stage::kRecovering, now);
+      return;
+    case switch_stage::kRecovering:
+      if (!own.held) return Enter(switch_stage::kIdle, now);
+      return AdvanceRecovery(now, orders);
+    case switch_stage::kPreparing: {
+      const bool ready =
+          own.prepared == target_.version && AllMembers(now, [&](const member_state& state) {
+            return state.prepared == target_.version;
+          });
+      if (ready) {
+        ChooseStep();
+        Enter(switch_stage::kHolding, now);
+      } else if (now - stage_since_ > options_.longest_prepare) {
+        Enter(switch_stage::kIdle, now);  // nobody holds, nobody is armed
+      }
+      return;
+    }
+    case switch_stage::kHolding:
+      if (own.held == target_.step && own.step < target_.step) {
+        Enter(switch_stage::kArming, now);
+        return;
+      }
+      // The pass has begun, so that the hold cannot take effect any more.
+      if (own.step >= target_.step) ChooseStep();
+      if (own.held && *own.held <= released_to_) go(*own.held);
+      Order({.kind = order_kind::kHold, .epoch = own.epoch, .step = target_.step},
+            options_.resend_after, now, orders);
+      return;
+    case switch_stage::kArming: {
+      const auto armed = [&](std::uint64_t mapping, const armed_map& is) {
+        return mapping == target_.version || is == target_;
+      };
+      const bool all = armed(own.mapping, own.armed.value_or(armed_map{})) &&
+                       AllMembers(now, [&](const member_state& state) {
+                         return armed(state.mapping, state.armed);
+                       });
+      if (!all) return;
+      released_to_ = target_.step;
+      Enter(switch_stage::kReleasing, now);
+      return go(target_.step);
+    }
+    case switch_stage::kReleasing: {
+      if (own.held && *own.held <= released_to_) return go(*own.held);
+      const bool used =
+          own.mapping == target_.version && AllMembers(now, [&](const member_state& state) {
+            return state.mapping == target_.version;
+          });
+      if (!used) return;
+      ++finished_;
+      Enter(switch_stage::kIdle, now);
+      return;
+    }
+  }
+}
+
+void map_switch::AdvanceMember(time_point now, std::vector<rank_order>& orders) {
+  const rank_status& own = *status_;
+  const armed_map& target = plan_->target;
+  if (plan_->stage == switch_stage::kPreparing) {
+    const bool done = own.prepared == target.version || own.mapping == target.version;
+    if (done || known_layouts_.count(target.version) == 0 || own.armed) return;
+    Order({.kind = order_kind::kPrepare, .epoch = own.epoch, .version = target.version},
+          options_.prepare_resend, now, orders);
+    return;
+  }
+  if (plan_->stage != switch_stage::kArming) return;
+  if (committed_ && *committed_ != target) return;
+  if (own.armed == target || own.mapping == target.version) return;
+  if (own.prepared != target.version || own.step >= target.step) return;
+  committed_ = target;
+  Order({.kind = order_kind::kArm,
+         .epoch = own.epoch,
+         .version = target.version,
+         .step = target.step},
+        options_.resend_after, now, orders);
+}
+
+std::vector<rank_order> map_switch::Advance(time_point now) {
+  std::vector<rank_order> orders;
+  if (!status_ || status_->group.empty()) return orders;
+  if (IsCoordinator()) {
+    AdvanceCoordinator(now, orders);
+    if (const auto plan = Plan()) OnPlan(*plan, now);
+  }
+  if (plan_) AdvanceMember(now, orders);
+  return orders;
+}
+
+std::optional<member_state> map_switch::State() const {
+  if (!status_ || status_->group.empty()) return std::nullopt;
+  return member_state{.incarnation = incarnation_,
+                      .heard = followed_,
+                      .group = status_->group,
+                      .epoch = status_->epoch,
+                      .rank = status_->rank,
+                      .step = status_->step,
+                      .mapping = status_->mapping,
+                      .prepared = status_->prepared.value_or(0),
+                      .armed = status_->armed.value_or(armed_map{}),
+                      .committed = committed_.value_or(armed_map{})};
+}
+
+std::optional<switch_plan> map_switch::Plan() const {
+  if (!IsCoordinator()) return std::nullopt;
+  return switch_plan{.incarnation = incarnation_,
+                     .group = status_->group,
+                     .epoch = status_->epoch,
+                     .stage = stage_,
+                     .target = target_};
+}
+
+}  // namespace berylbarrow
