--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -90,6 +90,7 @@
     leaving_ = true;
     leaving_since_ = clock_.Now();
   });
+  WaitForReload();
   Tick();
   context_.run();
   logger::Event(log_level::kInfo, "process", "process_finished");
@@ -97,6 +98,14 @@
   return 0;
 }
 
+void companion::WaitForReload() {
+  reloads_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
+    if (error) return;
+    logger::Event(log_level::kInfo, "process", "settings_reload_requested");
+    WaitForReload();
+  });
+}
+
 void companion::Tick() {
   const time_point now = clock_.Now();
   engine_.Advance(now);
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -53,6 +53,7 @@
     bool IsComplete() const { return layers.size() == layout.Shape().layers; }
   };
 
+  void WaitForReload();
   void Tick();
   void Beat(time_point now);
   void CallEngine(time_point now);
@@ -79,6 +80,7 @@
   boost::asio::io_context context_{1};
   boost::asio::steady_timer tick_{context_};
   boost::asio::signal_set signals_{context_, SIGTERM, SIGINT};
+  boost::asio::signal_set reloads_{context_, SIGHUP};
   std::mt19937_64 random_;
   metrics counts_;
   fleet_members members_;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -217,10 +217,14 @@
   signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
     if (!error) BeginShutdown();
   });
+  WaitForReload();
+}
+
+void gateway::WaitForReload() {
   reloads_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
     if (error) return;
     logger::Event(log_level::kInfo, "process", "settings_reload_requested");
-    WaitForSignal();
+    WaitForReload();
   });
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -52,6 +52,7 @@
   void HandleLostMembers(time_point now);
   void RefreshBoard(time_point now);
   void WaitForSignal();
+  void WaitForReload();
   void BeginShutdown();
   void CheckShutdown(time_point now);
   bool IsReady(time_point now) const;
