Draw the hints between members at random

Gateways told companions of members by turns of six; with 24 members and eight beats between two tellings each companion heard of the same six for ever, so the coordinator never found its ranks. Ruled out: lost orders, a stuck switch (no switch had begun).

Change: hints are a random sample; companions are told each second.

--- a/include/berylbarrow/process/membership/fleet_members.h
+++ b/include/berylbarrow/process/membership/fleet_members.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -38,8 +39,8 @@
   /// Where to send a beat now. Companions beat to gateways only; gateways to all gateways, and now
   /// and then to companions, so that these learn of new gateways.
   std::vector<std::string> Targets(time_point now);
-  /// Some of the members, by turns.
-  std::vector<member_hint> NextHints();
+  /// Some of the live members.
+  std::vector<member_hint> RandomHints();
 
   bool IsLive(const std::string& name, time_point now) const;
   /// Live gateways, this process included if it is one.
@@ -69,7 +70,7 @@
   std::map<std::string, std::string> groups_;    // of companions, by address
   time_point next_seeds_ = time_point::min();
   time_point next_companions_ = time_point::min();
-  std::string last_hint_;
+  std::mt19937_64 random_;
 };
 
 }  // namespace berylbarrow
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -155,7 +155,7 @@
   members_.Self().ready = IsReady(now);
   fleet_beat beat{.self = members_.Self(),
                   .sequence = ++beat_sequence_,
-                  .hints = members_.NextHints(),
+                  .hints = members_.RandomHints(),
                   .crashes = crashes_.Report(now)};
   for (const auto& [upstream, count] : board_.OwnLoad()) {
     beat.in_flight.push_back({.upstream = upstream, .in_flight = count});
--- a/src/process/membership/fleet_members.cc
+++ b/src/process/membership/fleet_members.cc
@@ -1,18 +1,19 @@
 #include "berylbarrow/process/membership/fleet_members.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace berylbarrow {
 namespace {
 
-constexpr duration kCompanionInterval = std::chrono::seconds(2);
+constexpr duration kCompanionInterval = std::chrono::seconds(1);
 constexpr duration kHintLifetime = std::chrono::seconds(10);
 
 }  // namespace
 
 fleet_members::fleet_members(const fleet_members_options& options, const fleet_member& self)
-    : options_(options), self_(self) {}
+    : options_(options), self_(self), random_(self.incarnation) {}
 
 void fleet_members::Learn(const member_hint& hint, time_point now) {
   if (hint.name == self_.name) return;
@@ -78,21 +79,20 @@
   return {targets.begin(), targets.end()};
 }
 
-std::vector<member_hint> fleet_members::NextHints() {
-  std::vector<member_hint> hints;
-  auto each = members_.upper_bound(last_hint_);
-  for (std::size_t i = 0; i < members_.size() && hints.size() < options_.hints_per_beat; ++i) {
-    if (each == members_.end()) each = members_.begin();
-    if (each->second.was_live) {
-      const fleet_member& member = each->second.member;
-      hints.push_back({.name = member.name,
-                       .role = member.role,
-                       .peers_address = member.peers_address,
-                       .group = member.group});
-    }
-    last_hint_ = each->first;
-    ++each;
+std::vector<member_hint> fleet_members::RandomHints() {
+  std::vector<member_hint> live;
+  for (const auto& [name, known] : members_) {
+    if (!known.was_live) continue;
+    const fleet_member& member = known.member;
+    live.push_back({.name = member.name,
+                    .role = member.role,
+                    .peers_address = member.peers_address,
+                    .group = member.group});
   }
+  // Turns of a fixed length may fall in step with the interval at which a receiver is told.
+  std::vector<member_hint> hints;
+  std::sample(live.begin(), live.end(), std::back_inserter(hints), options_.hints_per_beat,
+              random_);
   return hints;
 }
 
