React faster to a shift of demand among experts

Cause: after a switch the coordinator waited for the lists of all ranks, and loads were averaged over half a second and sent three times a second, so a shift was answered after more than a second.

Change: the layout that was just prepared is the current one; counts and loads every 150 ms, half life 300 ms.

--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -18,18 +18,18 @@
 constexpr duration kIdleTick = milliseconds(40);
 constexpr duration kBeatInterval = milliseconds(250);
 constexpr duration kStatusInterval = milliseconds(100);
-constexpr duration kCountsInterval = milliseconds(250);
+constexpr duration kCountsInterval = milliseconds(150);
 constexpr duration kListsInterval = milliseconds(500);
 constexpr duration kStateInterval = milliseconds(150);
 constexpr duration kGreetingInterval = std::chrono::seconds(1);
-constexpr duration kLoadInterval = milliseconds(300);
+constexpr duration kLoadInterval = milliseconds(150);
 constexpr duration kPlanInterval = milliseconds(200);
 constexpr duration kLayoutResend = milliseconds(250);
-constexpr duration kConsiderInterval = milliseconds(300);
+constexpr duration kConsiderInterval = milliseconds(150);
 constexpr duration kProfileRetry = milliseconds(500);
 constexpr duration kProfileInterval = std::chrono::seconds(30);
 constexpr duration kLoadLifetime = std::chrono::seconds(2);
-constexpr duration kLoadHalfLife = milliseconds(500);
+constexpr duration kLoadHalfLife = milliseconds(300);
 constexpr duration kCallTimeout = milliseconds(300);
 constexpr duration kOrderTimeout = milliseconds(150);
 constexpr duration kLongestLeave = milliseconds(1500);
@@ -396,6 +396,9 @@
 
 std::optional<rank_layout> companion::CurrentLayout() const {
   const auto shape = Shape();
+  if (shape && draft_ && draft_->version == status_->rank.mapping && draft_->IsComplete()) {
+    return draft_->layout;
+  }
   if (!shape || !own_lists_ || own_lists_->version != status_->rank.mapping) return std::nullopt;
   if (own_lists_->experts.size() != shape->layers) return std::nullopt;
   rank_layout layout(*shape);
