Give slow ranks fewer experts, and count what cannot be heard

Change: layouts are planned with the pace of each rank, a rank may give up an expert that others hold, a copy must earn its price; the board takes the larger of counted and reported requests.

--- a/include/berylbarrow/version/expert/layout_chooser.h
+++ b/include/berylbarrow/version/expert/layout_chooser.h
@@ -18,6 +18,8 @@
   double copy_slowdown = 0.15;
   /// Time of passes that a switch costs in any case: its orders, and ranks that wait.
   double switch_seconds = 0.06;
+  /// Time of passes that one copy by any rank must save besides.
+  double seconds_per_copy = 0.0015;
 };
 
 struct chosen_layout {
@@ -25,12 +27,13 @@
   double skew_before = 1;
   double skew_after = 1;
   std::size_t longest_copy = 0;
+  std::size_t copies = 0;
 };
 
 /// Chooses how much of a better layout is worth its copies: plans with different numbers of copies
 /// are compared by the time of passes that they save until the load has changed. Nothing if none
 /// is worthwhile.
-std::optional<chosen_layout> ChooseLayout(const rank_layout& current, const expert_load& load,
+std::optional<chosen_layout> ChooseLayout(const rank_layout& current, const group_work& work,
                                           const layout_chooser_options& options);
 
 /// Rates of growing counters, averaged over about the last second.
--- a/include/berylbarrow/version/expert/rank_layout.h
+++ b/include/berylbarrow/version/expert/rank_layout.h
@@ -33,12 +33,20 @@
   std::vector<std::vector<expert_index>> lists_;
 };
 
-/// Time of a pass in which all ranks wait, layer by layer, for the most loaded one, over the time
-/// with equal ranks.
-double PassSkew(const rank_layout& layout, const expert_load& load);
+/// What a group has to do in a pass, and how well its ranks do it.
+struct group_work {
+  expert_load load;          // tokens, by layer and expert
+  std::vector<double> pace;  // time of each rank for the same work; empty: all 1
+};
+
+/// Time of a pass in which all ranks wait, layer by layer, for the slowest one, over the time with
+/// equal ranks of pace 1.
+double PassSkew(const rank_layout& layout, const group_work& work);
 
 /// Experts that some rank must copy to go from one layout to the other: the most of any rank.
 std::size_t LongestCopy(const rank_layout& from, const rank_layout& to);
+/// Copies of all ranks together.
+std::size_t TotalCopies(const rank_layout& from, const rank_layout& to);
 
 struct layout_planner_options {
   std::size_t max_new_per_layer = 4;  // experts that one rank may copy in one layer
@@ -47,10 +55,11 @@
   double least_gain = 0.02;
 };
 
-/// Improves a layout by single copies, best first: an expert of the most loaded ranks also goes to
-/// a rank that has a free place, or a place whose expert others hold too. Each step lowers the sum
-/// of the sixth powers of the rank loads, which follows the maximum and has no plateaus.
-rank_layout PlanLayout(const rank_layout& current, const expert_load& load,
+/// Improves a layout by single steps, best first: an expert of the slowest ranks also goes to a rank
+/// that has a free place, or a place whose expert others hold too; or the rank gives up an expert
+/// that others hold. Each step lowers the sum of the sixth powers of the rank times, which follows
+/// the maximum and has no plateaus.
+rank_layout PlanLayout(const rank_layout& current, const group_work& work,
                        const layout_planner_options& options);
 
 }  // namespace berylbarrow
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -312,7 +312,9 @@
   for (const load_part& part : message.load) {
     if (!shape) break;
     view.load.resize(std::size_t{shape->layers} * shape->experts, 0);
-    if (MergePart(part, view.load)) view.load_at = now;
+    if (!MergePart(part, view.load)) continue;
+    view.load_at = now;
+    view.pace = part.pace;
   }
   if (switch_.IsActive()) PlaceOrders(now);
 }
@@ -361,7 +363,8 @@
     message.lists = SplitLayout(lists, own_lists_->version);
     message.lists.resize(std::min<std::size_t>(message.lists.size(), 1));
   }
-  for (const load_part& part : SplitLoad(rates_.PerSecond())) {
+  for (load_part& part : SplitLoad(rates_.PerSecond())) {
+    part.pace = status_->pace;
     message.load = {part};
     Send(EncodeRankMessage(message), *coordinator_);
     message.lists.clear();
@@ -415,29 +418,33 @@
   return layout.IsSound() ? std::optional(std::move(layout)) : std::nullopt;
 }
 
-std::optional<expert_load> companion::GroupLoad(time_point now) const {
+std::optional<group_work> companion::GroupWork(time_point now) const {
   expert_load sum = rates_.PerSecond();
+  std::vector<double> pace(status_->rank.size, 1.0);
+  pace[0] = std::max(1.0, status_->pace);
   for (const auto& [rank, view] : ranks_) {
     if (view.load.size() != sum.size() || now - view.load_at > kLoadLifetime) return std::nullopt;
     for (std::size_t i = 0; i < sum.size(); ++i) sum[i] += view.load[i];
+    if (rank < pace.size()) pace[rank] = std::max(1.0, view.pace);
   }
   const double total = std::accumulate(sum.begin(), sum.end(), 0.0);
-  return total > 0 ? std::optional(std::move(sum)) : std::nullopt;
+  if (total <= 0) return std::nullopt;
+  return group_work{.load = std::move(sum), .pace = std::move(pace)};
 }
 
 void companion::Consider(time_point now) {
   if (leaving_ || now < next_consideration_ || !switch_.CanBegin(now)) return;
   next_consideration_ = now + kConsiderInterval;
   const auto layout = CurrentLayout();
-  const auto load = GroupLoad(now);
-  if (!layout || !load ||
-      load->size() != std::size_t{profile_->expert_layers} * profile_->experts) {
+  const auto work = GroupWork(now);
+  if (!layout || !work ||
+      work->load.size() != std::size_t{profile_->expert_layers} * profile_->experts) {
     return;
   }
   const double copy_seconds =
       profile_->expert_link_mbps > 0 ? profile_->expert_mb * 8 / profile_->expert_link_mbps : 0.1;
   const auto chosen =
-      ChooseLayout(*layout, *load,
+      ChooseLayout(*layout, *work,
                    {.copy_seconds = copy_seconds, .max_new_per_layer = profile_->max_new_experts});
   if (!chosen) return;
   const std::uint64_t version =
@@ -446,7 +453,8 @@
                 {{"version", std::to_string(version)},
                  {"skew", std::to_string(chosen->skew_before)},
                  {"planned_skew", std::to_string(chosen->skew_after)},
-                 {"copies", std::to_string(chosen->longest_copy)}});
+                 {"longest_copy", std::to_string(chosen->longest_copy)},
+                 {"copies", std::to_string(chosen->copies)}});
   draft_ = layout_draft{.version = version, .layout = chosen->layout};
   for (std::uint32_t i = 0; i < chosen->layout.Shape().layers; ++i) draft_->layers.insert(i);
   switch_.OnLayoutKnown(version);
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -43,6 +43,7 @@
     std::optional<rank_layout> lists;  // of this rank alone
     std::set<std::uint32_t> layers;    // of `lists` that have arrived
     std::vector<double> load;
+    double pace = 1;
     time_point load_at = time_point::min();
   };
   /// The layout of a version, while it arrives or in full.
@@ -70,7 +71,7 @@
   void Consider(time_point now);
   std::optional<group_shape> Shape() const;
   std::optional<rank_layout> CurrentLayout() const;
-  std::optional<expert_load> GroupLoad(time_point now) const;
+  std::optional<group_work> GroupWork(time_point now) const;
   void Send(const std::string& datagram, const endpoint& to);
   http_answer AnswerMetrics(const http_head& head);
 
--- a/src/process/companion/rank_message.h
+++ b/src/process/companion/rank_message.h
@@ -31,10 +31,11 @@
 struct load_part {
   std::uint32_t first = 0;
   double highest = 0;  // tokens per second
+  double pace = 1;     // of the rank
   std::string values;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(first, highest, values);
+    archive(first, highest, pace, values);
   }
   auto operator<=>(const load_part&) const = default;
 };
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -67,6 +67,10 @@
     const auto found = peer.in_flight.find(hash);
     if (found != peer.in_flight.end()) load += found->second;
   }
+  // Entries that cannot be heard send work too.
+  if (state.report && now - state.reported_at <= options_.report_lifetime) {
+    load = std::max(load, state.report->running + state.report->waiting);
+  }
   return load;
 }
 
--- a/src/version/expert/layout_chooser.cc
+++ b/src/version/expert/layout_chooser.cc
@@ -12,25 +12,28 @@
 
 }  // namespace
 
-std::optional<chosen_layout> ChooseLayout(const rank_layout& current, const expert_load& load,
+std::optional<chosen_layout> ChooseLayout(const rank_layout& current, const group_work& work,
                                           const layout_chooser_options& options) {
-  const double before = PassSkew(current, load);
+  const double before = PassSkew(current, work);
   std::optional<chosen_layout> best;
   double best_value = 0;
   for (const std::size_t limit : kCopyLimits) {
     rank_layout planned = PlanLayout(
-        current, load, {.max_new_per_layer = options.max_new_per_layer, .max_new_per_rank = limit});
-    const double after = PassSkew(planned, load);
+        current, work, {.max_new_per_layer = options.max_new_per_layer, .max_new_per_rank = limit});
+    const double after = PassSkew(planned, work);
     const std::size_t copies = LongestCopy(current, planned);
     const double copy = static_cast<double>(copies) * options.copy_seconds;
     const double saved = (1 - after / before) * std::max(0.0, options.horizon_seconds - copy);
-    const double value = saved - options.copy_slowdown * copy - options.switch_seconds;
+    const std::size_t total = TotalCopies(current, planned);
+    const double value = saved - options.copy_slowdown * copy - options.switch_seconds -
+                         options.seconds_per_copy * static_cast<double>(total);
     if (value <= best_value) continue;
     best_value = value;
     best = chosen_layout{.layout = std::move(planned),
                          .skew_before = before,
                          .skew_after = after,
-                         .longest_copy = copies};
+                         .longest_copy = copies,
+                         .copies = total};
   }
   return best;
 }
--- a/src/version/expert/rank_layout.cc
+++ b/src/version/expert/rank_layout.cc
@@ -19,10 +19,11 @@
 /// One layer while it is planned.
 class layer_plan {
  public:
-  layer_plan(const rank_layout& current, const expert_load& load, std::uint32_t layer,
+  layer_plan(const rank_layout& current, const group_work& work, std::uint32_t layer,
              const layout_planner_options& options)
-      : shape_(current.Shape()), options_(options) {
-    const auto* const first = load.data() + std::size_t{layer} * shape_.experts;
+      : shape_(current.Shape()), options_(options), pace_(work.pace) {
+    pace_.resize(shape_.ranks, 1.0);
+    const auto* const first = work.load.data() + std::size_t{layer} * shape_.experts;
     load_.assign(first, first + shape_.experts);
     const double mean = std::accumulate(load_.begin(), load_.end(), 0.0) / shape_.ranks;
     for (double& each : load_) each = mean > 0 ? each / mean : 0;
@@ -38,9 +39,7 @@
     original_ = held_;
     new_.assign(shape_.ranks, 0);
     rank_load_.assign(shape_.ranks, 0);
-    for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
-      for (const expert_index expert : lists_[rank]) rank_load_[rank] += Share(expert);
-    }
+    SumLoads();
   }
 
   /// Makes the best step; returns false if none is worthwhile. `copied` counts copies by rank over
@@ -54,6 +53,9 @@
     });
     for (std::size_t i = 0; i < std::min(kConsideredRanks, ranks.size()); ++i) {
       for (const expert_index expert : HeaviestOf(ranks[i])) Consider(expert, copied, best);
+      for (const expert_index expert : lists_[ranks[i]]) {
+        if (holders_[expert] >= 2) Judge({.rank = ranks[i], .evicted = expert}, best);
+      }
     }
     const double potential = Potential();
     if (best.change >= -options_.least_gain * potential) return false;
@@ -66,7 +68,7 @@
  private:
   struct step {
     double change = 0;  // of the potential
-    expert_index expert = 0;
+    std::optional<expert_index> expert;  // that the rank gets
     std::uint32_t rank = 0;
     std::optional<expert_index> evicted;
   };
@@ -111,24 +113,27 @@
   }
 
   void Judge(step candidate, step& best) const {
-    const double before = Share(candidate.expert);
-    const double after = load_[candidate.expert] / (holders_[candidate.expert] + 1);
-    double evicted_before = 0;
-    double evicted_after = 0;
+    double gained_share = 0;
+    double gained_change = 0;  // of the share of the other holders
+    if (candidate.expert) {
+      gained_share = load_[*candidate.expert] / (holders_[*candidate.expert] + 1);
+      gained_change = gained_share - Share(*candidate.expert);
+    }
+    double evicted_share = 0;
+    double evicted_change = 0;
     if (candidate.evicted) {
-      evicted_before = Share(*candidate.evicted);
-      evicted_after = load_[*candidate.evicted] / (holders_[*candidate.evicted] - 1);
+      evicted_share = Share(*candidate.evicted);
+      evicted_change = load_[*candidate.evicted] / (holders_[*candidate.evicted] - 1) - evicted_share;
     }
     for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
-      double load = rank_load_[rank];
+      double change = 0;
       if (rank == candidate.rank) {
-        load += after - evicted_before;
+        change = gained_share - evicted_share;
       } else {
-        if (held_[rank][candidate.expert]) load += after - before;
-        if (candidate.evicted && held_[rank][*candidate.evicted]) {
-          load += evicted_after - evicted_before;
-        }
+        if (candidate.expert && held_[rank][*candidate.expert]) change += gained_change;
+        if (candidate.evicted && held_[rank][*candidate.evicted]) change += evicted_change;
       }
+      const double load = rank_load_[rank] + pace_[rank] * change;
       candidate.change += Power(load) - Power(rank_load_[rank]);
     }
     if (candidate.change < best.change) best = candidate;
@@ -145,21 +150,29 @@
         --copied[chosen.rank];
       }
     }
-    list.push_back(chosen.expert);
-    held_[chosen.rank][chosen.expert] = true;
-    ++holders_[chosen.expert];
-    if (!original_[chosen.rank][chosen.expert]) {
-      ++new_[chosen.rank];
-      ++copied[chosen.rank];
+    if (chosen.expert) {
+      list.push_back(*chosen.expert);
+      held_[chosen.rank][*chosen.expert] = true;
+      ++holders_[*chosen.expert];
+      if (!original_[chosen.rank][*chosen.expert]) {
+        ++new_[chosen.rank];
+        ++copied[chosen.rank];
+      }
     }
+    SumLoads();
+  }
+
+  void SumLoads() {
     for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
-      rank_load_[rank] = 0;
-      for (const expert_index expert : lists_[rank]) rank_load_[rank] += Share(expert);
+      double sum = 0;
+      for (const expert_index expert : lists_[rank]) sum += Share(expert);
+      rank_load_[rank] = pace_[rank] * sum;
     }
   }
 
   group_shape shape_;
   layout_planner_options options_;
+  std::vector<double> pace_;
   std::vector<double> load_;  // by expert, in units of the mean rank
   std::vector<std::uint32_t> holders_;
   std::vector<std::vector<expert_index>> lists_;
@@ -202,7 +215,8 @@
   return true;
 }
 
-double PassSkew(const rank_layout& layout, const expert_load& load) {
+double PassSkew(const rank_layout& layout, const group_work& work) {
+  const expert_load& load = work.load;
   const group_shape& shape = layout.Shape();
   double slowest = 0;
   for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
@@ -216,7 +230,7 @@
       for (const expert_index expert : layout.At(layer, rank)) {
         sum += load[std::size_t{layer} * shape.experts + expert] / holders[expert];
       }
-      most = std::max(most, sum);
+      most = std::max(most, sum * (rank < work.pace.size() ? work.pace[rank] : 1.0));
     }
     slowest += most;
   }
@@ -224,28 +238,41 @@
   return total <= 0 ? 1.0 : slowest * shape.ranks / total;
 }
 
+namespace {
+
+std::size_t CopiesOf(const rank_layout& from, const rank_layout& to, std::uint32_t rank) {
+  std::size_t copies = 0;
+  for (std::uint32_t layer = 0; layer < to.Shape().layers; ++layer) {
+    const auto& held = from.At(layer, rank);
+    for (const expert_index expert : to.At(layer, rank)) {
+      if (std::find(held.begin(), held.end(), expert) == held.end()) ++copies;
+    }
+  }
+  return copies;
+}
+
+}  // namespace
+
 std::size_t LongestCopy(const rank_layout& from, const rank_layout& to) {
-  const group_shape& shape = to.Shape();
   std::size_t longest = 0;
-  for (std::uint32_t rank = 0; rank < shape.ranks; ++rank) {
-    std::size_t copies = 0;
-    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
-      const auto& held = from.At(layer, rank);
-      for (const expert_index expert : to.At(layer, rank)) {
-        if (std::find(held.begin(), held.end(), expert) == held.end()) ++copies;
-      }
-    }
-    longest = std::max(longest, copies);
+  for (std::uint32_t rank = 0; rank < to.Shape().ranks; ++rank) {
+    longest = std::max(longest, CopiesOf(from, to, rank));
   }
   return longest;
 }
 
-rank_layout PlanLayout(const rank_layout& current, const expert_load& load,
+std::size_t TotalCopies(const rank_layout& from, const rank_layout& to) {
+  std::size_t total = 0;
+  for (std::uint32_t rank = 0; rank < to.Shape().ranks; ++rank) total += CopiesOf(from, to, rank);
+  return total;
+}
+
+rank_layout PlanLayout(const rank_layout& current, const group_work& work,
                        const layout_planner_options& options) {
   const group_shape& shape = current.Shape();
   std::vector<layer_plan> layers;
   for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
-    layers.emplace_back(current, load, layer, options);
+    layers.emplace_back(current, work, layer, options);
   }
   std::vector<std::size_t> copied(shape.ranks, 0);
   // One step a layer by turns, so that the copies of a rank serve all layers.
