--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -92,7 +92,7 @@
 };
 
 struct map_switch_options {
-  std::uint64_t lead_steps = 3;  // of the switch ahead of the last pass seen
+  std::uint64_t lead_steps = 2;  // of the switch ahead of the last pass seen
   duration member_lifetime = std::chrono::milliseconds(700);
   duration resend_after = std::chrono::milliseconds(120);  // orders whose effect does not show
   duration prepare_resend = std::chrono::milliseconds(600);
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -30,6 +30,10 @@
 constexpr duration kProfileInterval = std::chrono::seconds(30);
 constexpr duration kLoadLifetime = std::chrono::seconds(2);
 constexpr duration kLoadHalfLife = milliseconds(300);
+// Of a new observation in the long average of the group's load, and of that average in what layouts
+// are planned for.
+constexpr double kUsualWeight = 0.02;
+constexpr double kUsualShare = 0.25;
 constexpr duration kCallTimeout = milliseconds(300);
 constexpr duration kOrderTimeout = milliseconds(150);
 constexpr duration kLongestLeave = milliseconds(1500);
@@ -214,6 +218,7 @@
     draft_.reset();
     own_lists_.reset();
     rates_.Clear();
+    usual_.clear();
   }
   status_ = std::move(status);
   members_.Self().group = status_->rank.group;
@@ -418,7 +423,7 @@
   return layout.IsSound() ? std::optional(std::move(layout)) : std::nullopt;
 }
 
-std::optional<group_work> companion::GroupWork(time_point now) const {
+std::optional<group_work> companion::GroupWork(time_point now) {
   expert_load sum = rates_.PerSecond();
   std::vector<double> pace(status_->rank.size, 1.0);
   pace[0] = std::max(1.0, status_->pace);
@@ -429,6 +434,12 @@
   }
   const double total = std::accumulate(sum.begin(), sum.end(), 0.0);
   if (total <= 0) return std::nullopt;
+  // Demand that was there before may come back; places that cost nothing now are kept for it.
+  if (usual_.size() != sum.size()) usual_ = sum;
+  for (std::size_t i = 0; i < sum.size(); ++i) {
+    usual_[i] += kUsualWeight * (sum[i] - usual_[i]);
+    sum[i] += kUsualShare * usual_[i];
+  }
   return group_work{.load = std::move(sum), .pace = std::move(pace)};
 }
 
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -71,7 +71,7 @@
   void Consider(time_point now);
   std::optional<group_shape> Shape() const;
   std::optional<rank_layout> CurrentLayout() const;
-  std::optional<group_work> GroupWork(time_point now) const;
+  std::optional<group_work> GroupWork(time_point now);
   void Send(const std::string& datagram, const endpoint& to);
   http_answer AnswerMetrics(const http_head& head);
 
@@ -96,6 +96,7 @@
   std::optional<engine_profile> profile_;
   std::optional<rank_lists> own_lists_;
   rate_average rates_;
+  expert_load usual_;  // long average of the group's load
   std::map<std::uint32_t, rank_view> ranks_;
   std::optional<endpoint> coordinator_;
   std::optional<layout_draft> draft_;
