Let a deputy finish a switch, and wait again with what has not run

(2) After a power loss the list names upstreams whose addresses are others' now: 421, and the request was refused although it had not run.

Change: the companion of rank 1 carries a switch on when the coordinator is silent, silent ranks are armed from afar; a request that has not run goes back into the line, at most 1.6 s from its arrival.

--- a/include/berylbarrow/process/gateway/platform_feed.h
+++ b/include/berylbarrow/process/gateway/platform_feed.h
@@ -40,6 +40,8 @@
  public:
   virtual ~platform_feed() = default;
   virtual void Start() = 0;
+  /// The instance list was found to be behind: reads its changes soon.
+  virtual void RefreshUpstreams() = 0;
   /// Called on each tick of the gateway.
   virtual void Advance(time_point now) = 0;
 };
--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -73,6 +73,8 @@
   duration failure_half_life = std::chrono::seconds(3);
   duration first_block = std::chrono::milliseconds(250);
   duration longest_block = std::chrono::seconds(2);
+  /// Another upstream has the address; the record that is wrong lapses within this time.
+  duration misdirected_block = std::chrono::seconds(4);
   /// Share of the bound for cold upstreams that all entries together use.
   double cold_margin = 0.8;
 };
--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -40,9 +40,10 @@
 
 enum class order_kind : std::uint8_t { kPrepare, kHold, kArm, kGo };
 
-/// An order to the rank beside this process.
+/// An order to a rank, usually the one beside this process.
 struct rank_order {
   order_kind kind = order_kind::kPrepare;
+  std::uint32_t rank = 0;
   std::uint64_t epoch = 0;
   std::uint64_t version = 0;  // kPrepare, kArm
   std::uint64_t step = 0;     // kHold, kArm, kGo
@@ -97,6 +98,10 @@
   duration resend_after = std::chrono::milliseconds(120);  // orders whose effect does not show
   duration prepare_resend = std::chrono::milliseconds(600);
   duration longest_prepare = std::chrono::seconds(8);
+  /// A process that is silent for so long during a switch is stood in for.
+  duration silence = std::chrono::milliseconds(250);
+  /// The members hear of a hold so much earlier than the engine, so that the deputy knows of it.
+  duration announcement = std::chrono::milliseconds(6);
 };
 
 /// Changes the map of a rank group so that no pass begins while two ranks have different maps.
@@ -108,6 +113,11 @@
 /// is repeated until the engine's report shows its effect. Once an order to arm was sent nobody
 /// gives up; a new epoch ends everything. A coordinator that restarts finds its hold in the report
 /// and asks all members whether they are committed before it goes on.
+///
+/// A companion that falls silent while the group is held would stop the group. Its rank is then
+/// armed from afar, and if it is the coordinator, the companion of rank 1 carries the same switch
+/// to its end: who places the orders is of no importance, only that none is placed before its
+/// condition holds.
 class map_switch {
  public:
   map_switch(const map_switch_options& options, std::uint64_t incarnation)
@@ -117,6 +127,10 @@
   void OnStatus(const rank_status& status, time_point asked);
   void OnMember(const member_state& state, time_point now);
   void OnPlan(const switch_plan& plan, time_point now);
+  /// A report of another rank, read from afar.
+  void OnRemoteStatus(std::uint32_t rank, const rank_status& status, time_point asked);
+  /// Ranks whose reports are wanted, because their companions are silent during a switch.
+  std::vector<std::uint32_t> SilentRanks(time_point now) const;
   /// Whether the layout of `version` has been received completely.
   void OnLayoutKnown(std::uint64_t version);
 
@@ -136,14 +150,16 @@
   const std::optional<rank_status>& Status() const { return status_; }
   /// For the coordinator; nothing while the rank is in no group.
   std::optional<member_state> State() const;
-  /// For the members; coordinator only.
+  /// For the members; only from the coordinator and its deputy.
   std::optional<switch_plan> Plan() const;
   std::uint64_t Finished() const { return finished_; }
 
  private:
   struct member {
     member_state state;
-    time_point at;
+    time_point at;      // of the newest news
+    time_point direct;  // of the newest news from its companion
+    bool held = false;  // for rank 0: the report shows the hold of the switch
   };
 
   void Reset();
@@ -153,6 +169,9 @@
   void AdvanceCoordinator(time_point now, std::vector<rank_order>& orders);
   void AdvanceRecovery(time_point now, std::vector<rank_order>& orders);
   void AdvanceMember(time_point now, std::vector<rank_order>& orders);
+  void AdvanceDeputy(time_point now, std::vector<rank_order>& orders);
+  void ArmSilentRanks(time_point now, std::vector<rank_order>& orders);
+  bool IsArmed(std::uint64_t mapping, const armed_map& armed) const;
   void Order(const rank_order& order, duration pause, time_point now,
              std::vector<rank_order>& orders);
   void Enter(switch_stage stage, time_point now);
@@ -176,6 +195,8 @@
   std::uint64_t followed_ = 0;           // incarnation of the coordinator
   std::set<std::uint64_t> left_behind_;  // coordinators of before
   std::optional<switch_plan> plan_;
+  time_point plan_at_;
+  bool deputising_ = false;
   std::optional<armed_map> committed_;
   std::set<std::uint64_t> known_layouts_;
   std::uint64_t highest_version_ = 0;
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -115,9 +115,13 @@
   engine_.Advance(now);
   orders_.Advance(now);
   store_.Advance(now);
+  for (auto& [rank, view] : ranks_) {
+    if (view.engine) view.engine->Advance(now);
+  }
   ReadProfile(now);
   CallEngine(now);
   Consider(now);
+  ReadSilentRanks(now);
   PlaceOrders(now);
   SendState(now);
   SendPlan(now);
@@ -244,21 +248,51 @@
                      .slots_per_rank = profile_->expert_slots};
 }
 
+void companion::ReadSilentRanks(time_point now) {
+  for (const std::uint32_t rank : switch_.SilentRanks(now)) {
+    rank_view& view = ranks_[rank];
+    if (view.engine_called || view.engine_address.empty()) continue;
+    if (!view.engine) {
+      view.engine =
+          std::make_unique<http_caller>(context_, view.engine_address, kOrderTimeout, clock_);
+      logger::Event(log_level::kWarning, "engine", "rank_stood_in_for",
+                    {{"rank", std::to_string(rank)}});
+    }
+    view.engine_called = true;
+    view.engine->Call(dialect_.StatusCall(), [this, rank, now](const http_result& result) {
+      ranks_[rank].engine_called = false;
+      const auto status = result.status == 200 ? dialect_.ReadStatus(result.body) : std::nullopt;
+      if (status) switch_.OnRemoteStatus(rank, status->rank, now);
+    });
+  }
+}
+
+void companion::Place(const rank_order& order) {
+  const bool prepares = order.kind == order_kind::kPrepare;
+  http_caller* caller = &orders_;
+  if (order.rank != status_->rank.rank) {
+    const auto other = ranks_.find(order.rank);
+    if (other == ranks_.end() || !other->second.engine) return;
+    caller = other->second.engine.get();
+  }
+  counts_.Count("orders", {});
+  caller->Call(dialect_.OrderCall(order, prepares ? &draft_->layout : nullptr),
+               [order](const http_result& result) {
+                 logger::Event(log_level::kInfo, "engine", "order_answered",
+                               {{"order", std::to_string(static_cast<int>(order.kind))},
+                                {"rank", std::to_string(order.rank)},
+                                {"version", std::to_string(order.version)},
+                                {"step", std::to_string(order.step)},
+                                {"epoch", std::to_string(order.epoch)},
+                                {"status", std::to_string(result.status)}});
+               });
+}
+
 void companion::PlaceOrders(time_point now) {
   for (const rank_order& order : switch_.Advance(now)) {
-    const bool prepares = order.kind == order_kind::kPrepare;
-    if (prepares && (!draft_ || draft_->version != order.version || !draft_->IsComplete()))
-      continue;
-    counts_.Count("orders", {});
-    orders_.Call(dialect_.OrderCall(order, prepares ? &draft_->layout : nullptr),
-                 [order](const http_result& result) {
-                   logger::Event(log_level::kInfo, "engine", "order_answered",
-                                 {{"order", std::to_string(static_cast<int>(order.kind))},
-                                  {"version", std::to_string(order.version)},
-                                  {"step", std::to_string(order.step)},
-                                  {"epoch", std::to_string(order.epoch)},
-                                  {"status", std::to_string(result.status)}});
-                 });
+    const bool known = draft_ && draft_->version == order.version && draft_->IsComplete();
+    if (order.kind == order_kind::kPrepare && !known) continue;
+    Place(order);
   }
   if (switch_.Finished() != finished_) {
     finished_ = switch_.Finished();
@@ -311,6 +345,7 @@
   switch_.OnMember(state, now);
   rank_view& view = ranks_[state.rank];
   view.address = from;
+  if (!message.engine_address.empty()) view.engine_address = message.engine_address;
   view.epoch = state.epoch;
   for (const layout_part& part : message.lists) MergeLists(view, part);
   const auto shape = Shape();
@@ -343,7 +378,7 @@
   const bool active = switch_.IsActive();
   if (now < next_state_ && !active) return;
   next_state_ = now + kStateInterval;
-  rank_message message{.state = {*state}};
+  rank_message message{.state = {*state}, .engine_address = settings_.upstream_address};
   if (now >= next_greeting_ && !coordinator_) {
     next_greeting_ = now + kGreetingInterval;
     const std::string greeting = EncodeRankMessage(message);
@@ -381,7 +416,13 @@
   if (!plan) return;
   if (now < next_plan_ && !switch_.IsActive()) return;
   next_plan_ = now + kPlanInterval;
-  const std::string text = EncodeRankMessage({.plan = {*plan}});
+  rank_message announcement{.plan = {*plan}};
+  if (switch_.IsCoordinator()) {
+    // The deputy learns from it where the coordinator's engine is.
+    announcement.state = {*switch_.State()};
+    announcement.engine_address = settings_.upstream_address;
+  }
+  const std::string text = EncodeRankMessage(announcement);
   std::vector<std::string> layouts;
   if (plan->stage == switch_stage::kPreparing && draft_ && now >= next_layout_) {
     next_layout_ = now + kLayoutResend;
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -38,6 +38,9 @@
   /// What the coordinator knows of a rank.
   struct rank_view {
     endpoint address;
+    std::string engine_address;
+    std::unique_ptr<http_caller> engine;  // to its engine, while its companion is silent
+    bool engine_called = false;
     std::uint64_t epoch = 0;
     std::uint64_t lists_version = 0;
     std::optional<rank_layout> lists;  // of this rank alone
@@ -61,6 +64,8 @@
   void OnStatus(const http_result& result, time_point asked);
   void OnCounts(const http_result& result);
   void OnLists(const http_result& result);
+  void ReadSilentRanks(time_point now);
+  void Place(const rank_order& order);
   void ReadProfile(time_point now);
   void PlaceOrders(time_point now);
   void OnDatagram(std::string_view datagram, const endpoint& from);
--- a/src/process/companion/rank_message.h
+++ b/src/process/companion/rank_message.h
@@ -47,9 +47,10 @@
   std::vector<layout_part> layout;  // of the plan's target
   std::vector<layout_part> lists;   // of the sender's rank, in the map in use
   std::vector<load_part> load;      // of the sender's rank
+  std::string engine_address;       // of the sender's rank; may be empty
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(state, plan, layout, lists, load);
+    archive(state, plan, layout, lists, load, engine_address);
   }
   auto operator<=>(const rank_message&) const = default;
 };
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -32,7 +32,11 @@
 // Usual time that a stream takes after it was sent.
 constexpr duration kUsualStream = milliseconds(1500);
 constexpr duration kUsualPlain = milliseconds(40);
-constexpr duration kBusyRetryAfter = milliseconds(600);
+// Callers abandon a stream that shows nothing for 2 s; a place after that is of no use.
+constexpr duration kStreamPatience = milliseconds(1600);
+// Refused callers come back spread over this span, so that they do not meet again.
+constexpr duration kBusyRetryAfter = milliseconds(500);
+constexpr duration kBusyRetrySpread = milliseconds(700);
 constexpr duration kLeavingRetryAfter = milliseconds(50);
 // Share of the retry budget of the fleet that is used, as gateways may not know of each other.
 constexpr double kBudgetMargin = 0.6;
@@ -375,23 +379,31 @@
     // Upstreams may be back within the time of a stream, but hardly within that of a short request.
     counts_.Count("refusals", {.service = admitted.service, .outcome = "no_upstream"});
   }
+  time_point hopeless = admitted.deadline - (streaming ? kUsualStream : kUsualPlain);
+  if (streaming) hopeless = std::min(hopeless, admitted.arrival + kStreamPatience);
   const waiting_request waiting{
       .id = admitted.id,
       .account = admitted.account,
       .priority = admitted.priority,
-      .arrival = now,
-      .on_time_until = now + admitted.route_used->goal * 7 / 10,
-      .hopeless_from = admitted.deadline - (streaming ? kUsualStream : kUsualPlain)};
+      .arrival = admitted.arrival,
+      .on_time_until = admitted.arrival + admitted.route_used->goal * 7 / 10,
+      .hopeless_from = hopeless};
   if (waiting.hopeless_from <= now || !LineOf(admitted.service).Push(waiting)) {
-    request.Refuse("no_place", kBusyRetryAfter);
+    request.Refuse("no_place", BusyRetryAfter());
     return;
   }
   logger::Event(log_level::kInfo, "request", "request_waits",
                 {{"id", admitted.facts.attempt_id},
                  {"obstacle", std::to_string(static_cast<int>(obstacle))},
+                 {"taken", std::to_string(board_.TakenShare(admitted.service, now))},
                  {"waiting", std::to_string(LineOf(admitted.service).Size())}});
 }
 
+duration gateway::BusyRetryAfter() {
+  return kBusyRetryAfter +
+         std::chrono::duration_cast<duration>(kBusyRetrySpread * relay_.Draw());
+}
+
 void gateway::Pump(const std::string& service, time_point now) {
   waiting_line& line = LineOf(service);
   while (const auto id = line.Next(now)) {
@@ -412,7 +424,7 @@
       const auto found = requests_.find(id);
       if (found == requests_.end() || !found->second->IsWaiting()) continue;
       const auto request = found->second;
-      request->Refuse("no_place_in_time", kBusyRetryAfter);
+      request->Refuse("no_place_in_time", BusyRetryAfter());
     }
   }
 }
@@ -427,6 +439,12 @@
   });
 }
 
+void gateway::OnRelayWaits(relayed_request& request) {
+  Line(request, dispatch_obstacle::kAllBusy, clock_.Now());
+}
+
+void gateway::OnMisdirected() { feed_->RefreshUpstreams(); }
+
 void gateway::OnRelayDone(waiting_id id) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -42,6 +42,8 @@
   void OnUnreadableItem(const std::string& key, const std::string& reason) override;
 
   void OnPlaceFree(const std::string& service) override;
+  void OnRelayWaits(relayed_request& request) override;
+  void OnMisdirected() override;
   void OnRelayDone(waiting_id id) override;
 
  private:
@@ -63,6 +65,7 @@
   std::string StateText();
   void Line(relayed_request& request, dispatch_obstacle obstacle, time_point now);
   void Pump(const std::string& service, time_point now);
+  duration BusyRetryAfter();
   void RefuseHopeless(time_point now);
   void RefreshBudgets(time_point now);
   waiting_line& LineOf(const std::string& service);
--- a/src/process/gateway/relay_context.h
+++ b/src/process/gateway/relay_context.h
@@ -42,6 +42,10 @@
   virtual ~relay_host() = default;
   /// A place may have come free at the service.
   virtual void OnPlaceFree(const std::string& service) = 0;
+  /// A request that has not run waits for a place again.
+  virtual void OnRelayWaits(relayed_request& request) = 0;
+  /// An upstream is not where the instance list says.
+  virtual void OnMisdirected() = 0;
   /// The request has its final answer and is forgotten.
   virtual void OnRelayDone(waiting_id id) = 0;
 };
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -11,11 +11,13 @@
 using std::chrono::milliseconds;
 
 // Attempts beyond those of the route that upstreams may refuse without running them.
-constexpr std::uint32_t kMaxRefusedAttempts = 2;
+constexpr std::uint32_t kMaxRefusedAttempts = 4;
 // An idempotent request that is not answered for this many latency objectives is sent elsewhere.
 constexpr int kSilentGoals = 2;
 // Time that is left to a request below which it is not sent again.
 constexpr duration kLeastTimeForRetry = milliseconds(40);
+// Time that is left to a request below which it does not wait for a place again.
+constexpr duration kLeastTimeToWait = milliseconds(150);
 // Callers abandon a stream that is silent for 2 s; it must go on elsewhere before.
 constexpr duration kStreamSilence = milliseconds(1100);
 constexpr duration kUnreachableRetryAfter = milliseconds(300);
@@ -47,13 +49,16 @@
                                                         .draw = context_.Draw()},
                                                        now);
   if (choice.upstream_id.empty()) return choice.obstacle;
+  if (sends_ > 0 && !HasBudget(now)) {
+    LogAttempt("retry_denied", "budget");
+    return dispatch_obstacle::kAllBusy;
+  }
   Send(choice, now);
   return dispatch_obstacle::kNone;
 }
 
 void relayed_request::Send(const dispatch_choice& choice, time_point now) {
   state_ = state::kSent;
-  retrying_ = false;
   ++sends_;
   last_load_ = choice.load;
   tried_.insert(choice.upstream_id);
@@ -203,10 +208,12 @@
 
 void relayed_request::HandleNotRun(const http_head& head, std::string&& /*body*/, time_point now) {
   const bool misdirected = attempt_->facts.is_misdirected;
+  const std::string upstream = attempt_->upstream_id;
   const std::string reason = misdirected ? "misdirected" : "refused_" + std::to_string(head.status);
   LogAttempt("attempt_not_run", reason);
   EndAttempt(misdirected ? attempt_outcome::kMisdirected : attempt_outcome::kRefused, now);
-  if (Retry(reason, now)) return;
+  if (misdirected) host_.OnMisdirected();
+  if (Retry(reason, now) || WaitAgain(upstream, now)) return;
   AnswerFailure(503, reason);
 }
 
@@ -221,16 +228,20 @@
   if (sink_ == nullptr || runs_ >= route.max_attempts || !may_send) return false;
   if (request_.deadline - now < kLeastTimeForRetry) return false;
   if (context_.crashes.IsRefused(request_.fingerprint)) return false;
-  if (!HasBudget(now)) {
-    LogAttempt("retry_denied", "budget");
-    return false;
-  }
   context_.counts.Count("retries", {.service = request_.service, .outcome = std::string(reason)});
   state_ = state::kWaiting;
-  retrying_ = true;
-  if (TryDispatch(now) == dispatch_obstacle::kNone) return true;
-  // A repeated attempt does not wait in the line: the caller has waited already.
-  return false;
+  return TryDispatch(now) == dispatch_obstacle::kNone;
+}
+
+bool relayed_request::WaitAgain(const std::string& refused_by, time_point now) {
+  const bool may_send = sends_ < request_.route_used->max_attempts + kMaxRefusedAttempts;
+  if (sink_ == nullptr || runs_ > 0 || head_sent_ || !may_send) return false;
+  if (request_.deadline - now < kLeastTimeToWait) return false;
+  // It may be asked again: it has not run there.
+  tried_.erase(refused_by);
+  state_ = state::kWaiting;
+  host_.OnRelayWaits(*this);
+  return true;
 }
 
 void relayed_request::HandleBroken(std::string_view reason, time_point now) {
@@ -251,8 +262,9 @@
   const time_point now = context_.clock.Now();
   const auto self = shared_from_this();
   if (failure == link_failure::kNotSent) {
+    const std::string upstream = attempt_->upstream_id;
     EndAttempt(attempt_outcome::kUnreachable, now);
-    if (Retry("unreachable", now)) return;
+    if (Retry("unreachable", now) || WaitAgain(upstream, now)) return;
     if (head_sent_) return HandleBroken("unreachable", now);
     // Nothing was sent, so nothing ran.
     if (runs_ == 0) return Refuse("unreachable", kUnreachableRetryAfter);
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -78,6 +78,8 @@
   /// Sends the request once more if that is allowed; otherwise returns false.
   bool Retry(std::string_view reason, time_point now);
   bool HasBudget(time_point now);
+  /// Puts a request that has not run back into the line; false if it has no time left for that.
+  bool WaitAgain(const std::string& refused_by, time_point now);
   void HandleBroken(std::string_view reason, time_point now);
   void PassStreamPart(std::string& body, time_point now);
   void EndStream(time_point now);
@@ -98,7 +100,6 @@
   std::set<std::string> tried_;
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;  // attempts that may have run
-  bool retrying_ = false;   // waits for a place for a repeated attempt
   bool head_sent_ = false;
   event_splitter events_;
   time_point first_event_ = time_point::min();
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -237,8 +237,11 @@
   state.failures = FailureScore(state, now) + 1;
   state.failures_at = now;
   ++state.failures_in_row;
+  if (outcome == attempt_outcome::kMisdirected) {
+    state.blocked_until = now + options_.misdirected_block;
+    return;
+  }
   const bool at_once = outcome == attempt_outcome::kUnreachable ||
-                       outcome == attempt_outcome::kMisdirected ||
                        outcome == attempt_outcome::kRefused;
   if (at_once || state.failures_in_row >= 2) Block(state, now);
 }
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -13,6 +13,7 @@
   plan_.reset();
   committed_.reset();
   known_layouts_.clear();
+  deputising_ = false;
 }
 
 void map_switch::OnStatus(const rank_status& status, time_point asked) {
@@ -31,18 +32,49 @@
 void map_switch::OnMember(const member_state& state, time_point now) {
   if (!status_ || state.group != status_->group || state.epoch != status_->epoch) return;
   if (state.rank == status_->rank) return;
-  members_[state.rank] = {.state = state, .at = now};
+  member& known = members_[state.rank];
+  known.state = state;
+  known.at = now;
+  known.direct = now;
   highest_version_ = std::max({highest_version_, state.mapping, state.prepared, state.armed.version,
                                state.committed.version});
 }
 
-void map_switch::OnPlan(const switch_plan& plan, time_point /*now*/) {
+void map_switch::OnPlan(const switch_plan& plan, time_point now) {
   if (!status_ || plan.group != status_->group || plan.epoch != status_->epoch) return;
   if (IsCoordinator() && plan.incarnation != incarnation_) return;
   if (left_behind_.count(plan.incarnation) > 0) return;
   if (followed_ != 0 && followed_ != plan.incarnation) left_behind_.insert(followed_);
   followed_ = plan.incarnation;
   plan_ = plan;
+  plan_at_ = now;
+  deputising_ = false;
+}
+
+void map_switch::OnRemoteStatus(std::uint32_t rank, const rank_status& status, time_point asked) {
+  if (!status_ || status.group != status_->group || status.epoch != status_->epoch) return;
+  if (status.rank != rank || rank == status_->rank) return;
+  member& known = members_[rank];
+  known.state.group = status.group;
+  known.state.epoch = status.epoch;
+  known.state.rank = rank;
+  known.state.step = status.step;
+  known.state.mapping = status.mapping;
+  known.state.prepared = status.prepared.value_or(0);
+  known.state.armed = status.armed.value_or(armed_map{});
+  known.state.heard = followed_;
+  known.at = std::max(known.at, asked);
+  known.held = status.held && plan_ && *status.held == plan_->target.step;
+}
+
+std::vector<std::uint32_t> map_switch::SilentRanks(time_point now) const {
+  std::vector<std::uint32_t> silent;
+  const bool arming = deputising_ || (IsCoordinator() && stage_ == switch_stage::kArming);
+  if (!arming) return silent;
+  for (const auto& [rank, each] : members_) {
+    if (now - each.direct > options_.silence) silent.push_back(rank);
+  }
+  return silent;
 }
 
 void map_switch::OnLayoutKnown(std::uint64_t version) { known_layouts_.insert(version); }
@@ -67,7 +99,7 @@
 template <typename Condition>
 bool map_switch::AllMembers(time_point now, Condition condition) const {
   return AllFresh(now) && std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
-           return each.second.state.heard == incarnation_ && condition(each.second.state);
+           return each.second.state.heard == followed_ && condition(each.second.state);
          });
 }
 
@@ -101,7 +133,9 @@
                        std::vector<rank_order>& orders) {
   const auto sent = sent_.find(order);
   // The report must be newer than the order, or the order's effect cannot show in it.
-  if (sent != sent_.end() && (now - sent->second < pause || status_asked_ <= sent->second)) return;
+  const bool is_own = order.rank == status_->rank;
+  if (sent != sent_.end() && now - sent->second < pause) return;
+  if (sent != sent_.end() && is_own && status_asked_ <= sent->second) return;
   sent_[order] = now;
   orders.push_back(order);
 }
@@ -119,14 +153,14 @@
     return;
   }
   released_to_ = std::max(released_to_, held);
-  Order({.kind = order_kind::kGo, .epoch = status_->epoch, .step = held}, options_.resend_after,
+  Order({.kind = order_kind::kGo, .rank = status_->rank, .epoch = status_->epoch, .step = held}, options_.resend_after,
         now, orders);
 }
 
 void map_switch::AdvanceCoordinator(time_point now, std::vector<rank_order>& orders) {
   const rank_status& own = *status_;
   const auto go = [&](std::uint64_t step) {
-    Order({.kind = order_kind::kGo, .epoch = own.epoch, .step = step}, options_.resend_after, now,
+    Order({.kind = order_kind::kGo, .rank = own.rank, .epoch = own.epoch, .step = step}, options_.resend_after, now,
           orders);
   };
   switch (stage_) {
@@ -158,18 +192,20 @@
         return;
       }
       // The pass has begun, so that the hold cannot take effect any more.
-      if (own.step >= target_.step) ChooseStep();
+      if (own.step >= target_.step) {
+        ChooseStep();
+        Enter(switch_stage::kHolding, now);
+      }
+      if (now - stage_since_ < options_.announcement) return;
       if (own.held && *own.held <= released_to_) go(*own.held);
-      Order({.kind = order_kind::kHold, .epoch = own.epoch, .step = target_.step},
+      Order({.kind = order_kind::kHold, .rank = own.rank, .epoch = own.epoch, .step = target_.step},
             options_.resend_after, now, orders);
       return;
     case switch_stage::kArming: {
-      const auto armed = [&](std::uint64_t mapping, const armed_map& is) {
-        return mapping == target_.version || is == target_;
-      };
-      const bool all = armed(own.mapping, own.armed.value_or(armed_map{})) &&
+      ArmSilentRanks(now, orders);
+      const bool all = IsArmed(own.mapping, own.armed.value_or(armed_map{})) &&
                        AllMembers(now, [&](const member_state& state) {
-                         return armed(state.mapping, state.armed);
+                         return IsArmed(state.mapping, state.armed);
                        });
       if (!all) return;
       released_to_ = target_.step;
@@ -190,13 +226,61 @@
   }
 }
 
+bool map_switch::IsArmed(std::uint64_t mapping, const armed_map& armed) const {
+  return mapping == plan_->target.version || armed == plan_->target;
+}
+
+void map_switch::ArmSilentRanks(time_point now, std::vector<rank_order>& orders) {
+  for (const std::uint32_t rank : SilentRanks(now)) {
+    const member_state& state = members_[rank].state;
+    const bool can_arm = state.prepared == plan_->target.version &&
+                         state.step < plan_->target.step;
+    if (IsArmed(state.mapping, state.armed) || !can_arm) continue;
+    Order({.kind = order_kind::kArm,
+           .rank = rank,
+           .epoch = status_->epoch,
+           .version = plan_->target.version,
+           .step = plan_->target.step},
+          options_.resend_after, now, orders);
+  }
+}
+
+void map_switch::AdvanceDeputy(time_point now, std::vector<rank_order>& orders) {
+  const bool held_stage = plan_->stage == switch_stage::kHolding ||
+                          plan_->stage == switch_stage::kArming ||
+                          plan_->stage == switch_stage::kReleasing;
+  if (!held_stage || now - plan_at_ <= options_.silence) {
+    deputising_ = false;
+    return;
+  }
+  deputising_ = true;
+  const auto coordinator = members_.find(0);
+  if (coordinator == members_.end()) return;
+  const member& first = coordinator->second;
+  const bool holds = first.held && now - first.at <= options_.silence &&
+                     first.state.step < plan_->target.step;
+  if (!holds) return;
+  plan_->stage = switch_stage::kArming;
+  ArmSilentRanks(now, orders);
+  const bool all = IsArmed(status_->mapping, status_->armed.value_or(armed_map{})) &&
+                   AllMembers(now, [&](const member_state& state) {
+                     return IsArmed(state.mapping, state.armed);
+                   });
+  if (!all) return;
+  Order({.kind = order_kind::kGo,
+         .rank = 0,
+         .epoch = status_->epoch,
+         .step = plan_->target.step},
+        options_.resend_after, now, orders);
+}
+
 void map_switch::AdvanceMember(time_point now, std::vector<rank_order>& orders) {
   const rank_status& own = *status_;
   const armed_map& target = plan_->target;
   if (plan_->stage == switch_stage::kPreparing) {
     const bool done = own.prepared == target.version || own.mapping == target.version;
     if (done || known_layouts_.count(target.version) == 0 || own.armed) return;
-    Order({.kind = order_kind::kPrepare, .epoch = own.epoch, .version = target.version},
+    Order({.kind = order_kind::kPrepare, .rank = own.rank, .epoch = own.epoch, .version = target.version},
           options_.prepare_resend, now, orders);
     return;
   }
@@ -206,6 +290,7 @@
   if (own.prepared != target.version || own.step >= target.step) return;
   committed_ = target;
   Order({.kind = order_kind::kArm,
+         .rank = own.rank,
          .epoch = own.epoch,
          .version = target.version,
          .step = target.step},
@@ -219,6 +304,7 @@
     AdvanceCoordinator(now, orders);
     if (const auto plan = Plan()) OnPlan(*plan, now);
   }
+  if (plan_ && status_->rank == 1) AdvanceDeputy(now, orders);
   if (plan_) AdvanceMember(now, orders);
   return orders;
 }
@@ -238,6 +324,7 @@
 }
 
 std::optional<switch_plan> map_switch::Plan() const {
+  if (deputising_ && plan_->stage == switch_stage::kArming) return plan_;
   if (!IsCoordinator()) return std::nullopt;
   return switch_plan{.incarnation = incarnation_,
                      .group = status_->group,
