Bound the requests of an engine by the pauses that streams show

Change: gateways measure the time between events per rank group and let an engine have only as many requests as keep passes, their spread included, within 0.9 of the shortest pause target; a switch of maps must save 0.25 s of passes.

--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -75,6 +75,11 @@
   duration longest_block = std::chrono::seconds(2);
   /// Another upstream has the address; the record that is wrong lapses within this time.
   duration misdirected_block = std::chrono::seconds(4);
+  /// Share of the longest pause of a stream's route that passes may take, their spread included.
+  double pause_share = 0.9;
+  /// Requests that an engine gets whatever its pauses are, so that they are still measured.
+  std::uint32_t least_engine_load = 2;
+  duration pause_lifetime = std::chrono::milliseconds(600);
   /// Share of the bound for cold upstreams that all entries together use.
   double cold_margin = 0.8;
 };
@@ -97,6 +102,8 @@
   /// The upstream says that it stays cold for so long.
   void OnColdLeft(const std::string& id, duration left, time_point now);
   void OnReport(const engine_report& report, time_point now);
+  /// The time between two events of a stream, which is the time of a pass of its group.
+  void OnPause(const std::string& id, duration pause, time_point now);
   /// Requests of another entry in flight, by hash of the upstream's id.
   void OnPeerLoad(const std::string& peer, const std::map<std::uint32_t, std::uint32_t>& in_flight,
                   time_point now);
@@ -113,6 +120,7 @@
   struct upstream_state {
     upstream_record record;
     std::optional<engine_profile> engine;
+    duration pause_limit = duration::zero();  // the shortest of the service's routes
     duration cold_start = duration::zero();
     double cold_per_second = 0;
     time_point cold_until = time_point::min();
@@ -132,14 +140,19 @@
     std::map<std::uint32_t, std::uint32_t> in_flight;
     time_point at;
   };
-  struct candidate {
-    const upstream_state* state = nullptr;
-    double score = 0;
+  /// Passes of a group as streams show them, in milliseconds.
+  struct pass_times {
+    double mean = 0;
+    double spread = 0;  // mean absolute deviation
+    time_point at;
   };
   using group_loads = std::map<std::string, double>;
 
   std::uint32_t Load(const upstream_state& state, time_point now) const;
-  std::uint32_t Capacity(const upstream_state& state) const;
+  std::uint32_t Capacity(const upstream_state& state, time_point now) const;
+  std::string PassKey(const upstream_state& state) const;
+  /// Mean load of the ranks that run passes together with this upstream.
+  double GroupLoad(const upstream_state& state, time_point now) const;
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
   bool IsGroupOpen(const upstream_state& state, time_point now) const;
   bool HasColdRoom(const upstream_state& state, time_point now) const;
@@ -154,6 +167,7 @@
   upstream_board_options options_;
   std::map<std::string, upstream_state> upstreams_;
   std::map<std::string, peer_load> peers_;
+  std::map<std::string, pass_times> passes_;  // by group, or by upstream without one
   std::set<std::string> evacuated_;
   std::uint32_t entries_ = 1;
 };
--- a/include/berylbarrow/version/expert/layout_chooser.h
+++ b/include/berylbarrow/version/expert/layout_chooser.h
@@ -17,9 +17,9 @@
   /// By how much passes are longer while experts are copied.
   double copy_slowdown = 0.15;
   /// Time of passes that a switch costs in any case: its orders, and ranks that wait.
-  double switch_seconds = 0.15;
+  double switch_seconds = 0.25;
   /// Time of passes that one copy by any rank must save besides.
-  double seconds_per_copy = 0.0015;
+  double seconds_per_copy = 0.0025;
 };
 
 struct chosen_layout {
--- a/include/berylbarrow/version/routing/routing_view.h
+++ b/include/berylbarrow/version/routing/routing_view.h
@@ -115,6 +115,8 @@
   /// query.
   const route* FindRoute(std::string_view host, std::string_view target) const;
   const service_profile* FindService(std::string_view name) const;
+  /// The shortest pause that a route to the service allows between events; zero: none says.
+  duration ShortestPause(const std::string& service) const;
   /// The account that holds the key, or null.
   const client_account* FindAccount(std::string_view key) const;
 
@@ -132,6 +134,7 @@
   text_index<text_index<std::size_t>> routes_;  // host, prefix
   text_index<std::size_t> services_;
   text_index<std::size_t> keys_;
+  std::map<std::string, duration> pauses_;  // by service
 };
 
 /// Picks one of the route's services by weight. `draw` is uniform in [0, 1).
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -135,6 +135,10 @@
     return;
   }
   if (events.empty() || sink_ == nullptr) return;
+  if (attempt_ && attempt_->last_event) {
+    context_.board.OnPause(attempt_->upstream_id, now - *attempt_->last_event, now);
+  }
+  if (attempt_) attempt_->last_event = now;
   if (first_event_ == time_point::min()) {
     first_event_ = now;
     context_.counts.Observe("first_event", {.service = request_.service}, now - request_.arrival);
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -66,6 +66,7 @@
     std::shared_ptr<upstream_link> link;
     time_point sent;
     time_point heard;  // last sign of the upstream
+    std::optional<time_point> last_event;
     bool answered = false;
     reply_facts facts;
   };
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr double kLatencyWeight = 0.15;   // of the newest answer in the moving average
+constexpr double kPauseWeight = 0.05;  // of the newest pause in the moving averages
 constexpr double kFailurePenalty = 0.35;  // in slots, per recent failure
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
@@ -43,6 +44,7 @@
     const service_profile* profile =
         view == nullptr ? nullptr : view->FindService(known.record.service);
     if (profile == nullptr) continue;
+    state.pause_limit = view->ShortestPause(known.record.service);
     state.engine = profile->engine;
     state.cold_start = profile->cold_start;
     state.cold_per_second = profile->cold_requests_per_second;
@@ -74,9 +76,39 @@
   return load;
 }
 
-std::uint32_t upstream_board::Capacity(const upstream_state& state) const {
+std::string upstream_board::PassKey(const upstream_state& state) const {
+  return state.report && !state.report->group.empty() ? state.report->group : state.record.id;
+}
+
+double upstream_board::GroupLoad(const upstream_state& state, time_point now) const {
+  const std::string key = PassKey(state);
+  double load = 0;
+  double ranks = 0;
+  for (const auto& [id, other] : upstreams_) {
+    if (other.record.service != state.record.service || PassKey(other) != key) continue;
+    load += Load(other, now);
+    ++ranks;
+  }
+  return load / std::max(1.0, ranks);
+}
+
+std::uint32_t upstream_board::Capacity(const upstream_state& state, time_point now) const {
   const std::uint32_t slots = std::max(1U, state.record.slots);
-  if (state.engine) return slots + options_.engine_ahead;
+  if (state.engine) {
+    const std::uint32_t most = slots + options_.engine_ahead;
+    const auto passes = passes_.find(PassKey(state));
+    const bool measured = passes != passes_.end() && state.pause_limit > duration::zero() &&
+                          now - passes->second.at <= options_.pause_lifetime;
+    if (!measured) return most;
+    // A pass takes a fixed time and a time that grows with the requests of the ranks.
+    const double fixed = state.engine->stride * state.engine->step_ms;
+    const double limit = options_.pause_share * Seconds(state.pause_limit) * 1000.0 - fixed;
+    const double taken = passes->second.mean + passes->second.spread - fixed;
+    if (taken <= 0 || limit <= 0) return most;
+    const double fits = GroupLoad(state, now) * limit / taken;
+    return std::clamp(static_cast<std::uint32_t>(std::ceil(fits)),
+                      std::min(options_.least_engine_load, most), most);
+  }
   return slots + static_cast<std::uint32_t>(slots * options_.plain_queue_per_slot);
 }
 
@@ -161,7 +193,7 @@
   for (const auto& [id, state] : upstreams_) {
     if (!IsUsable(state, query)) continue;
     const std::uint32_t load = Load(state, now);
-    if (load >= Capacity(state)) {
+    if (load >= Capacity(state, now)) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
       continue;
     }
@@ -261,6 +293,18 @@
   found->second.reported_at = now;
 }
 
+void upstream_board::OnPause(const std::string& id, duration pause, time_point now) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  const double ms = Seconds(pause) * 1000.0;
+  pass_times& passes = passes_[PassKey(found->second)];
+  const bool anew = passes.mean <= 0 || now - passes.at > options_.pause_lifetime;
+  if (anew) passes = {.mean = ms, .spread = ms / 8};
+  passes.spread += kPauseWeight * (std::abs(ms - passes.mean) - passes.spread);
+  passes.mean += kPauseWeight * (ms - passes.mean);
+  passes.at = now;
+}
+
 void upstream_board::OnPeerLoad(const std::string& peer,
                                 const std::map<std::uint32_t, std::uint32_t>& in_flight,
                                 time_point now) {
--- a/src/version/routing/routing_view.cc
+++ b/src/version/routing/routing_view.cc
@@ -22,6 +22,11 @@
   for (std::size_t i = 0; i < content_.routes.size(); ++i) {
     const route& each = content_.routes[i];
     routes_[CanonicalHost(each.host)].emplace(each.prefix, i);
+    for (const weighted_service& target : each.services) {
+      if (each.gap_target <= duration::zero()) continue;
+      const auto known = pauses_.emplace(target.service, each.gap_target).first;
+      known->second = std::min(known->second, each.gap_target);
+    }
   }
   for (std::size_t i = 0; i < content_.services.size(); ++i) {
     services_.emplace(content_.services[i].name, i);
@@ -50,6 +55,11 @@
   return found == services_.end() ? nullptr : &content_.services[found->second];
 }
 
+duration routing_view::ShortestPause(const std::string& service) const {
+  const auto found = pauses_.find(service);
+  return found == pauses_.end() ? duration::zero() : found->second;
+}
+
 const client_account* routing_view::FindAccount(std::string_view key) const {
   const auto found = keys_.find(key);
   return found == keys_.end() ? nullptr : &content_.accounts[found->second];
