Wait for a group that is not open instead of trying its ranks in turn

Change: a refusal by an engine with free places blocks all ranks of its group for 150 ms; a request without budget is passed over in the line; the budget starts with 0.3 of its slack.

--- a/include/berylbarrow/request/admission/waiting_line.h
+++ b/include/berylbarrow/request/admission/waiting_line.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,8 +32,9 @@
 
   /// Returns false if the line is full.
   bool Push(const waiting_request& request);
-  /// The request to be sent next. It stays in the line.
-  std::optional<waiting_id> Next(time_point now) const;
+  /// The request to be sent next, without those that have to wait for something else. It stays in
+  /// the line.
+  std::optional<waiting_id> Next(time_point now, const std::set<waiting_id>& passed_over = {}) const;
   /// The request got a place: its account goes behind the others.
   void OnServed(waiting_id id);
   void Remove(waiting_id id);
--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -52,7 +52,13 @@
   double draw = 0;                 // uniform in [0, 1), breaks ties
 };
 
-enum class dispatch_obstacle : std::uint8_t { kNone, kNoUpstream, kAllBusy, kColdLimit };
+enum class dispatch_obstacle : std::uint8_t {
+  kNone,
+  kNoUpstream,
+  kAllBusy,
+  kColdLimit,
+  kNoBudget,  // a repeated attempt has to wait for the retry budget
+};
 
 struct dispatch_choice {
   std::string upstream_id;
@@ -75,6 +81,8 @@
   duration longest_block = std::chrono::seconds(2);
   /// Another upstream has the address; the record that is wrong lapses within this time.
   duration misdirected_block = std::chrono::seconds(4);
+  /// An upstream that refuses although it has places waits for its group; so do the other ranks.
+  duration group_block = std::chrono::milliseconds(150);
   /// Share of the longest pause of a stream's route that passes may take, their spread included.
   double pause_share = 0.9;
   /// Requests that an engine gets whatever its pauses are, so that they are still measured.
@@ -163,6 +171,7 @@
   group_loads GroupLoads(const std::string& service, time_point now) const;
   double PassTime(const upstream_state& state, double requests) const;
   void Block(upstream_state& state, time_point now);
+  void BlockGroup(const upstream_state& state, time_point now);
 
   upstream_board_options options_;
   std::map<std::string, upstream_state> upstreams_;
--- a/include/berylbarrow/request/routing/retry_budget.h
+++ b/include/berylbarrow/request/routing/retry_budget.h
@@ -9,6 +9,7 @@
   double share = 0.1;       // retries per request
   double per_second = 1.0;  // granted even when there are few requests
   double burst = 20.0;      // retries saved up at most
+  double saved = 0.0;       // retries that may be taken at the start
 };
 
 /// Bounds the retries of one service, so that refusals of a full fleet do not multiply its load.
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -39,7 +39,7 @@
 constexpr duration kBusyRetrySpread = milliseconds(700);
 constexpr duration kLeavingRetryAfter = milliseconds(50);
 // Share of the retry budget of the fleet that is used, as gateways may not know of each other.
-constexpr double kBudgetMargin = 0.6;
+constexpr double kBudgetMargin = 0.8;
 
 std::string Milliseconds(duration span) {
   return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
@@ -211,8 +211,9 @@
     if (budgets_.count(service.name) > 0) continue;
     budgets_.emplace(service.name,
                      retry_budget({.share = settings_.bounds.retry_share * kBudgetMargin,
-                                   .per_second = slack / 2 / window,
-                                   .burst = std::max(1.0, slack / 2)},
+                                   .per_second = 0.3 * slack / window,
+                                   .burst = std::max(1.0, 0.6 * slack),
+                                   .saved = 0.3 * slack},
                                   now));
   }
 }
@@ -406,15 +407,22 @@
 
 void gateway::Pump(const std::string& service, time_point now) {
   waiting_line& line = LineOf(service);
-  while (const auto id = line.Next(now)) {
+  std::set<waiting_id> passed_over;
+  while (const auto id = line.Next(now, passed_over)) {
     const auto found = requests_.find(*id);
     if (found == requests_.end() || !found->second->IsWaiting()) {
       line.Remove(*id);
       continue;
     }
     const auto request = found->second;
-    if (request->TryDispatch(now) != dispatch_obstacle::kNone) return;
-    line.OnServed(*id);
+    const dispatch_obstacle obstacle = request->TryDispatch(now);
+    if (obstacle == dispatch_obstacle::kNone) {
+      line.OnServed(*id);
+    } else if (obstacle == dispatch_obstacle::kNoBudget) {
+      passed_over.insert(*id);
+    } else {
+      return;
+    }
   }
 }
 
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -50,8 +50,9 @@
                                                        now);
   if (choice.upstream_id.empty()) return choice.obstacle;
   if (sends_ > 0 && !HasBudget(now)) {
-    LogAttempt("retry_denied", "budget");
-    return dispatch_obstacle::kAllBusy;
+    if (!denied_) LogAttempt("retry_denied", "budget");
+    denied_ = true;
+    return dispatch_obstacle::kNoBudget;
   }
   Send(choice, now);
   return dispatch_obstacle::kNone;
--- a/src/request/admission/waiting_line.cc
+++ b/src/request/admission/waiting_line.cc
@@ -11,18 +11,20 @@
   return true;
 }
 
-std::optional<waiting_id> waiting_line::Next(time_point now) const {
+std::optional<waiting_id> waiting_line::Next(time_point now,
+                                             const std::set<waiting_id>& passed_over) const {
   const auto rank = [&](const waiting_request& request) {
     const auto turn = last_turn_.find(request.account);
     return std::make_tuple(request.priority, now > request.on_time_until,
                            turn == last_turn_.end() ? std::uint64_t{0} : turn->second,
                            request.arrival, request.id);
   };
-  const auto first = std::min_element(
-      requests_.begin(), requests_.end(),
-      [&](const auto& left, const auto& right) { return rank(left.second) < rank(right.second); });
-  if (first == requests_.end()) return std::nullopt;
-  return first->first;
+  const waiting_request* first = nullptr;
+  for (const auto& [id, request] : requests_) {
+    if (passed_over.count(id) > 0) continue;
+    if (first == nullptr || rank(request) < rank(*first)) first = &request;
+  }
+  return first == nullptr ? std::nullopt : std::optional(first->id);
 }
 
 void waiting_line::OnServed(waiting_id id) {
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -217,9 +217,9 @@
     }
   }
   const bool all_blocked = best == nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream;
-  if (all_blocked && least_blocked != nullptr && IsGroupOpen(*least_blocked, now)) {
-    best = least_blocked;
-  }
+  const bool may_try = least_blocked != nullptr && !least_blocked->engine &&
+                       IsGroupOpen(*least_blocked, now);
+  if (all_blocked && may_try) best = least_blocked;
   if (best == nullptr) {
     if (least_blocked != nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
@@ -251,6 +251,14 @@
   state.blocked_until = std::max(state.blocked_until, now + span);
 }
 
+void upstream_board::BlockGroup(const upstream_state& state, time_point now) {
+  const std::string key = PassKey(state);
+  for (auto& [id, other] : upstreams_) {
+    if (other.record.service != state.record.service || PassKey(other) != key) continue;
+    other.blocked_until = std::max(other.blocked_until, now + options_.group_block);
+  }
+}
+
 void upstream_board::OnFinished(const std::string& id, std::uint32_t tokens,
                                 attempt_outcome outcome, duration latency, time_point now) {
   const auto found = upstreams_.find(id);
@@ -273,6 +281,11 @@
     state.blocked_until = now + options_.misdirected_block;
     return;
   }
+  const bool has_places = Load(state, now) < state.record.slots;
+  if (outcome == attempt_outcome::kRefused && state.engine && has_places) {
+    BlockGroup(state, now);
+    return;
+  }
   const bool at_once = outcome == attempt_outcome::kUnreachable ||
                        outcome == attempt_outcome::kRefused;
   if (at_once || state.failures_in_row >= 2) Block(state, now);
--- a/src/request/routing/retry_budget.cc
+++ b/src/request/routing/retry_budget.cc
@@ -10,7 +10,10 @@
 }  // namespace
 
 retry_budget::retry_budget(const retry_budget_options& options, time_point now)
-    : options_(options), from_time_(options.per_second), refilled_(now) {}
+    : options_(options),
+      from_requests_(options.saved),
+      from_time_(options.per_second),
+      refilled_(now) {}
 
 void retry_budget::OnRequest() {
   from_requests_ = std::min(options_.burst, from_requests_ + options_.share);
