Size the retry budget by the gateways that there are

Change: budgets follow the largest number of gateways seen, at least six; one retry is saved at the start (a third of the slack before).

--- a/include/berylbarrow/request/routing/retry_budget.h
+++ b/include/berylbarrow/request/routing/retry_budget.h
@@ -18,6 +18,8 @@
  public:
   retry_budget(const retry_budget_options& options, time_point now);
 
+  /// The number of processes that share the bounds has changed.
+  void SetOptions(const retry_budget_options& options);
   void OnRequest();
   /// Returns false if no retry is allowed now.
   bool TryTake(time_point now);
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -38,6 +38,8 @@
 constexpr duration kBusyRetryAfter = milliseconds(500);
 constexpr duration kBusyRetrySpread = milliseconds(700);
 constexpr duration kLeavingRetryAfter = milliseconds(50);
+// Gateways of a small fleet.
+constexpr std::uint32_t kLeastGateways = 6;
 // Share of the retry budget of the fleet that is used, as gateways may not know of each other.
 constexpr double kBudgetMargin = 0.8;
 
@@ -204,17 +206,17 @@
 
 void gateway::RefreshBudgets(time_point now) {
   if (view_ == nullptr) return;
-  const double gateways = std::max(1U, members_.LiveGateways(now));
+  // Processes that are cut off or have just begun know too few others.
+  most_gateways_ = std::max({most_gateways_, members_.LiveGateways(now), kLeastGateways});
   const double window = std::chrono::duration<double>(settings_.bounds.retry_window).count();
-  const double slack = settings_.bounds.retry_slack * kBudgetMargin / gateways;
+  const double slack = settings_.bounds.retry_slack * kBudgetMargin / most_gateways_;
+  const retry_budget_options options{.share = settings_.bounds.retry_share * kBudgetMargin,
+                                     .per_second = 0.3 * slack / window,
+                                     .burst = std::max(1.0, 0.6 * slack),
+                                     .saved = 1.0};
   for (const service_profile& service : view_->Content().services) {
-    if (budgets_.count(service.name) > 0) continue;
-    budgets_.emplace(service.name,
-                     retry_budget({.share = settings_.bounds.retry_share * kBudgetMargin,
-                                   .per_second = 0.3 * slack / window,
-                                   .burst = std::max(1.0, 0.6 * slack),
-                                   .saved = 0.3 * slack},
-                                  now));
+    const auto budget = budgets_.try_emplace(service.name, options, now);
+    if (!budget.second) budget.first->second.SetOptions(options);
   }
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -96,6 +96,7 @@
   std::map<std::string, waiting_line> lines_;
   std::set<std::string> pumps_;  // services with a pump that is posted
   waiting_id next_id_ = 1;
+  std::uint32_t most_gateways_ = 1;
   std::uint64_t board_revision_ = 0;
   std::uint64_t beat_sequence_ = 0;
   time_point next_beat_ = time_point::min();
--- a/src/request/routing/retry_budget.cc
+++ b/src/request/routing/retry_budget.cc
@@ -15,6 +15,11 @@
       from_time_(options.per_second),
       refilled_(now) {}
 
+void retry_budget::SetOptions(const retry_budget_options& options) {
+  options_ = options;
+  from_requests_ = std::min(from_requests_, options_.burst);
+}
+
 void retry_budget::OnRequest() {
   from_requests_ = std::min(options_.burst, from_requests_ + options_.share);
 }
