Test the gateway's decisions, the adapter and its path over sockets

They found: a slow rank's group was not left alone (its own pace was normalised away); the score of an engine now weighs the pass of its group by 0.7.

--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -169,6 +169,7 @@
   double Score(const upstream_state& state, const dispatch_query& query, const group_loads& groups,
                time_point now) const;
   group_loads GroupLoads(const std::string& service, time_point now) const;
+  double Pace(const upstream_state& state) const;
   double PassTime(const upstream_state& state, double requests) const;
   void Block(upstream_state& state, time_point now);
   void BlockGroup(const upstream_state& state, time_point now);
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr double kLatencyWeight = 0.15;   // of the newest answer in the moving average
+// Of an engine's own load in its score; the rest is the time of a pass of its group.
+constexpr double kLoadWeight = 0.3;
 constexpr double kPauseWeight = 0.05;  // of the newest pause in the moving averages
 constexpr double kFailurePenalty = 0.35;  // in slots, per recent failure
 
@@ -140,13 +142,16 @@
   return state.failures * std::exp2(-halves);
 }
 
+double upstream_board::Pace(const upstream_state& state) const {
+  return state.report ? std::max(0.5, state.report->pace) : 1.0;
+}
+
 double upstream_board::PassTime(const upstream_state& state, double requests) const {
   const engine_profile& engine = *state.engine;
   const double context_k = (engine.usual_prompt + engine.usual_answer / 2.0) / 1000.0;
   const double step =
       engine.step_ms + requests * (engine.per_sequence_ms + engine.per_context_k_ms * context_k);
-  const double pace = state.report ? std::max(0.5, state.report->pace) : 1.0;
-  return pace * engine.stride * step;
+  return Pace(state) * engine.stride * step;
 }
 
 upstream_board::group_loads upstream_board::GroupLoads(const std::string& service,
@@ -172,7 +177,8 @@
       const auto group = groups.find(state.report->group);
       if (group != groups.end()) pass = std::max(pass, group->second);
     }
-    score = 0.5 * score + 0.5 * pass / std::max(1.0, PassTime(state, slots));
+    const double usual = PassTime(state, slots) / Pace(state);
+    score = kLoadWeight * score + (1 - kLoadWeight) * pass / std::max(1.0, usual);
   } else if (state.latency_ms > 0) {
     score = load * state.latency_ms / 1000.0;
   }
--- /dev/null
+++ b/tests/platform/exchange_test.cc
@@ -0,0 +1,131 @@
+#include "platform/exchange.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+
+namespace berylbarrow::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+http_head CallerHead() {
+  return {.method = "POST",
+          .target = "/a/b?c",
+          .fields = {{"Host", "h.example"},
+                     {"Request-Attempt-Id", "id-1"},
+                     {"Authorization", "Token secret"},
+                     {"Deadline-Remaining-Ms", "8000"},
+                     {"Token-Usage", "1460,80"},
+                     {"Last-Event-Id", "12"},
+                     {"Tenant", "forged"},
+                     {"Expect-Replica", "forged"},
+                     {"Connection", "keep-alive, X-Hop"},
+                     {"X-Hop", "1"},
+                     {"X-Other", "2"}}};
+}
+
+std::string Value(const std::vector<header_field>& fields, const std::string& name) {
+  std::string all;
+  for (const header_field& each : fields) {
+    if (EqualNames(each.name, name)) all += "[" + each.value + "]";
+  }
+  return all;
+}
+
+BOOST_AUTO_TEST_CASE(a_callers_request_is_read) {
+  const caller_facts facts = exchange().ReadCaller(CallerHead());
+  BOOST_TEST(facts.attempt_id == "id-1");
+  BOOST_TEST(facts.key == "secret");
+  BOOST_TEST((facts.deadline == milliseconds(8000)));
+  BOOST_TEST(facts.prompt_tokens == 1460U);
+  BOOST_TEST(facts.answer_tokens == 80U);
+  BOOST_TEST(facts.last_event.value() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(odd_fields_are_taken_as_absent) {
+  const http_head head{.method = "GET",
+                       .target = "/",
+                       .fields = {{"Authorization", "Basic x"},
+                                  {"Deadline-Remaining-Ms", "soon"},
+                                  {"Token-Usage", "x,,9999999999999999999999"}}};
+  const caller_facts facts = exchange().ReadCaller(head);
+  BOOST_TEST(facts.key.empty());
+  BOOST_TEST(!facts.deadline.has_value());
+  BOOST_TEST(facts.prompt_tokens == 0U);
+  const http_head vast{
+      .method = "GET", .target = "/", .fields = {{"Deadline-Remaining-Ms", "99999999999999999"}}};
+  BOOST_TEST((exchange().ReadCaller(vast).deadline == std::chrono::hours(24)));
+}
+
+BOOST_AUTO_TEST_CASE(the_upstream_sees_the_account_and_never_the_key) {
+  const auto fields = exchange().AttemptFields(CallerHead(), {.upstream_id = "i-1",
+                                                              .account = "counter",
+                                                              .remaining = milliseconds(7000),
+                                                              .last_event = 15,
+                                                              .priority = 12});
+  BOOST_TEST(Value(fields, "Authorization").empty());
+  BOOST_TEST(Value(fields, "Tenant") == "[counter]");
+  BOOST_TEST(Value(fields, "Expect-Replica") == "[i-1]");
+  BOOST_TEST(Value(fields, "Deadline-Remaining-Ms") == "[7000]");
+  BOOST_TEST(Value(fields, "Last-Event-Id") == "[15]");
+  BOOST_TEST(Value(fields, "Request-Priority") == "[9]");
+  BOOST_TEST(Value(fields, "Request-Attempt-Id") == "[id-1]");
+  BOOST_TEST(Value(fields, "X-Hop").empty());
+  BOOST_TEST(Value(fields, "X-Other") == "[2]");
+}
+
+BOOST_AUTO_TEST_CASE(a_public_request_names_no_account) {
+  const auto fields =
+      exchange().AttemptFields(CallerHead(), {.upstream_id = "i-1", .remaining = milliseconds(0)});
+  BOOST_TEST(Value(fields, "Tenant").empty());
+  BOOST_TEST(Value(fields, "Deadline-Remaining-Ms") == "[1]");
+}
+
+BOOST_AUTO_TEST_CASE(answers_say_whether_they_ran) {
+  const exchange dialect;
+  BOOST_TEST(dialect.ReadReply({.status = 503, .fields = {{"Not-Executed", "1"}}}).not_run);
+  BOOST_TEST(dialect.ReadReply({.status = 421}).is_misdirected);
+  const reply_facts facts = dialect.ReadReply(
+      {.status = 200,
+       .fields = {{"Replica-Signature", "x"}, {"Replica-Load", "3,0,8"}, {"Cold-Ms", "250"}}});
+  BOOST_TEST(facts.is_signed);
+  BOOST_TEST(!facts.not_run);
+  BOOST_TEST(facts.load->slots == 8U);
+  BOOST_TEST((facts.cold_left == milliseconds(250)));
+}
+
+BOOST_AUTO_TEST_CASE(addresses_are_asked_for_by_path) {
+  const directory dialect;
+  const auto question =
+      dialect.ReadQuestion({.method = "GET", .target = "/resolve?name=h&region=r&zone=north"});
+  BOOST_TEST_REQUIRE(question.has_value());
+  BOOST_TEST(question->domain == "north");
+  BOOST_TEST(!dialect.ReadQuestion({.method = "GET", .target = "/other"}).has_value());
+  BOOST_TEST(dialect.WriteAnswer({"10.0.0.1:80"}, std::chrono::seconds(2)).body ==
+             R"({"addresses":["10.0.0.1:80"],"ttlS":2})");
+  BOOST_TEST(dialect.IsReadinessQuestion({.method = "GET", .target = "/readyz"}));
+}
+
+// The names of the platform are decoded in one folder only.
+BOOST_AUTO_TEST_CASE(no_wire_name_stands_outside_the_platform_folder) {
+  const std::regex names(
+      "Replica-Signature|Expect-Replica|Request-Attempt-Id|Not-Executed|Deadline-Remaining|"
+      "Token-Usage|Replica-Load|At-Server|kv-watch|kv-range|op/evacuate|op/config|"
+      "weightedBackends|gapTargetMs|routeType|/picked|/resolve|/"
+      "readyz|\\b(zone|tenant|machine)s?\\b");
+  const std::filesystem::path root = std::getenv("BERYLBARROW_SOURCE");
+  for (const char* folder : {"src", "include"}) {
+    for (const auto& entry : std::filesystem::recursive_directory_iterator(root / folder)) {
+      if (!entry.is_regular_file()) continue;
+      std::ifstream file(entry.path());
+      for (std::string line; std::getline(file, line);) {
+        BOOST_TEST(!std::regex_search(line, names), entry.path().string() << ": " << line);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace berylbarrow::platform
--- /dev/null
+++ b/tests/platform/gateway_world.cc
@@ -0,0 +1,228 @@
+#include "platform/gateway_world.h"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <csignal>
+
+#include "platform/exchange.h"
+
+namespace berylbarrow {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+std::string FreeAddress() {
+  boost::asio::io_context context;
+  tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+}
+
+tcp::endpoint Endpoint(const std::string& address) {
+  const auto colon = address.rfind(':');
+  return {boost::asio::ip::make_address(address.substr(0, colon)),
+          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+route MakeRoute(const std::string& name, request_kind kind, std::uint32_t attempts) {
+  return {.name = name,
+          .host = "h.example",
+          .prefix = "/" + name + "/",
+          .kind = kind,
+          .timeout = std::chrono::seconds(3),
+          .goal = milliseconds(500),
+          .max_attempts = attempts,
+          .resumable = kind == request_kind::kStreaming,
+          .services = {{"app", 1}}};
+}
+
+routing_content Content() {
+  routing_content content{.version = 4};
+  content.routes = {MakeRoute("pay", request_kind::kNonIdempotent, 1),
+                    MakeRoute("read", request_kind::kIdempotent, 2),
+                    MakeRoute("draft", request_kind::kStreaming, 2)};
+  content.services = {{.name = "app"}};
+  content.accounts = {{.name = "counter", .keys = {"key-1"}}};
+  return content;
+}
+
+class played_feed final : public platform_feed {
+ public:
+  played_feed(platform_sink& sink, std::vector<upstream_record> records,
+              const std::atomic<std::int64_t>& stale_ns)
+      : sink_(sink), records_(std::move(records)), stale_ns_(stale_ns) {}
+
+  void Start() override {
+    sink_.OnRouting(Content());
+    sink_.OnUpstreamList(records_);
+  }
+  void RefreshUpstreams() override {}
+  void Advance(time_point now) override {
+    if (stale_ns_ == 0) sink_.OnConfigurationCurrent(now);
+  }
+
+ private:
+  platform_sink& sink_;
+  std::vector<upstream_record> records_;
+  const std::atomic<std::int64_t>& stale_ns_;
+};
+
+}  // namespace
+
+scripted_upstream::scripted_upstream(script answer)
+    : answer_(std::move(answer)),
+      acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+      accepting_([this] { Accept(); }) {}
+
+scripted_upstream::~scripted_upstream() {
+  ending_ = true;
+  boost::system::error_code ignored;
+  tcp::socket waker(context_);
+  waker.connect(acceptor_.local_endpoint(), ignored);
+  accepting_.join();
+  for (std::thread& each : threads_) each.join();
+}
+
+std::string scripted_upstream::Address() const {
+  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+std::vector<std::string> scripted_upstream::Requests() const {
+  const std::lock_guard lock(mutex_);
+  return requests_;
+}
+
+void scripted_upstream::Accept() {
+  while (!ending_) {
+    boost::system::error_code error;
+    tcp::socket socket = acceptor_.accept(error);
+    if (error || ending_) continue;
+    threads_.emplace_back([this, moved = std::move(socket)]() mutable { Serve(std::move(moved)); });
+  }
+}
+
+void scripted_upstream::Serve(tcp::socket socket) {
+  std::string input;
+  boost::system::error_code error;
+  while (!ending_) {
+    const std::size_t head =
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(input), "\r\n\r\n", error);
+    if (error) return;
+    const std::string length = FieldOf(input.substr(0, head), "Content-Length");
+    const std::size_t whole = head + (length.empty() ? 0 : std::stoul(length));
+    while (input.size() < whole && !error) {
+      std::array<char, 4096> bytes{};
+      const std::size_t size = socket.read_some(boost::asio::buffer(bytes), error);
+      input.append(bytes.data(), size);
+    }
+    const std::string request = input.substr(0, whole);
+    input.erase(0, whole);
+    {
+      const std::lock_guard lock(mutex_);
+      requests_.push_back(request);
+    }
+    const scripted_reply reply = answer_(request);
+    boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
+    if (reply.after == scripted_reply::end::kKeep) continue;
+    if (reply.after == scripted_reply::end::kReset) {
+      std::this_thread::sleep_for(milliseconds(30));  // the bytes arrive before the reset
+      socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+      socket.close(error);  // the destructor would end the connection in order
+    }
+    return;
+  }
+}
+
+gateway_world::gateway_world(const std::vector<const scripted_upstream*>& upstreams) {
+  settings_ = {.name = "entry-a",
+               .domain = "north",
+               .callers_address = FreeAddress(),
+               .readiness_address = FreeAddress(),
+               .directory_address = FreeAddress(),
+               .peers_address = FreeAddress(),
+               .bounds = {.shutdown_grace = milliseconds(600)}};
+  std::vector<upstream_record> records;
+  for (std::size_t i = 0; i < upstreams.size(); ++i) {
+    records.push_back({.id = "i-" + std::to_string(i + 1),
+                       .service = "app",
+                       .address = upstreams[i]->Address(),
+                       // The first one is near, so that it is chosen first.
+                       .domain = i == 0 ? "north" : "south",
+                       .slots = 6});
+  }
+  thread_ = std::thread([this, records] {
+    const platform::exchange exchange;
+    const platform::directory directory;
+    const gateway_platform played{.exchange = exchange,
+                                  .directory = directory,
+                                  .make_feed = [&](boost::asio::io_context&, platform_sink& sink) {
+                                    return std::make_unique<played_feed>(sink, records, stale_ns_);
+                                  }};
+    RunGateway(settings_, played, clock_);
+  });
+  for (int attempt = 0; attempt < 200; ++attempt) {
+    boost::asio::io_context context;
+    tcp::socket probe(context);
+    boost::system::error_code error;
+    probe.connect(Endpoint(settings_.directory_address), error);
+    if (!error) break;
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  std::this_thread::sleep_for(milliseconds(50));
+}
+
+gateway_world::~gateway_world() {
+  std::raise(SIGTERM);
+  thread_.join();
+}
+
+void gateway_world::MakeStale(duration age) {
+  stale_ns_ = age.count();
+  std::this_thread::sleep_for(age);
+}
+
+std::string gateway_world::Exchange(const std::string& request, milliseconds wait) const {
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(Endpoint(settings_.callers_address));
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string received;
+  std::array<char, 4096> bytes{};
+  bool news = true;
+  reset_ = false;
+  while (news) {
+    news = false;
+    socket.async_read_some(boost::asio::buffer(bytes),
+                           [&](const boost::system::error_code& error, std::size_t size) {
+                             received.append(bytes.data(), size);
+                             news = !error;
+                             reset_ = error == boost::asio::error::connection_reset;
+                           });
+    context.restart();
+    context.run_for(wait);
+  }
+  return received;
+}
+
+std::string CallerRequest(const std::string& route, const std::string& id, const std::string& key) {
+  return "POST /" + route + "/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: " + id +
+         "\r\nAuthorization: Token " + key +
+         "\r\nDeadline-Remaining-Ms: 2500\r\nContent-Length: 3\r\n\r\nabc";
+}
+
+std::string FieldOf(const std::string& request, const std::string& name) {
+  const auto at = request.find("\r\n" + name + ": ");
+  if (at == std::string::npos) return {};
+  const auto begin = at + name.size() + 4;
+  return request.substr(begin, request.find("\r\n", begin) - begin);
+}
+
+std::string Answer(const std::string& request, unsigned status, const std::string& body,
+                   const std::string& fields) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Some\r\nRequest-Attempt-Id: " + FieldOf(request, "Request-Attempt-Id") +
+         "\r\nReplica-Signature: sig\r\n" + fields +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace berylbarrow
--- a/tests/request/crash_counter_test.cc
+++ b/tests/request/crash_counter_test.cc
@@ -42,7 +42,8 @@
 
 BOOST_AUTO_TEST_CASE(fingerprints_tell_the_parts_of_a_request_apart) {
   BOOST_TEST(RequestFingerprint("GET", "/a", "x", "") != RequestFingerprint("GET", "/", "ax", ""));
-  BOOST_TEST(RequestFingerprint("GET", "/a", "x", "b") == RequestFingerprint("GET", "/a", "x", "b"));
+  BOOST_TEST(RequestFingerprint("GET", "/a", "x", "b") ==
+             RequestFingerprint("GET", "/a", "x", "b"));
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/request/dispatch/upstream_board_test.cc
@@ -0,0 +1,218 @@
+#include "berylbarrow/request/dispatch/upstream_board.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+
+namespace berylbarrow {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point kStart{std::chrono::hours(1)};
+
+routing_view View() {
+  routing_content content{.version = 1};
+  content.routes = {{.name = "drafts",
+                     .host = "h",
+                     .prefix = "/",
+                     .kind = request_kind::kStreaming,
+                     .gap_target = milliseconds(120),
+                     .services = {{"model", 1}}}};
+  content.services = {{.name = "model",
+                       .cold_start = std::chrono::seconds(3),
+                       .cold_requests_per_second = 36,
+                       .engine = engine_profile{.slots = 12,
+                                                .stride = 4,
+                                                .step_ms = 4.55,
+                                                .per_sequence_ms = 0.905,
+                                                .per_context_k_ms = 0.02,
+                                                .usual_prompt = 800,
+                                                .usual_answer = 100}},
+                      {.name = "plain"}};
+  return routing_view(std::move(content));
+}
+
+class board_world {
+ public:
+  board_world() : registry_({}), view_(View()), board_({}) {}
+
+  void Add(const std::string& id, const std::string& domain, const std::string& service = "model",
+           duration cold_left = duration::zero()) {
+    const std::string port = std::to_string(1000 + registry_.Upstreams().size());
+    registry_.Put({.id = id,
+                   .service = service,
+                   .address = "10.0.0.1:" + port,
+                   .domain = domain,
+                   .slots = 12,
+                   .cold_left = cold_left},
+                  now_);
+    board_.SetUpstreams(registry_, &view_, now_);
+  }
+
+  void Report(const std::string& id, const std::string& group, double pace = 1, bool open = true) {
+    board_.OnReport({.address = registry_.Upstreams().at(id).record.address,
+                     .group = group,
+                     .open = open,
+                     .pace = pace},
+                    now_);
+  }
+
+  dispatch_choice Choose(const std::string& service = "model",
+                         const std::set<std::string>& excluded = {}) {
+    return board_.Choose({.service = service,
+                          .domain = "north",
+                          .excluded = excluded,
+                          .draw = std::uniform_real_distribution<double>(0, 1)(random_)},
+                         now_);
+  }
+
+  std::map<std::string, int> Send(int count) {
+    std::map<std::string, int> sent;
+    for (int i = 0; i < count; ++i) {
+      const dispatch_choice choice = Choose();
+      if (choice.upstream_id.empty()) break;
+      board_.OnSent(choice.upstream_id, 900, now_);
+      ++sent[choice.upstream_id];
+    }
+    return sent;
+  }
+
+  void Wait(duration span) { now_ += span; }
+
+  upstream_registry registry_;
+  routing_view view_;
+  upstream_board board_;
+  time_point now_ = kStart;
+  std::mt19937_64 random_{1};
+};
+
+BOOST_AUTO_TEST_CASE(load_is_spread_evenly_over_equal_engines) {
+  board_world world;
+  for (const char* id : {"a", "b", "c", "d"}) world.Add(id, "north");
+  for (const auto& [id, count] : world.Send(20)) BOOST_TEST(std::abs(count - 5) <= 1);
+}
+
+BOOST_AUTO_TEST_CASE(the_own_domain_is_preferred_only_while_it_is_no_busier) {
+  board_world world;
+  world.Add("near", "north");
+  world.Add("far", "south");
+  BOOST_TEST(world.Choose().upstream_id == "near");
+  auto sent = world.Send(12);
+  BOOST_TEST(sent["far"] >= 4);
+}
+
+// Pattern: a replica turns slow; its group runs at its pace.
+BOOST_AUTO_TEST_CASE(a_group_with_a_slow_rank_gets_less) {
+  board_world world;
+  for (const char* id : {"a1", "a2", "b1", "b2"}) world.Add(id, "north");
+  world.Report("a1", "a", 4);
+  world.Report("a2", "a");
+  world.Report("b1", "b");
+  world.Report("b2", "b");
+  auto sent = world.Send(16);
+  BOOST_TEST(sent["b1"] + sent["b2"] >= 14);
+}
+
+// Pattern: a rank dies, and its whole group answers 503 until it forms again.
+BOOST_AUTO_TEST_CASE(one_refusal_of_a_group_with_free_places_blocks_all_its_ranks) {
+  board_world world;
+  for (const char* id : {"a1", "a2", "b1"}) world.Add(id, "north");
+  for (const char* id : {"a1", "a2"}) world.Report(id, "a");
+  world.Report("b1", "b");
+  world.board_.OnSent("a1", 900, world.now_);
+  world.board_.OnFinished("a1", 900, attempt_outcome::kRefused, milliseconds(2), world.now_);
+  for (int i = 0; i < 10; ++i) BOOST_TEST(world.Choose().upstream_id == "b1");
+  world.Wait(milliseconds(200));
+  BOOST_TEST(world.Choose("model", {"b1"}).upstream_id.substr(0, 1) == "a");
+}
+
+BOOST_AUTO_TEST_CASE(a_broken_group_is_left_out_while_its_report_is_fresh) {
+  board_world world;
+  world.Add("a", "north");
+  world.Report("a", "g", 1, false);
+  BOOST_TEST(world.Choose().upstream_id.empty());
+  world.Wait(std::chrono::seconds(2));
+  BOOST_TEST(world.Choose().upstream_id == "a");
+}
+
+// Pattern: demand moves to few experts and passes take long; more requests would make all late.
+BOOST_AUTO_TEST_CASE(long_pauses_bound_the_requests_of_an_engine) {
+  board_world world;
+  world.Add("a", "north");
+  BOOST_TEST(world.Send(20)["a"] == 13);
+  for (int i = 0; i < 100; ++i) world.board_.OnPause("a", milliseconds(300), world.now_);
+  for (int i = 0; i < 8; ++i) {
+    world.board_.OnFinished("a", 900, attempt_outcome::kServed, milliseconds(900), world.now_);
+  }
+  BOOST_TEST(world.Choose().upstream_id.empty());
+  BOOST_TEST((world.Choose().obstacle == dispatch_obstacle::kAllBusy));
+}
+
+// Pattern: replicas come back cold and crash when all entries send at once.
+BOOST_AUTO_TEST_CASE(a_cold_upstream_gets_its_share_of_requests_per_second) {
+  board_world world;
+  world.Add("a", "north", "model", std::chrono::seconds(3));
+  world.board_.SetEntries(6);
+  int sent = 0;
+  for (int step = 0; step < 100; ++step, world.Wait(milliseconds(10))) {
+    const auto choice = world.Choose();
+    if (choice.upstream_id.empty()) continue;
+    world.board_.OnSent("a", 900, world.now_);
+    world.board_.OnFinished("a", 900, attempt_outcome::kServed, milliseconds(1), world.now_);
+    ++sent;
+  }
+  BOOST_TEST(sent >= 4);
+  BOOST_TEST(sent <= 7);
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_of_an_evacuated_domain_gets_nothing_and_returns_cold) {
+  board_world world;
+  world.Add("a", "south");
+  world.board_.SetEvacuated({"south"}, world.now_);
+  BOOST_TEST(world.Choose().upstream_id.empty());
+  world.board_.SetEvacuated({}, world.now_);
+  world.board_.SetEntries(100);
+  BOOST_TEST(world.Send(10)["a"] == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_misdirected_upstream_waits_for_a_new_record) {
+  board_world world;
+  world.Add("a", "north");
+  world.board_.OnSent("a", 1, world.now_);
+  world.board_.OnFinished("a", 1, attempt_outcome::kMisdirected, milliseconds(1), world.now_);
+  BOOST_TEST(world.Choose().upstream_id.empty());
+  upstream_record moved = world.registry_.Upstreams().at("a").record;
+  moved.address = "10.0.0.9:1";
+  world.registry_.Put(moved, world.now_);
+  world.board_.SetUpstreams(world.registry_, &world.view_, world.now_);
+  BOOST_TEST(world.Choose().upstream_id == "a");
+}
+
+// Pattern: a replica fails part of its requests while its health check is good.
+BOOST_AUTO_TEST_CASE(an_upstream_that_fails_part_of_its_requests_is_chosen_last) {
+  board_world world;
+  for (const char* id : {"p", "q", "r"}) world.Add(id, "north", "plain");
+  for (const char* id : {"p", "q", "r"}) {
+    world.board_.OnSent(id, 1, world.now_);
+    world.board_.OnFinished(id, 1, attempt_outcome::kServed, milliseconds(15), world.now_);
+  }
+  for (int i = 0; i < 2; ++i) {
+    world.board_.OnSent("q", 1, world.now_);
+    world.board_.OnFinished("q", 1, attempt_outcome::kFailed, milliseconds(15), world.now_);
+  }
+  for (int i = 0; i < 20; ++i) BOOST_TEST(world.Choose("plain").upstream_id != "q");
+  BOOST_TEST(world.Choose("plain", {"p", "r"}).upstream_id == "q");
+}
+
+BOOST_AUTO_TEST_CASE(requests_of_peers_count_until_they_are_forgotten) {
+  board_world world;
+  world.Add("a", "north");
+  world.board_.OnPeerLoad("entry-b", {{UpstreamHash("a"), 13}}, world.now_);
+  BOOST_TEST(world.Choose().upstream_id.empty());
+  world.board_.ForgetPeer("entry-b");
+  BOOST_TEST(world.Choose().upstream_id == "a");
+}
+
+}  // namespace
+}  // namespace berylbarrow
--- a/tests/version/expert/map_switch_test.cc
+++ b/tests/version/expert/map_switch_test.cc
@@ -226,7 +226,8 @@
       }
     }
     if (decisions.CanBegin(now_)) {
-      const std::uint64_t version = (decisions.HighestVersion() / 1000 + 1) * 1000 + random_() % 1000;
+      const std::uint64_t version =
+          (decisions.HighestVersion() / 1000 + 1) * 1000 + random_() % 1000;
       decisions.OnLayoutKnown(version);
       decisions.Begin(version, now_);
     }
