--- a/include/berylbarrow/request/admission/waiting_line.h
+++ b/include/berylbarrow/request/admission/waiting_line.h
@@ -34,7 +34,8 @@
   bool Push(const waiting_request& request);
   /// The request to be sent next, without those that have to wait for something else. It stays in
   /// the line.
-  std::optional<waiting_id> Next(time_point now, const std::set<waiting_id>& passed_over = {}) const;
+  std::optional<waiting_id> Next(time_point now,
+                                 const std::set<waiting_id>& passed_over = {}) const;
   /// The request got a place: its account goes behind the others.
   void OnServed(waiting_id id);
   void Remove(waiting_id id);
--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -19,7 +19,7 @@
 /// What the process beside a model engine reports of it.
 struct engine_report {
   std::string address;  // of the upstream
-  std::string group;  // of ranks that run each pass together; empty: none
+  std::string group;    // of ranks that run each pass together; empty: none
   std::uint64_t epoch = 0;
   std::uint32_t rank = 0;
   bool open = true;   // false: the group waits for a rank
--- a/include/berylbarrow/version/expert/rank_layout.h
+++ b/include/berylbarrow/version/expert/rank_layout.h
@@ -55,10 +55,10 @@
   double least_gain = 0.02;
 };
 
-/// Improves a layout by single steps, best first: an expert of the slowest ranks also goes to a rank
-/// that has a free place, or a place whose expert others hold too; or the rank gives up an expert
-/// that others hold. Each step lowers the sum of the sixth powers of the rank times, which follows
-/// the maximum and has no plateaus.
+/// Improves a layout by single steps, best first: an expert of the slowest ranks also goes to a
+/// rank that has a free place, or a place whose expert others hold too; or the rank gives up an
+/// expert that others hold. Each step lowers the sum of the sixth powers of the rank times, which
+/// follows the maximum and has no plateaus.
 rank_layout PlanLayout(const rank_layout& current, const group_work& work,
                        const layout_planner_options& options);
 
--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -10,12 +10,6 @@
 #include "connection/http/socket_options.h"
 
 namespace berylbarrow {
-namespace {
-
-using boost::asio::ip::tcp;
-
-}  // namespace
-
 upstream_link::upstream_link(boost::asio::io_context& context, const upstream_link_options& options,
                              const runtime_clock& clock,
                              std::function<void(upstream_link&)> on_idle_end)
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -403,8 +403,7 @@
 }
 
 duration gateway::BusyRetryAfter() {
-  return kBusyRetryAfter +
-         std::chrono::duration_cast<duration>(kBusyRetrySpread * relay_.Draw());
+  return kBusyRetryAfter + std::chrono::duration_cast<duration>(kBusyRetrySpread * relay_.Draw());
 }
 
 void gateway::Pump(const std::string& service, time_point now) {
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -103,7 +103,7 @@
   std::set<std::string> tried_;
   std::uint32_t sends_ = 0;
   std::uint32_t runs_ = 0;  // attempts that may have run
-  bool denied_ = false;  // by the retry budget; logged once
+  bool denied_ = false;     // by the retry budget; logged once
   bool head_sent_ = false;
   event_splitter events_;
   time_point first_event_ = time_point::min();
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -9,10 +9,10 @@
 namespace berylbarrow {
 namespace {
 
-constexpr double kLatencyWeight = 0.15;   // of the newest answer in the moving average
+constexpr double kLatencyWeight = 0.15;  // of the newest answer in the moving average
 // Of an engine's own load in its score; the rest is the time of a pass of its group.
 constexpr double kLoadWeight = 0.3;
-constexpr double kPauseWeight = 0.05;  // of the newest pause in the moving averages
+constexpr double kPauseWeight = 0.05;     // of the newest pause in the moving averages
 constexpr double kFailurePenalty = 0.35;  // in slots, per recent failure
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
@@ -223,8 +223,8 @@
     }
   }
   const bool all_blocked = best == nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream;
-  const bool may_try = least_blocked != nullptr && !least_blocked->engine &&
-                       IsGroupOpen(*least_blocked, now);
+  const bool may_try =
+      least_blocked != nullptr && !least_blocked->engine && IsGroupOpen(*least_blocked, now);
   if (all_blocked && may_try) best = least_blocked;
   if (best == nullptr) {
     if (least_blocked != nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream) {
@@ -292,8 +292,8 @@
     BlockGroup(state, now);
     return;
   }
-  const bool at_once = outcome == attempt_outcome::kUnreachable ||
-                       outcome == attempt_outcome::kRefused;
+  const bool at_once =
+      outcome == attempt_outcome::kUnreachable || outcome == attempt_outcome::kRefused;
   if (at_once || state.failures_in_row >= 2) Block(state, now);
 }
 
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -153,15 +153,15 @@
     return;
   }
   released_to_ = std::max(released_to_, held);
-  Order({.kind = order_kind::kGo, .rank = status_->rank, .epoch = status_->epoch, .step = held}, options_.resend_after,
-        now, orders);
+  Order({.kind = order_kind::kGo, .rank = status_->rank, .epoch = status_->epoch, .step = held},
+        options_.resend_after, now, orders);
 }
 
 void map_switch::AdvanceCoordinator(time_point now, std::vector<rank_order>& orders) {
   const rank_status& own = *status_;
   const auto go = [&](std::uint64_t step) {
-    Order({.kind = order_kind::kGo, .rank = own.rank, .epoch = own.epoch, .step = step}, options_.resend_after, now,
-          orders);
+    Order({.kind = order_kind::kGo, .rank = own.rank, .epoch = own.epoch, .step = step},
+          options_.resend_after, now, orders);
   };
   switch (stage_) {
     case switch_stage::kIdle:
@@ -233,8 +233,7 @@
 void map_switch::ArmSilentRanks(time_point now, std::vector<rank_order>& orders) {
   for (const std::uint32_t rank : SilentRanks(now)) {
     const member_state& state = members_[rank].state;
-    const bool can_arm = state.prepared == plan_->target.version &&
-                         state.step < plan_->target.step;
+    const bool can_arm = state.prepared == plan_->target.version && state.step < plan_->target.step;
     if (IsArmed(state.mapping, state.armed) || !can_arm) continue;
     Order({.kind = order_kind::kArm,
            .rank = rank,
@@ -257,8 +256,8 @@
   const auto coordinator = members_.find(0);
   if (coordinator == members_.end()) return;
   const member& first = coordinator->second;
-  const bool holds = first.held && now - first.at <= options_.silence &&
-                     first.state.step < plan_->target.step;
+  const bool holds =
+      first.held && now - first.at <= options_.silence && first.state.step < plan_->target.step;
   if (!holds) return;
   plan_->stage = switch_stage::kArming;
   ArmSilentRanks(now, orders);
@@ -267,10 +266,7 @@
                      return IsArmed(state.mapping, state.armed);
                    });
   if (!all) return;
-  Order({.kind = order_kind::kGo,
-         .rank = 0,
-         .epoch = status_->epoch,
-         .step = plan_->target.step},
+  Order({.kind = order_kind::kGo, .rank = 0, .epoch = status_->epoch, .step = plan_->target.step},
         options_.resend_after, now, orders);
 }
 
@@ -280,7 +276,10 @@
   if (plan_->stage == switch_stage::kPreparing) {
     const bool done = own.prepared == target.version || own.mapping == target.version;
     if (done || known_layouts_.count(target.version) == 0 || own.armed) return;
-    Order({.kind = order_kind::kPrepare, .rank = own.rank, .epoch = own.epoch, .version = target.version},
+    Order({.kind = order_kind::kPrepare,
+           .rank = own.rank,
+           .epoch = own.epoch,
+           .version = target.version},
           options_.prepare_resend, now, orders);
     return;
   }
--- a/src/version/expert/rank_layout.cc
+++ b/src/version/expert/rank_layout.cc
@@ -67,7 +67,7 @@
 
  private:
   struct step {
-    double change = 0;  // of the potential
+    double change = 0;                   // of the potential
     std::optional<expert_index> expert;  // that the rank gets
     std::uint32_t rank = 0;
     std::optional<expert_index> evicted;
@@ -123,7 +123,8 @@
     double evicted_change = 0;
     if (candidate.evicted) {
       evicted_share = Share(*candidate.evicted);
-      evicted_change = load_[*candidate.evicted] / (holders_[*candidate.evicted] - 1) - evicted_share;
+      evicted_change =
+          load_[*candidate.evicted] / (holders_[*candidate.evicted] - 1) - evicted_share;
     }
     for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
       double change = 0;
--- a/tests/request/dispatch/upstream_board_test.cc
+++ b/tests/request/dispatch/upstream_board_test.cc
@@ -35,36 +35,36 @@
 
 class board_world {
  public:
-  board_world() : registry_({}), view_(View()), board_({}) {}
+  board_world() : registry({}), view(View()), board({}) {}
 
   void Add(const std::string& id, const std::string& domain, const std::string& service = "model",
            duration cold_left = duration::zero()) {
-    const std::string port = std::to_string(1000 + registry_.Upstreams().size());
-    registry_.Put({.id = id,
-                   .service = service,
-                   .address = "10.0.0.1:" + port,
-                   .domain = domain,
-                   .slots = 12,
-                   .cold_left = cold_left},
-                  now_);
-    board_.SetUpstreams(registry_, &view_, now_);
+    const std::string port = std::to_string(1000 + registry.Upstreams().size());
+    registry.Put({.id = id,
+                  .service = service,
+                  .address = "10.0.0.1:" + port,
+                  .domain = domain,
+                  .slots = 12,
+                  .cold_left = cold_left},
+                 now);
+    board.SetUpstreams(registry, &view, now);
   }
 
   void Report(const std::string& id, const std::string& group, double pace = 1, bool open = true) {
-    board_.OnReport({.address = registry_.Upstreams().at(id).record.address,
-                     .group = group,
-                     .open = open,
-                     .pace = pace},
-                    now_);
+    board.OnReport({.address = registry.Upstreams().at(id).record.address,
+                    .group = group,
+                    .open = open,
+                    .pace = pace},
+                   now);
   }
 
   dispatch_choice Choose(const std::string& service = "model",
                          const std::set<std::string>& excluded = {}) {
-    return board_.Choose({.service = service,
-                          .domain = "north",
-                          .excluded = excluded,
-                          .draw = std::uniform_real_distribution<double>(0, 1)(random_)},
-                         now_);
+    return board.Choose({.service = service,
+                         .domain = "north",
+                         .excluded = excluded,
+                         .draw = std::uniform_real_distribution<double>(0, 1)(random)},
+                        now);
   }
 
   std::map<std::string, int> Send(int count) {
@@ -72,19 +72,19 @@
     for (int i = 0; i < count; ++i) {
       const dispatch_choice choice = Choose();
       if (choice.upstream_id.empty()) break;
-      board_.OnSent(choice.upstream_id, 900, now_);
+      board.OnSent(choice.upstream_id, 900, now);
       ++sent[choice.upstream_id];
     }
     return sent;
   }
 
-  void Wait(duration span) { now_ += span; }
+  void Wait(duration span) { now += span; }
 
-  upstream_registry registry_;
-  routing_view view_;
-  upstream_board board_;
-  time_point now_ = kStart;
-  std::mt19937_64 random_{1};
+  upstream_registry registry;
+  routing_view view;
+  upstream_board board;
+  time_point now = kStart;
+  std::mt19937_64 random{1};
 };
 
 BOOST_AUTO_TEST_CASE(load_is_spread_evenly_over_equal_engines) {
@@ -120,8 +120,8 @@
   for (const char* id : {"a1", "a2", "b1"}) world.Add(id, "north");
   for (const char* id : {"a1", "a2"}) world.Report(id, "a");
   world.Report("b1", "b");
-  world.board_.OnSent("a1", 900, world.now_);
-  world.board_.OnFinished("a1", 900, attempt_outcome::kRefused, milliseconds(2), world.now_);
+  world.board.OnSent("a1", 900, world.now);
+  world.board.OnFinished("a1", 900, attempt_outcome::kRefused, milliseconds(2), world.now);
   for (int i = 0; i < 10; ++i) BOOST_TEST(world.Choose().upstream_id == "b1");
   world.Wait(milliseconds(200));
   BOOST_TEST(world.Choose("model", {"b1"}).upstream_id.substr(0, 1) == "a");
@@ -141,9 +141,9 @@
   board_world world;
   world.Add("a", "north");
   BOOST_TEST(world.Send(20)["a"] == 13);
-  for (int i = 0; i < 100; ++i) world.board_.OnPause("a", milliseconds(300), world.now_);
+  for (int i = 0; i < 100; ++i) world.board.OnPause("a", milliseconds(300), world.now);
   for (int i = 0; i < 8; ++i) {
-    world.board_.OnFinished("a", 900, attempt_outcome::kServed, milliseconds(900), world.now_);
+    world.board.OnFinished("a", 900, attempt_outcome::kServed, milliseconds(900), world.now);
   }
   BOOST_TEST(world.Choose().upstream_id.empty());
   BOOST_TEST((world.Choose().obstacle == dispatch_obstacle::kAllBusy));
@@ -153,13 +153,13 @@
 BOOST_AUTO_TEST_CASE(a_cold_upstream_gets_its_share_of_requests_per_second) {
   board_world world;
   world.Add("a", "north", "model", std::chrono::seconds(3));
-  world.board_.SetEntries(6);
+  world.board.SetEntries(6);
   int sent = 0;
   for (int step = 0; step < 100; ++step, world.Wait(milliseconds(10))) {
     const auto choice = world.Choose();
     if (choice.upstream_id.empty()) continue;
-    world.board_.OnSent("a", 900, world.now_);
-    world.board_.OnFinished("a", 900, attempt_outcome::kServed, milliseconds(1), world.now_);
+    world.board.OnSent("a", 900, world.now);
+    world.board.OnFinished("a", 900, attempt_outcome::kServed, milliseconds(1), world.now);
     ++sent;
   }
   BOOST_TEST(sent >= 4);
@@ -169,23 +169,23 @@
 BOOST_AUTO_TEST_CASE(an_upstream_of_an_evacuated_domain_gets_nothing_and_returns_cold) {
   board_world world;
   world.Add("a", "south");
-  world.board_.SetEvacuated({"south"}, world.now_);
+  world.board.SetEvacuated({"south"}, world.now);
   BOOST_TEST(world.Choose().upstream_id.empty());
-  world.board_.SetEvacuated({}, world.now_);
-  world.board_.SetEntries(100);
+  world.board.SetEvacuated({}, world.now);
+  world.board.SetEntries(100);
   BOOST_TEST(world.Send(10)["a"] == 1);
 }
 
 BOOST_AUTO_TEST_CASE(a_misdirected_upstream_waits_for_a_new_record) {
   board_world world;
   world.Add("a", "north");
-  world.board_.OnSent("a", 1, world.now_);
-  world.board_.OnFinished("a", 1, attempt_outcome::kMisdirected, milliseconds(1), world.now_);
+  world.board.OnSent("a", 1, world.now);
+  world.board.OnFinished("a", 1, attempt_outcome::kMisdirected, milliseconds(1), world.now);
   BOOST_TEST(world.Choose().upstream_id.empty());
-  upstream_record moved = world.registry_.Upstreams().at("a").record;
+  upstream_record moved = world.registry.Upstreams().at("a").record;
   moved.address = "10.0.0.9:1";
-  world.registry_.Put(moved, world.now_);
-  world.board_.SetUpstreams(world.registry_, &world.view_, world.now_);
+  world.registry.Put(moved, world.now);
+  world.board.SetUpstreams(world.registry, &world.view, world.now);
   BOOST_TEST(world.Choose().upstream_id == "a");
 }
 
@@ -194,12 +194,12 @@
   board_world world;
   for (const char* id : {"p", "q", "r"}) world.Add(id, "north", "plain");
   for (const char* id : {"p", "q", "r"}) {
-    world.board_.OnSent(id, 1, world.now_);
-    world.board_.OnFinished(id, 1, attempt_outcome::kServed, milliseconds(15), world.now_);
+    world.board.OnSent(id, 1, world.now);
+    world.board.OnFinished(id, 1, attempt_outcome::kServed, milliseconds(15), world.now);
   }
   for (int i = 0; i < 2; ++i) {
-    world.board_.OnSent("q", 1, world.now_);
-    world.board_.OnFinished("q", 1, attempt_outcome::kFailed, milliseconds(15), world.now_);
+    world.board.OnSent("q", 1, world.now);
+    world.board.OnFinished("q", 1, attempt_outcome::kFailed, milliseconds(15), world.now);
   }
   for (int i = 0; i < 20; ++i) BOOST_TEST(world.Choose("plain").upstream_id != "q");
   BOOST_TEST(world.Choose("plain", {"p", "r"}).upstream_id == "q");
@@ -208,9 +208,9 @@
 BOOST_AUTO_TEST_CASE(requests_of_peers_count_until_they_are_forgotten) {
   board_world world;
   world.Add("a", "north");
-  world.board_.OnPeerLoad("entry-b", {{UpstreamHash("a"), 13}}, world.now_);
+  world.board.OnPeerLoad("entry-b", {{UpstreamHash("a"), 13}}, world.now);
   BOOST_TEST(world.Choose().upstream_id.empty());
-  world.board_.ForgetPeer("entry-b");
+  world.board.ForgetPeer("entry-b");
   BOOST_TEST(world.Choose().upstream_id == "a");
 }
 
