--- a/include/berylbarrow/process/telemetry/log.h
+++ b/include/berylbarrow/process/telemetry/log.h
@@ -11,7 +11,7 @@
 
 namespace berylbarrow {
 
-/// Log of the process, one line per event on standard error: time (UTC), level, module, process,
+/// Log of the process, one line per event on standard output: time (UTC), level, module, process,
 /// failure domain, event name, then key=value fields; or the same as one JSON object per line, with
 /// the fields under "fields". Thread-safe.
 ///
--- a/tests/process/log_test.cc
+++ b/tests/process/log_test.cc
@@ -13,11 +13,11 @@
 /// Collects what is logged while it exists.
 class captured_log {
  public:
-  explicit captured_log(const log_options& options) : before_(std::cerr.rdbuf(text_.rdbuf())) {
+  explicit captured_log(const log_options& options) : before_(std::cout.rdbuf(text_.rdbuf())) {
     logger::Configure(options, "entry-1", "heredia", clock);
   }
   ~captured_log() {
-    std::cerr.rdbuf(before_);
+    std::cout.rdbuf(before_);
     static const system_clock kSystemClock;
     logger::Configure({}, "", "", kSystemClock);
   }
