--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -62,6 +62,7 @@
   state_ = state::kSent;
   ++sends_;
   last_load_ = choice.load;
+  last_upstream_ = choice.upstream_id;
   tried_.insert(choice.upstream_id);
   const bool must_be_fresh = !request_.route_used->MayRepeat();
   attempt_ = attempt{.upstream_id = choice.upstream_id,
@@ -406,7 +407,7 @@
   logger::Event(level, "request", event,
                 {{"id", request_.facts.attempt_id},
                  {"reason", std::string(reason)},
-                 {"upstream", attempt_ ? attempt_->upstream_id : ""},
+                 {"upstream", last_upstream_},
                  {"service", request_.service},
                  {"load", std::to_string(last_load_)},
                  {"version", std::to_string(request_.view->Version())},
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -107,6 +107,7 @@
   bool head_sent_ = false;
   event_splitter events_;
   time_point first_event_ = time_point::min();
+  std::string last_upstream_;  // of the attempt that was sent last
   std::uint32_t last_load_ = 0;
 };
 
--- a/tests/system/plan_test.cc
+++ b/tests/system/plan_test.cc
@@ -56,7 +56,7 @@
 
 // Guards against a plan that stops or that its operator cannot follow, against new work in a domain
 // that the plan has emptied, and against callers that lose requests while it leaves and returns.
-// The commands are those of docs/operations.md.
+// The commands are those of docs/OPERATIONS.md.
 BOOST_FIXTURE_TEST_CASE(PlanMovesTheLoadAndADocumentBringsItBack, fixture) {
   fleet.StartLoad({"--rate", "80", "--seconds", "21", "--mix", "1,7,2", "--max-attempts", "6"});
   BOOST_TEST(Eventually([&] { return fleet.Runs("heredia-payments") > 10; }));
