--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -34,6 +34,12 @@
 // are planned for.
 constexpr double kUsualWeight = 0.02;
 constexpr double kUsualShare = 0.25;
+// How long a layout is expected to fit the load of a busy group, in seconds; with less than
+// kBusyShare of the places taken it counts for less.
+constexpr double kLongestHorizon = 3.0;
+constexpr double kBusyShare = 0.6;
+constexpr double kLeastHorizonShare = 0.4;
+constexpr double kTakenWeight = 0.2;  // of a new observation
 constexpr duration kCallTimeout = milliseconds(300);
 constexpr duration kOrderTimeout = milliseconds(150);
 constexpr duration kLongestLeave = milliseconds(1500);
@@ -484,6 +490,14 @@
   return group_work{.load = std::move(sum), .pace = std::move(pace)};
 }
 
+double companion::HorizonSeconds() {
+  // While ranks have free places a shorter pass gains callers little, and copies cost the same.
+  const double taken = static_cast<double>(status_->running + status_->waiting) /
+                       std::max(1U, profile_->slots);
+  taken_ += kTakenWeight * (taken - taken_);
+  return kLongestHorizon * std::clamp(taken_ / kBusyShare, kLeastHorizonShare, 1.0);
+}
+
 void companion::Consider(time_point now) {
   if (leaving_ || now < next_consideration_ || !switch_.CanBegin(now)) return;
   next_consideration_ = now + kConsiderInterval;
@@ -497,7 +511,9 @@
       profile_->expert_link_mbps > 0 ? profile_->expert_mb * 8 / profile_->expert_link_mbps : 0.1;
   const auto chosen =
       ChooseLayout(*layout, *work,
-                   {.copy_seconds = copy_seconds, .max_new_per_layer = profile_->max_new_experts});
+                   {.copy_seconds = copy_seconds,
+                    .max_new_per_layer = profile_->max_new_experts,
+                    .horizon_seconds = HorizonSeconds()});
   if (!chosen) return;
   const std::uint64_t version =
       (switch_.HighestVersion() / kVersionStep + 1) * kVersionStep + random_() % kVersionStep;
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -74,6 +74,7 @@
   void SendState(time_point now);
   void SendPlan(time_point now);
   void Consider(time_point now);
+  double HorizonSeconds();
   std::optional<group_shape> Shape() const;
   std::optional<rank_layout> CurrentLayout() const;
   std::optional<group_work> GroupWork(time_point now);
@@ -101,6 +102,7 @@
   std::optional<engine_profile> profile_;
   std::optional<rank_lists> own_lists_;
   rate_average rates_;
+  double taken_ = 0;   // average share of the places of the own rank that are taken
   expert_load usual_;  // long average of the group's load
   std::map<std::uint32_t, rank_view> ranks_;
   std::optional<endpoint> coordinator_;
