--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -37,8 +37,8 @@
 // How long a layout is expected to fit the load of a busy group, in seconds; with less than
 // kBusyShare of the places taken it counts for less.
 constexpr double kLongestHorizon = 3.0;
-constexpr double kBusyShare = 0.6;
-constexpr double kLeastHorizonShare = 0.4;
+constexpr double kBusyShare = 0.5;
+constexpr double kLeastHorizonShare = 0.55;
 constexpr double kTakenWeight = 0.2;  // of a new observation
 constexpr duration kCallTimeout = milliseconds(300);
 constexpr duration kOrderTimeout = milliseconds(150);
