--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -13,4 +13,8 @@
 if [ $# -eq 2 ]; then
   export BERYLBARROW_SEED=$2
 fi
+if [ ! -x build/process.history_test ]; then
+  echo "tools/soak.sh: build it first: cmake -S . -B build -G Ninja && ninja -C build process.history_test" >&2
+  exit 2
+fi
 exec build/process.history_test --run_test=Soak
