--- a/include/berylbarrow/process/runtime/time.h
+++ b/include/berylbarrow/process/runtime/time.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_PROCESS_RUNTIME_TIME_H_
 
 #include <chrono>
+#include <string>
 
 namespace berylbarrow {
 
@@ -16,6 +17,11 @@
 /// Nanoseconds since the Unix epoch, used for schedules in the published document.
 using wall_time = std::chrono::sys_time<duration>;
 
+/// Whole milliseconds as digits, for logs and queries.
+inline std::string MillisecondsText(duration span) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
 /// Source of time of a process. Decisions never read it; they receive the time with each input.
 class runtime_clock {
  public:
--- a/src/connection/http/endpoint.cc
+++ b/src/connection/http/endpoint.cc
@@ -29,6 +29,11 @@
   return {ip, port};
 }
 
+boost::asio::ip::udp::endpoint ParseUdpEndpoint(const std::string& address) {
+  const tcp::endpoint parsed = ParseHttpEndpoint(address);
+  return {parsed.address(), parsed.port()};
+}
+
 tcp::acceptor OpenHttpListener(boost::asio::io_context& context, const std::string& address) {
   const auto endpoint = ParseHttpEndpoint(address);
   try {
--- a/src/process/companion/rank_message.cc
+++ b/src/process/companion/rank_message.cc
@@ -1,13 +1,9 @@
 #include "process/companion/rank_message.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/types/string.hpp>
-#include <cereal/types/vector.hpp>
 #include <cmath>
-#include <sstream>
 
-#include "connection/wire/input_archive.h"
+#include "connection/wire/datagram.h"
 
 namespace berylbarrow {
 namespace {
@@ -28,25 +24,11 @@
 }  // namespace
 
 std::string EncodeRankMessage(const rank_message& message) {
-  std::ostringstream bytes;
-  cereal::PortableBinaryOutputArchive archive(
-      bytes, cereal::PortableBinaryOutputArchive::Options::LittleEndian());
-  archive(kMagic, message);
-  return std::move(bytes).str();
+  return EncodeDatagram(kMagic, message);
 }
 
 std::optional<rank_message> DecodeRankMessage(std::string_view datagram) {
-  try {
-    input_archive archive(datagram);
-    std::uint32_t magic = 0;
-    archive(magic);
-    if (magic != kMagic) return std::nullopt;
-    rank_message message;
-    archive(message);
-    return archive.Remaining() == 0 ? std::optional(std::move(message)) : std::nullopt;
-  } catch (const cereal::Exception&) {
-    return std::nullopt;
-  }
+  return DecodeDatagram<rank_message>(kMagic, datagram);
 }
 
 std::vector<layout_part> SplitLayout(const rank_layout& layout, std::uint64_t version) {
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -22,10 +22,6 @@
 constexpr duration kStreamSilence = milliseconds(1100);
 constexpr duration kUnreachableRetryAfter = milliseconds(300);
 
-std::string Milliseconds(duration span) {
-  return std::to_string(std::chrono::duration_cast<milliseconds>(span).count());
-}
-
 }  // namespace
 
 relayed_request::relayed_request(admitted_request&& request, relay_context& context,
@@ -40,14 +36,18 @@
   return request_.facts.prompt_tokens + request_.facts.answer_tokens;
 }
 
+dispatch_choice relayed_request::Choose(time_point now) {
+  return context_.board.Choose({.service = request_.service,
+                                .domain = context_.settings.domain,
+                                .excluded = tried_,
+                                .tokens = Tokens(),
+                                .draw = context_.Draw()},
+                               now);
+}
+
 dispatch_obstacle relayed_request::TryDispatch(time_point now) {
   if (state_ != state::kWaiting) return dispatch_obstacle::kNone;
-  const dispatch_choice choice = context_.board.Choose({.service = request_.service,
-                                                        .domain = context_.settings.domain,
-                                                        .excluded = tried_,
-                                                        .tokens = Tokens(),
-                                                        .draw = context_.Draw()},
-                                                       now);
+  const dispatch_choice choice = Choose(now);
   if (choice.upstream_id.empty()) return choice.obstacle;
   if (sends_ > 0 && !HasBudget(now)) {
     if (!denied_) LogAttempt("retry_denied", "budget");
@@ -315,12 +315,7 @@
   if (request_.deadline - now < kLeastTimeForRetry) return;
   const auto self = shared_from_this();
   if (!HasBudget(now)) return;
-  const dispatch_choice choice = context_.board.Choose({.service = request_.service,
-                                                        .domain = context_.settings.domain,
-                                                        .excluded = tried_,
-                                                        .tokens = Tokens(),
-                                                        .draw = context_.Draw()},
-                                                       now);
+  const dispatch_choice choice = Choose(now);
   if (choice.upstream_id.empty()) return;
   LogAttempt("attempt_abandoned", "silent");
   context_.counts.Count("retries", {.service = request_.service, .outcome = "silent"});
@@ -396,7 +391,7 @@
                 {{"id", request_.facts.attempt_id},
                  {"outcome", std::string(outcome)},
                  {"status", std::to_string(status)},
-                 {"ms", Milliseconds(now - request_.arrival)},
+                 {"ms", MillisecondsText(now - request_.arrival)},
                  {"sends", std::to_string(sends_)},
                  {"events", std::to_string(events_.PassedEvents())}});
   host_.OnRelayDone(request_.id);
@@ -411,7 +406,7 @@
                  {"service", request_.service},
                  {"load", std::to_string(last_load_)},
                  {"version", std::to_string(request_.view->Version())},
-                 {"ms", Milliseconds(context_.clock.Now() - request_.arrival)}});
+                 {"ms", MillisecondsText(context_.clock.Now() - request_.arrival)}});
 }
 
 }  // namespace berylbarrow
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -72,6 +72,7 @@
   };
 
   std::uint32_t Tokens() const;
+  dispatch_choice Choose(time_point now);
   void Send(const dispatch_choice& choice, time_point now);
   void EndAttempt(attempt_outcome outcome, time_point now);
   void CancelAttempt(time_point now);
