Look at each upstream once in a choice

Each choice summed the load of a group for each engine, and asked every peer for each load: upstreams squared times peers. Change: the loads of peers are summed when they arrive, groups once a choice. Test of a choice among 64 upstreams and 38 peers.

--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -75,7 +75,6 @@
   /// Load that an upstream of another domain counts as having on top, in slots.
   double remote_penalty = 0.06;
   duration report_lifetime = std::chrono::milliseconds(1500);
-  duration peer_load_lifetime = std::chrono::milliseconds(1500);
   duration failure_half_life = std::chrono::seconds(3);
   duration first_block = std::chrono::milliseconds(250);
   duration longest_block = std::chrono::seconds(2);
@@ -113,8 +112,7 @@
   /// The time between two events of a stream, which is the time of a pass of its group.
   void OnPause(const std::string& id, duration pause, time_point now);
   /// Requests of another entry in flight, by hash of the upstream's id.
-  void OnPeerLoad(const std::string& peer, const std::map<std::uint32_t, std::uint32_t>& in_flight,
-                  time_point now);
+  void OnPeerLoad(const std::string& peer, const std::map<std::uint32_t, std::uint32_t>& in_flight);
   void ForgetPeer(const std::string& peer);
 
   /// Requests of this entry in flight, by hash of the upstream's id.
@@ -127,6 +125,7 @@
  private:
   struct upstream_state {
     upstream_record record;
+    std::uint32_t hash = 0;  // of the id
     std::optional<engine_profile> engine;
     duration pause_limit = duration::zero();  // the shortest of the service's routes
     duration cold_start = duration::zero();
@@ -144,31 +143,34 @@
     std::optional<engine_report> report;
     time_point reported_at = time_point::min();
   };
-  struct peer_load {
-    std::map<std::uint32_t, std::uint32_t> in_flight;
-    time_point at;
-  };
+  using load_by_upstream = std::map<std::uint32_t, std::uint32_t>;  // by hash of the id
   /// Passes of a group as streams show them, in milliseconds.
   struct pass_times {
     double mean = 0;
     double spread = 0;  // mean absolute deviation
     time_point at;
   };
-  using group_loads = std::map<std::string, double>;
+  /// The upstreams that run passes together, as one choice sees them.
+  struct group_view {
+    double load = 0;  // of all ranks
+    double ranks = 0;
+    double slowest_pass = 0;  // in milliseconds; 0: they are no group
+  };
+  using group_views = std::map<std::string, group_view>;
 
   std::uint32_t Load(const upstream_state& state, time_point now) const;
-  std::uint32_t Capacity(const upstream_state& state, time_point now) const;
+  std::uint32_t Capacity(const upstream_state& state, const group_views& groups,
+                         time_point now) const;
   std::string PassKey(const upstream_state& state) const;
-  /// Mean load of the ranks that run passes together with this upstream.
-  double GroupLoad(const upstream_state& state, time_point now) const;
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
   bool IsGroupOpen(const upstream_state& state, time_point now) const;
   bool HasColdRoom(const upstream_state& state, time_point now) const;
   double ColdTokens(const upstream_state& state, time_point now) const;
   double FailureScore(const upstream_state& state, time_point now) const;
-  double Score(const upstream_state& state, const dispatch_query& query, const group_loads& groups,
+  double Score(const upstream_state& state, const dispatch_query& query, const group_views& groups,
                time_point now) const;
-  group_loads GroupLoads(const std::string& service, time_point now) const;
+  group_views GroupViews(const std::string& service, time_point now) const;
+  void AddPeerLoad(const load_by_upstream& in_flight);
   double Pace(const upstream_state& state) const;
   double PassTime(const upstream_state& state, double requests) const;
   void Block(upstream_state& state, time_point now);
@@ -176,7 +178,8 @@
 
   upstream_board_options options_;
   std::map<std::string, upstream_state> upstreams_;
-  std::map<std::string, peer_load> peers_;
+  std::map<std::string, load_by_upstream> peers_;
+  load_by_upstream peer_total_;               // of all peers
   std::map<std::string, pass_times> passes_;  // by group, or by upstream without one
   std::set<std::string> evacuated_;
   std::uint32_t entries_ = 1;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -165,7 +165,7 @@
   if (beat->self.role != member_role::kGateway) return;
   std::map<std::uint32_t, std::uint32_t> in_flight;
   for (const upstream_use& use : beat->in_flight) in_flight[use.upstream] = use.in_flight;
-  board_.OnPeerLoad(beat->self.name, in_flight, now);
+  board_.OnPeerLoad(beat->self.name, in_flight);
   crashes_.Merge(beat->self.incarnation, beat->crashes, now);
 }
 
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -38,6 +38,7 @@
     }
     if (state.record.address != known.record.address) state.blocked_until = time_point::min();
     state.record = known.record;
+    state.hash = UpstreamHash(id);
     state.cold_until = std::max(state.cold_until, known.cold_until);
     if (known.record.cold_left <= duration::zero() && known.cold_until <= now &&
         state.cold_until < now + state.cold_start) {
@@ -64,13 +65,9 @@
 }
 
 std::uint32_t upstream_board::Load(const upstream_state& state, time_point now) const {
-  const std::uint32_t hash = UpstreamHash(state.record.id);
   std::uint32_t load = state.in_flight;
-  for (const auto& [name, peer] : peers_) {
-    if (now - peer.at > options_.peer_load_lifetime) continue;
-    const auto found = peer.in_flight.find(hash);
-    if (found != peer.in_flight.end()) load += found->second;
-  }
+  const auto of_peers = peer_total_.find(state.hash);
+  if (of_peers != peer_total_.end()) load += of_peers->second;
   // Entries that cannot be heard send work too.
   if (state.report && now - state.reported_at <= options_.report_lifetime) {
     load = std::max(load, state.report->running + state.report->waiting);
@@ -82,19 +79,8 @@
   return state.report && !state.report->group.empty() ? state.report->group : state.record.id;
 }
 
-double upstream_board::GroupLoad(const upstream_state& state, time_point now) const {
-  const std::string key = PassKey(state);
-  double load = 0;
-  double ranks = 0;
-  for (const auto& [id, other] : upstreams_) {
-    if (other.record.service != state.record.service || PassKey(other) != key) continue;
-    load += Load(other, now);
-    ++ranks;
-  }
-  return load / std::max(1.0, ranks);
-}
-
-std::uint32_t upstream_board::Capacity(const upstream_state& state, time_point now) const {
+std::uint32_t upstream_board::Capacity(const upstream_state& state, const group_views& groups,
+                                       time_point now) const {
   const std::uint32_t slots = std::max(1U, state.record.slots);
   if (state.engine) {
     const std::uint32_t most = slots + options_.engine_ahead;
@@ -107,7 +93,8 @@
     const double limit = options_.pause_share * Seconds(state.pause_limit) * 1000.0 - fixed;
     const double taken = passes->second.mean + passes->second.spread - fixed;
     if (taken <= 0 || limit <= 0) return most;
-    const double fits = GroupLoad(state, now) * limit / taken;
+    const group_view& group = groups.at(PassKey(state));
+    const double fits = group.load / group.ranks * limit / taken;
     return std::clamp(static_cast<std::uint32_t>(std::ceil(fits)),
                       std::min(options_.least_engine_load, most), most);
   }
@@ -154,29 +141,30 @@
   return Pace(state) * engine.stride * step;
 }
 
-upstream_board::group_loads upstream_board::GroupLoads(const std::string& service,
+upstream_board::group_views upstream_board::GroupViews(const std::string& service,
                                                        time_point now) const {
-  group_loads groups;
+  group_views groups;
   for (const auto& [id, state] : upstreams_) {
-    if (state.record.service != service || !state.engine || !state.report) continue;
-    if (state.report->group.empty()) continue;
-    double& slowest = groups[state.report->group];
-    slowest = std::max(slowest, PassTime(state, Load(state, now)));
+    if (state.record.service != service || !state.engine) continue;
+    group_view& group = groups[PassKey(state)];
+    const std::uint32_t load = Load(state, now);
+    group.load += load;
+    ++group.ranks;
+    if (state.report && !state.report->group.empty()) {
+      group.slowest_pass = std::max(group.slowest_pass, PassTime(state, load));
+    }
   }
   return groups;
 }
 
 double upstream_board::Score(const upstream_state& state, const dispatch_query& query,
-                             const group_loads& groups, time_point now) const {
+                             const group_views& groups, time_point now) const {
   const double slots = std::max(1U, state.record.slots);
   const double load = Load(state, now) + 1.0;
   double score = load / slots;
   if (state.engine) {
     double pass = PassTime(state, load);
-    if (state.report) {
-      const auto group = groups.find(state.report->group);
-      if (group != groups.end()) pass = std::max(pass, group->second);
-    }
+    pass = std::max(pass, groups.at(PassKey(state)).slowest_pass);
     const double usual = PassTime(state, slots) / Pace(state);
     score = kLoadWeight * score + (1 - kLoadWeight) * pass / std::max(1.0, usual);
   } else if (state.latency_ms > 0) {
@@ -190,7 +178,7 @@
 }
 
 dispatch_choice upstream_board::Choose(const dispatch_query& query, time_point now) const {
-  const group_loads groups = GroupLoads(query.service, now);
+  const group_views groups = GroupViews(query.service, now);
   dispatch_choice choice;
   const upstream_state* best = nullptr;
   const upstream_state* least_blocked = nullptr;
@@ -199,7 +187,7 @@
   for (const auto& [id, state] : upstreams_) {
     if (!IsUsable(state, query)) continue;
     const std::uint32_t load = Load(state, now);
-    if (load >= Capacity(state, now)) {
+    if (load >= Capacity(state, groups, now)) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
       continue;
     }
@@ -324,18 +312,31 @@
   passes.at = now;
 }
 
-void upstream_board::OnPeerLoad(const std::string& peer,
-                                const std::map<std::uint32_t, std::uint32_t>& in_flight,
-                                time_point now) {
-  peers_[peer] = {.in_flight = in_flight, .at = now};
+void upstream_board::AddPeerLoad(const load_by_upstream& in_flight) {
+  for (const auto& [upstream, count] : in_flight) peer_total_[upstream] += count;
+}
+
+void upstream_board::OnPeerLoad(const std::string& peer, const load_by_upstream& in_flight) {
+  ForgetPeer(peer);
+  peers_[peer] = in_flight;
+  AddPeerLoad(in_flight);
 }
 
-void upstream_board::ForgetPeer(const std::string& peer) { peers_.erase(peer); }
+void upstream_board::ForgetPeer(const std::string& peer) {
+  const auto known = peers_.find(peer);
+  if (known == peers_.end()) return;
+  for (const auto& [upstream, count] : known->second) {
+    const auto total = peer_total_.find(upstream);
+    total->second -= count;
+    if (total->second == 0) peer_total_.erase(total);
+  }
+  peers_.erase(known);
+}
 
 std::map<std::uint32_t, std::uint32_t> upstream_board::OwnLoad() const {
   std::map<std::uint32_t, std::uint32_t> load;
   for (const auto& [id, state] : upstreams_) {
-    if (state.in_flight > 0) load[UpstreamHash(id)] = state.in_flight;
+    if (state.in_flight > 0) load[state.hash] = state.in_flight;
   }
   return load;
 }
--- a/tests/request/dispatch/upstream_board_test.cc
+++ b/tests/request/dispatch/upstream_board_test.cc
@@ -208,11 +208,35 @@
 BOOST_AUTO_TEST_CASE(requests_of_peers_count_until_they_are_forgotten) {
   board_world world;
   world.Add("a", "north");
-  world.board.OnPeerLoad("entry-b", {{UpstreamHash("a"), 13}}, world.now);
+  world.board.OnPeerLoad("entry-b", {{UpstreamHash("a"), 13}});
+  world.board.OnPeerLoad("entry-b", {{UpstreamHash("a"), 13}});  // replaces what was said before
   BOOST_TEST(world.Choose().upstream_id.empty());
   world.board.ForgetPeer("entry-b");
   BOOST_TEST(world.Choose().upstream_id == "a");
 }
 
+// A day of the grown site with 39 entries and 64 engines did not end: a choice looked at every
+// engine for every engine, and at every peer for each of them.
+BOOST_AUTO_TEST_CASE(a_choice_among_many_upstreams_and_peers_is_quick) {
+  board_world world;
+  for (int i = 0; i < 64; ++i) {
+    const std::string id = "u" + std::to_string(i);
+    world.Add(id, "north");
+    world.Report(id, i < 32 ? "a" : "b");
+    world.board.OnPause(id, milliseconds(60), world.now);
+  }
+  for (int peer = 0; peer < 38; ++peer) {
+    std::map<std::uint32_t, std::uint32_t> in_flight;
+    for (int i = 0; i < 64; ++i) in_flight[UpstreamHash("u" + std::to_string(i))] = 0;
+    world.board.OnPeerLoad("entry-" + std::to_string(peer), in_flight);
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; i < 200; ++i) world.Choose();
+  const auto mean = (std::chrono::steady_clock::now() - begin) / 200;
+  // 0.25 cores serve 40 choices a second with a tenth of their time in 600 us each; sanitizers and
+  // busy machines get ten times that.
+  BOOST_TEST(mean < std::chrono::milliseconds(6));
+}
+
 }  // namespace
 }  // namespace berylbarrow
