--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -144,11 +144,8 @@
 
   /// The orders to place now.
   std::vector<rank_order> Advance(time_point now);
-  /// Whether something is under way.
+  /// Whether something is under way, so that reports should be read often.
   bool IsActive() const;
-  /// Whether the group is or will soon be held, so that every millisecond counts. Copying experts
-  /// takes much longer than a report, and is not urgent.
-  bool IsUrgent() const;
   switch_stage Stage() const { return stage_; }
   const std::optional<rank_status>& Status() const { return status_; }
   /// For the coordinator; nothing while the rank is in no group.
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-constexpr duration kUrgentTick = milliseconds(8);
+constexpr duration kActiveTick = milliseconds(8);
 constexpr duration kIdleTick = milliseconds(40);
 constexpr duration kStatusInterval = milliseconds(100);
 constexpr duration kCountsInterval = milliseconds(150);
@@ -127,7 +127,7 @@
     context_.stop();
     return;
   }
-  tick_.expires_after(switch_.IsUrgent() ? kUrgentTick : kIdleTick);
+  tick_.expires_after(active ? kActiveTick : kIdleTick);
   tick_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Tick();
   });
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -127,7 +127,6 @@
   time_point next_layout_ = time_point::min();
   time_point next_consideration_ = time_point::min();
   switch_stage last_stage_ = switch_stage::kIdle;
-  std::optional<member_state> last_state_;  // that was sent
 };
 
 }  // namespace berylbarrow
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -87,10 +87,8 @@
 void companion::SendState(time_point now) {
   const auto state = switch_.State();
   if (!state) return;
-  // The coordinator waits for a rank to be prepared or armed.
-  const bool is_news = last_state_ != state;
-  if (now < next_state_ && !is_news && !switch_.IsUrgent()) return;
-  last_state_ = state;
+  const bool active = switch_.IsActive();
+  if (now < next_state_ && !active) return;
   next_state_ = now + kStateInterval;
   rank_message message{.state = {*state}, .engine_address = settings_.upstream_address};
   if (now >= next_greeting_ && !coordinator_) {
@@ -128,7 +126,7 @@
 void companion::SendPlan(time_point now) {
   const auto plan = switch_.Plan();
   if (!plan) return;
-  if (now < next_plan_ && !switch_.IsUrgent()) return;
+  if (now < next_plan_ && !switch_.IsActive()) return;
   next_plan_ = now + kPlanInterval;
   rank_message announcement{.plan = {*plan}};
   if (switch_.IsCoordinator()) {
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -89,14 +89,6 @@
          (status_ && status_->held);
 }
 
-bool map_switch::IsUrgent() const {
-  const auto calm = [](switch_stage stage) {
-    return stage == switch_stage::kIdle || stage == switch_stage::kPreparing;
-  };
-  return !calm(stage_) || (plan_ && !calm(plan_->stage)) || committed_.has_value() ||
-         (status_ && status_->held);
-}
-
 bool map_switch::AllFresh(time_point now) const {
   return status_ && members_.size() + 1 == status_->size &&
          std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
