Remove what nothing calls, and the setting that nothing reads

Members of the link pool, the servers, the line, the members and the board that no one uses, a second retry that the first had just refused, and bounds.stall. Tests of the gateway, the line and the members, and lint of the changed sources pass.

--- a/include/berylbarrow/connection/http/http_caller.h
+++ b/include/berylbarrow/connection/http/http_caller.h
@@ -36,7 +36,6 @@
   void Call(http_call call, receiver on_result);
   /// Gives up a call that has no answer in time.
   void Advance(time_point now);
-  std::size_t Waiting() const { return calls_.size(); }
 
   bool OnAnswerHead(const http_head& head) override;
   void OnAnswerBody(std::string& body) override;
--- a/include/berylbarrow/connection/http/http_server.h
+++ b/include/berylbarrow/connection/http/http_server.h
@@ -78,12 +78,9 @@
   void SetOptions(const http_server_options& options) { options_ = options; }
   /// From now on each answer ends its connection.
   void CloseAfterAnswers() { closing_ = true; }
-  void StopListening();
   /// Ends connections that took too long. Called a few times a second.
   void CheckTimeouts(time_point now);
 
-  std::size_t ConnectionCount() const { return connections_.size(); }
-
  private:
   friend class http_server_connection;
 
--- a/include/berylbarrow/connection/http/upstream_link.h
+++ b/include/berylbarrow/connection/http/upstream_link.h
@@ -57,7 +57,6 @@
   /// Called regularly: gives up a connection attempt that takes too long.
   void CheckTimeouts(time_point now);
 
-  bool IsOpen() const { return state_ == state::kIdle || state_ == state::kBusy; }
   bool IsIdle() const { return state_ == state::kIdle; }
   time_point IdleSince() const { return idle_since_; }
   /// How long the upstream keeps an idle connection, if it said so.
@@ -88,7 +87,6 @@
   state state_ = state::kNew;
   exchange_handler* handler_ = nullptr;
   std::string output_;
-  std::size_t written_ = 0;
   bool write_pending_ = false;
   bool reading_ = false;
   bool is_head_ = false;
--- a/include/berylbarrow/process/gateway/gateway_settings.h
+++ b/include/berylbarrow/process/gateway/gateway_settings.h
@@ -21,7 +21,6 @@
   double retry_share = 0.2;        // retries per request, over all gateways
   std::uint32_t retry_slack = 90;  // further retries in a window, over all gateways
   duration address_lifetime = std::chrono::seconds(2);  // of an address answer
-  duration stall = std::chrono::milliseconds(1500);     // work of a broken group stands still
   auto operator<=>(const gateway_bounds&) const = default;
 };
 
--- a/include/berylbarrow/process/membership/fleet_members.h
+++ b/include/berylbarrow/process/membership/fleet_members.h
@@ -42,7 +42,6 @@
   /// Some of the live members.
   std::vector<member_hint> RandomHints();
 
-  bool IsLive(const std::string& name, time_point now) const;
   /// Live gateways, this process included if it is one.
   std::uint32_t LiveGateways(time_point now) const;
   /// Callers' addresses of the ready gateways, this one included if it is one: first those of
--- a/include/berylbarrow/request/admission/waiting_line.h
+++ b/include/berylbarrow/request/admission/waiting_line.h
@@ -43,8 +43,6 @@
   std::vector<waiting_id> TakeHopeless(time_point now);
 
   std::size_t Size() const { return requests_.size(); }
-  /// Requests that would go before one of this priority that arrived now.
-  std::size_t Ahead(std::uint32_t priority, time_point now) const;
 
  private:
   std::size_t capacity_;
--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -119,7 +119,6 @@
   std::map<std::uint32_t, std::uint32_t> OwnLoad() const;
   /// Share of the places of a service that are taken, as far as is known.
   double TakenShare(const std::string& service, time_point now) const;
-  bool Knows(const std::string& id) const { return upstreams_.count(id) > 0; }
   nlohmann::json State(time_point now) const;
 
  private:
--- a/src/connection/http/http_server.cc
+++ b/src/connection/http/http_server.cc
@@ -20,11 +20,6 @@
 
 http_server::~http_server() = default;
 
-void http_server::StopListening() {
-  boost::system::error_code ignored;
-  acceptor_.close(ignored);
-}
-
 void http_server::CheckTimeouts(time_point now) {
   const std::vector<std::shared_ptr<http_server_connection>> all(connections_.begin(),
                                                                  connections_.end());
--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -18,7 +18,6 @@
 void upstream_link::Exchange(std::string request, bool is_head, exchange_handler* handler) {
   handler_ = handler;
   output_ = std::move(request);
-  written_ = 0;
   is_head_ = is_head;
   BeginParser();
   if (state_ == state::kNew) {
@@ -66,9 +65,8 @@
   write_pending_ = true;
   boost::asio::async_write(
       socket_, boost::asio::buffer(output_),
-      [self = shared_from_this()](const boost::system::error_code& error, std::size_t size) {
+      [self = shared_from_this()](const boost::system::error_code& error, std::size_t /*size*/) {
         self->write_pending_ = false;
-        self->written_ = size;
         // The reader reports the failure: an answer may still be on its way.
         if (error && self->state_ == state::kBusy && !self->reading_) {
           self->HandleEnd(error);
--- a/src/process/gateway/gateway_settings.cc
+++ b/src/process/gateway/gateway_settings.cc
@@ -71,7 +71,6 @@
   section.ReadCount("retry_slack", bounds.retry_slack, {0, 1'000'000});
   section.ReadTime("address_lifetime", bounds.address_lifetime,
                    {milliseconds(100), std::chrono::minutes(1)});
-  section.ReadTime("stall", bounds.stall, {milliseconds(10), std::chrono::minutes(1)});
   section.RefuseOtherKeys();
 }
 
--- a/src/process/gateway/link_pool.cc
+++ b/src/process/gateway/link_pool.cc
@@ -25,7 +25,6 @@
     }
     link->Close();
   }
-  ++connects_;
   upstream_link_options options = options_.link;
   options.address = address;
   auto link = std::make_shared<upstream_link>(
@@ -65,11 +64,4 @@
   }
 }
 
-void link_pool::Forget(const std::string& upstream_id) {
-  const auto found = idle_.find(upstream_id);
-  if (found == idle_.end()) return;
-  for (const auto& link : found->second) link->Close();
-  idle_.erase(found);
-}
-
 }  // namespace berylbarrow
--- a/src/process/gateway/link_pool.h
+++ b/src/process/gateway/link_pool.h
@@ -36,9 +36,6 @@
   void Return(const std::string& upstream_id, const std::shared_ptr<upstream_link>& link);
   /// Ends what was idle for too long and connection attempts that take too long.
   void CheckTimeouts(time_point now);
-  /// Ends the idle links to an upstream, which does not answer well on them.
-  void Forget(const std::string& upstream_id);
-  std::uint64_t Connects() const { return connects_; }
 
  private:
   using links = std::vector<std::shared_ptr<upstream_link>>;
@@ -50,7 +47,6 @@
   const runtime_clock& clock_;
   std::map<std::string, links> idle_;  // by upstream id
   std::unordered_set<std::shared_ptr<upstream_link>> busy_;
-  std::uint64_t connects_ = 0;
 };
 
 }  // namespace berylbarrow
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -114,7 +114,6 @@
   }
   const time_point now = context_.clock.Now();
   attempt_->heard = now;
-  attempt_->answered = true;
   attempt_->facts = std::move(facts);
   if (!IsStreamAnswer(head)) return true;
   if (!attempt_->facts.is_signed) return true;  // treated as broken at its end
@@ -166,7 +165,7 @@
   }
   const reply_facts facts = attempt_->facts;
   if (facts.not_run || facts.is_misdirected) {
-    HandleNotRun(head, std::move(body), now);
+    HandleNotRun(head, now);
     return;
   }
   const bool success = head.status >= 200 && head.status < 300;
@@ -212,7 +211,7 @@
   Finish("served", 200);
 }
 
-void relayed_request::HandleNotRun(const http_head& head, std::string&& /*body*/, time_point now) {
+void relayed_request::HandleNotRun(const http_head& head, time_point now) {
   const bool misdirected = attempt_->facts.is_misdirected;
   const std::string upstream = attempt_->upstream_id;
   const std::string reason = misdirected ? "misdirected" : "refused_" + std::to_string(head.status);
@@ -274,7 +273,6 @@
     const std::string upstream = attempt_->upstream_id;
     EndAttempt(attempt_outcome::kUnreachable, now);
     if (Retry("unreachable", now) || WaitAgain(upstream, now)) return;
-    if (head_sent_) return HandleBroken("unreachable", now);
     // Nothing was sent, so nothing ran.
     if (runs_ == 0) return Refuse("unreachable", kUnreachableRetryAfter);
     AnswerFailure(502, "unreachable");
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -67,7 +67,6 @@
     time_point sent;
     time_point heard;  // last sign of the upstream
     std::optional<time_point> last_event;
-    bool answered = false;
     reply_facts facts;
   };
 
@@ -76,7 +75,7 @@
   void Send(const dispatch_choice& choice, time_point now);
   void EndAttempt(attempt_outcome outcome, time_point now);
   void CancelAttempt(time_point now);
-  void HandleNotRun(const http_head& head, std::string&& body, time_point now);
+  void HandleNotRun(const http_head& head, time_point now);
   /// Sends the request once more if that is allowed; otherwise returns false.
   bool Retry(std::string_view reason, time_point now);
   bool HasBudget(time_point now);
--- a/src/process/membership/fleet_members.cc
+++ b/src/process/membership/fleet_members.cc
@@ -96,12 +96,6 @@
   return hints;
 }
 
-bool fleet_members::IsLive(const std::string& name, time_point now) const {
-  const auto found = members_.find(name);
-  return found != members_.end() && found->second.heard != time_point::min() &&
-         now - found->second.heard <= options_.lifetime;
-}
-
 std::vector<fleet_member> fleet_members::Live(time_point now) const {
   std::vector<fleet_member> live;
   for (const auto& [name, known] : members_) {
--- a/src/request/admission/waiting_line.cc
+++ b/src/request/admission/waiting_line.cc
@@ -50,12 +50,4 @@
   return hopeless;
 }
 
-std::size_t waiting_line::Ahead(std::uint32_t priority, time_point now) const {
-  return static_cast<std::size_t>(
-      std::count_if(requests_.begin(), requests_.end(), [&](const auto& each) {
-        return each.second.priority < priority ||
-               (each.second.priority == priority && now <= each.second.on_time_until);
-      }));
-}
-
 }  // namespace berylbarrow
