Pace the layouts of large rank groups, plan them once, and tell changes at once

The coordinator sent the layout to all ranks in one burst of 84 KB over a link of 8 Mbit/s; always the same 13 ranks went without (orders of ranks 19 to 31 never appear in the log), and the preparation ran into its limit of 8 s. Besides, every rank sent its state every 8 ms (31 ranks: 0.6 MB/s into the coordinator), and five plans from nothing took 0.02 to 0.04 s of a whole core. Ruled out: orders (all that were placed were accepted), memory, the store. Change: layout_spread sends the layout within the rate of the link, longest waiting first, to ranks that do not report to have it; states and plans are sent when they change and every 32 ms during a switch; a plan is extended instead of made anew for each number of copies, and judges only the ranks that a step touches; the price of a copy follows its size and the size of the group.

--- a/include/berylbarrow/version/expert/layout_chooser.h
+++ b/include/berylbarrow/version/expert/layout_chooser.h
@@ -18,8 +18,9 @@
   double copy_slowdown = 0.15;
   /// Time of passes that a switch costs in any case: its orders, and ranks that wait.
   double switch_seconds = 0.25;
-  /// Time of passes that one copy by any rank must save besides.
-  double seconds_per_copy = 0.0025;
+  /// Time that the group must save besides for one copy by any rank, in copy times of one of its
+  /// ranks: a copy that takes longer moves more bytes, and a larger group gains more by it.
+  double copy_price = 0.135;
 };
 
 struct chosen_layout {
--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -60,11 +60,13 @@
   std::uint64_t step = 0;
   std::uint64_t mapping = 0;
   std::uint64_t prepared = 0;  // 0: none
+  std::uint64_t known = 0;     // the layout that the sender has been asked for and has; 0: not yet
   armed_map armed;             // version 0: none
   armed_map committed;         // an order to arm was sent; version 0: none
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(incarnation, heard, group, epoch, rank, step, mapping, prepared, armed, committed);
+    archive(incarnation, heard, group, epoch, rank, step, mapping, prepared, known, armed,
+            committed);
   }
   auto operator<=>(const member_state&) const = default;
 };
@@ -131,7 +133,9 @@
   void OnRemoteStatus(std::uint32_t rank, const rank_status& status, time_point asked);
   /// Ranks whose reports are wanted, because their companions are silent during a switch.
   std::vector<std::uint32_t> SilentRanks(time_point now) const;
-  /// Whether the layout of `version` has been received completely.
+  /// Ranks that are to prepare the target of the switch and have not got its layout.
+  std::vector<std::uint32_t> RanksWithoutLayout() const;
+  /// The layout of `version` has been received completely.
   void OnLayoutKnown(std::uint64_t version);
 
   bool IsCoordinator() const;
--- a/include/berylbarrow/version/expert/rank_layout.h
+++ b/include/berylbarrow/version/expert/rank_layout.h
@@ -50,7 +50,6 @@
 
 struct layout_planner_options {
   std::size_t max_new_per_layer = 4;  // experts that one rank may copy in one layer
-  std::size_t max_new_per_rank = 6;   // and in all layers together
   /// A step must lower the layer's potential by this share, or it is not worth a copy.
   double least_gain = 0.02;
 };
@@ -59,8 +58,25 @@
 /// rank that has a free place, or a place whose expert others hold too; or the rank gives up an
 /// expert that others hold. Each step lowers the sum of the sixth powers of the rank times, which
 /// follows the maximum and has no plateaus.
-rank_layout PlanLayout(const rank_layout& current, const group_work& work,
-                       const layout_planner_options& options);
+class layout_planner {
+ public:
+  layout_planner(const rank_layout& current, const group_work& work,
+                 const layout_planner_options& options);
+  ~layout_planner();
+
+  /// Goes on until no step is worthwhile. No rank copies more than `max_new_per_rank` experts in
+  /// all layers together; a later call may allow more.
+  void Extend(std::size_t max_new_per_rank);
+  /// The layout so far.
+  rank_layout Layout() const;
+
+ private:
+  class layer_plan;
+
+  group_shape shape_;
+  std::vector<std::size_t> copied_;  // by rank
+  std::vector<layer_plan> layers_;
+};
 
 }  // namespace berylbarrow
 
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -201,7 +201,11 @@
   status_ = std::move(status);
   members_.Self().group = status_->rank.group;
   switch_.OnStatus(status_->rank, asked);
-  if (switch_.IsActive()) PlaceOrders(clock_.Now());
+  if (!switch_.IsActive()) return;
+  const time_point now = clock_.Now();
+  PlaceOrders(now);
+  SendState(now);
+  SendPlan(now);
 }
 
 void companion::OnCounts(const http_result& result) {
@@ -358,7 +362,7 @@
   for (std::uint32_t i = 0; i < chosen->layout.Shape().layers; ++i) draft_->layers.insert(i);
   switch_.OnLayoutKnown(version);
   switch_.Begin(version, now);
-  next_layout_ = now;
+  spread_.Begin(now);
 }
 
 http_answer companion::AnswerMetrics(const http_head& head) {
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -18,6 +18,7 @@
 #include "berylbarrow/process/membership/fleet_members.h"
 #include "berylbarrow/process/telemetry/metrics.h"
 #include "berylbarrow/version/expert/layout_chooser.h"
+#include "berylbarrow/version/expert/layout_spread.h"
 #include "berylbarrow/version/expert/map_switch.h"
 #include "connection/peer/heartbeat_socket.h"
 #include "process/companion/rank_message.h"
@@ -73,6 +74,7 @@
   void MergeLists(rank_view& view, const layout_part& part);
   void SendState(time_point now);
   void SendPlan(time_point now);
+  void SendLayout(const switch_plan& plan, time_point now);
   void Consider(time_point now);
   double HorizonSeconds();
   std::optional<group_shape> Shape() const;
@@ -107,6 +109,9 @@
   std::map<std::uint32_t, rank_view> ranks_;
   std::optional<endpoint> coordinator_;
   std::optional<layout_draft> draft_;
+  layout_spread spread_{{}};
+  std::optional<member_state> last_state_;  // that was sent
+  std::optional<switch_plan> last_plan_;    // that was sent
   std::uint64_t beat_sequence_ = 0;
   std::uint64_t finished_ = 0;
   bool status_called_ = false;
@@ -124,7 +129,6 @@
   time_point next_greeting_ = time_point::min();
   time_point next_load_ = time_point::min();
   time_point next_plan_ = time_point::min();
-  time_point next_layout_ = time_point::min();
   time_point next_consideration_ = time_point::min();
   switch_stage last_stage_ = switch_stage::kIdle;
 };
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -14,8 +14,11 @@
 constexpr duration kStateInterval = milliseconds(150);
 constexpr duration kGreetingInterval = std::chrono::seconds(1);
 constexpr duration kLoadInterval = milliseconds(150);
+// The coordinator of a larger group hears of each rank less often, and of as many ranks a second.
+constexpr std::uint32_t kRanksPerLoadInterval = 16;
 constexpr duration kPlanInterval = milliseconds(200);
-constexpr duration kLayoutResend = milliseconds(250);
+// During a switch each change is sent at once, and again after this time, as datagrams get lost.
+constexpr duration kSwitchResend = milliseconds(32);
 
 }  // namespace
 
@@ -49,6 +52,7 @@
       if (draft_->IsComplete() && draft_->layout.IsSound()) switch_.OnLayoutKnown(part.version);
     }
     PlaceOrders(now);
+    SendState(now);
   }
   if (message.state.empty()) return;
   const member_state& state = message.state.front();
@@ -68,7 +72,9 @@
     view.load_at = now;
     view.pace = part.pace;
   }
-  if (switch_.IsActive()) PlaceOrders(now);
+  if (!switch_.IsActive()) return;
+  PlaceOrders(now);
+  SendPlan(now);
 }
 
 void companion::MergeLists(rank_view& view, const layout_part& part) {
@@ -88,8 +94,10 @@
   const auto state = switch_.State();
   if (!state) return;
   const bool active = switch_.IsActive();
-  if (now < next_state_ && !active) return;
-  next_state_ = now + kStateInterval;
+  const bool changed = active && state != last_state_;
+  if (now < next_state_ && !changed) return;
+  next_state_ = now + (active ? kSwitchResend : kStateInterval);
+  last_state_ = state;
   rank_message message{.state = {*state}, .engine_address = settings_.upstream_address};
   if (now >= next_greeting_ && !coordinator_) {
     next_greeting_ = now + kGreetingInterval;
@@ -104,7 +112,7 @@
     Send(EncodeRankMessage(message), *coordinator_);
     return;
   }
-  next_load_ = now + kLoadInterval;
+  next_load_ = now + kLoadInterval * std::max(1U, status_->rank.size / kRanksPerLoadInterval);
   auto shape = Shape();
   if (own_lists_ && shape && own_lists_->experts.size() == shape->layers) {
     shape->ranks = 1;
@@ -126,8 +134,10 @@
 void companion::SendPlan(time_point now) {
   const auto plan = switch_.Plan();
   if (!plan) return;
-  if (now < next_plan_ && !switch_.IsActive()) return;
-  next_plan_ = now + kPlanInterval;
+  SendLayout(*plan, now);
+  if (now < next_plan_ && plan == last_plan_) return;
+  next_plan_ = now + (switch_.IsActive() ? kSwitchResend : kPlanInterval);
+  last_plan_ = plan;
   rank_message announcement{.plan = {*plan}};
   if (switch_.IsCoordinator()) {
     // The deputy learns from it where the coordinator's engine is.
@@ -135,18 +145,10 @@
     announcement.engine_address = settings_.upstream_address;
   }
   const std::string text = EncodeRankMessage(announcement);
-  std::vector<std::string> layouts;
-  if (plan->stage == switch_stage::kPreparing && draft_ && now >= next_layout_) {
-    next_layout_ = now + kLayoutResend;
-    for (const layout_part& part : SplitLayout(draft_->layout, draft_->version)) {
-      layouts.push_back(EncodeRankMessage({.plan = {*plan}, .layout = {part}}));
-    }
-  }
   std::set<endpoint> told;
   for (const auto& [rank, view] : ranks_) {
     told.insert(view.address);
     Send(text, view.address);
-    for (const std::string& layout : layouts) Send(layout, view.address);
   }
   if (ranks_.size() + 1 >= status_->rank.size) return;
   for (const std::string& address : members_.GroupAddresses(plan->group)) {
@@ -155,6 +157,20 @@
   }
 }
 
+void companion::SendLayout(const switch_plan& plan, time_point now) {
+  const std::vector<std::uint32_t> lacking = switch_.RanksWithoutLayout();
+  if (lacking.empty() || !draft_) return;
+  std::vector<std::string> parts;
+  std::size_t bytes = 0;
+  for (const layout_part& part : SplitLayout(draft_->layout, draft_->version)) {
+    parts.push_back(EncodeRankMessage({.plan = {plan}, .layout = {part}}));
+    bytes += parts.back().size();
+  }
+  for (const std::uint32_t rank : spread_.Next(lacking, bytes, now)) {
+    for (const std::string& part : parts) Send(part, ranks_[rank].address);
+  }
+}
+
 void companion::Send(const std::string& datagram, const endpoint& to) {
   socket_->Send(datagram, to);
 }
--- a/src/version/expert/layout_chooser.cc
+++ b/src/version/expert/layout_chooser.cc
@@ -17,16 +17,19 @@
   const double before = PassSkew(current, work);
   std::optional<chosen_layout> best;
   double best_value = 0;
+  layout_planner planner(current, work, {.max_new_per_layer = options.max_new_per_layer});
+  const double seconds_per_copy =
+      options.copy_price * options.copy_seconds / std::max(1U, current.Shape().ranks);
   for (const std::size_t limit : kCopyLimits) {
-    rank_layout planned = PlanLayout(
-        current, work, {.max_new_per_layer = options.max_new_per_layer, .max_new_per_rank = limit});
+    planner.Extend(limit);
+    rank_layout planned = planner.Layout();
     const double after = PassSkew(planned, work);
     const std::size_t copies = LongestCopy(current, planned);
     const double copy = static_cast<double>(copies) * options.copy_seconds;
     const double saved = (1 - after / before) * std::max(0.0, options.horizon_seconds - copy);
     const std::size_t total = TotalCopies(current, planned);
     const double value = saved - options.copy_slowdown * copy - options.switch_seconds -
-                         options.seconds_per_copy * static_cast<double>(total);
+                         seconds_per_copy * static_cast<double>(total);
     if (value <= best_value) continue;
     best_value = value;
     best = chosen_layout{.layout = std::move(planned),
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -77,6 +77,18 @@
   return silent;
 }
 
+std::vector<std::uint32_t> map_switch::RanksWithoutLayout() const {
+  std::vector<std::uint32_t> lacking;
+  if (stage_ != switch_stage::kPreparing) return lacking;
+  for (const auto& [rank, each] : members_) {
+    const member_state& state = each.state;
+    if (state.known != target_.version && state.prepared != target_.version) {
+      lacking.push_back(rank);
+    }
+  }
+  return lacking;
+}
+
 void map_switch::OnLayoutKnown(std::uint64_t version) { known_layouts_.insert(version); }
 
 bool map_switch::IsCoordinator() const {
@@ -310,6 +322,7 @@
 
 std::optional<member_state> map_switch::State() const {
   if (!status_ || status_->group.empty()) return std::nullopt;
+  const std::uint64_t wanted = plan_ ? plan_->target.version : 0;
   return member_state{.incarnation = incarnation_,
                       .heard = followed_,
                       .group = status_->group,
@@ -318,6 +331,7 @@
                       .step = status_->step,
                       .mapping = status_->mapping,
                       .prepared = status_->prepared.value_or(0),
+                      .known = wanted != 0 && known_layouts_.count(wanted) > 0 ? wanted : 0,
                       .armed = status_->armed.value_or(armed_map{}),
                       .committed = committed_.value_or(armed_map{})};
 }
--- a/src/version/expert/rank_layout.cc
+++ b/src/version/expert/rank_layout.cc
@@ -16,8 +16,10 @@
   return square * square * square;
 }
 
+}  // namespace
+
 /// One layer while it is planned.
-class layer_plan {
+class layout_planner::layer_plan {
  public:
   layer_plan(const rank_layout& current, const group_work& work, std::uint32_t layer,
              const layout_planner_options& options)
@@ -27,34 +29,39 @@
     load_.assign(first, first + shape_.experts);
     const double mean = std::accumulate(load_.begin(), load_.end(), 0.0) / shape_.ranks;
     for (double& each : load_) each = mean > 0 ? each / mean : 0;
-    holders_.assign(shape_.experts, 0);
+    holders_.resize(shape_.experts);
     held_.assign(shape_.ranks, std::vector<bool>(shape_.experts, false));
     for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
       lists_.push_back(current.At(layer, rank));
       for (const expert_index expert : lists_.back()) {
         held_[rank][expert] = true;
-        ++holders_[expert];
+        holders_[expert].push_back(rank);
       }
     }
     original_ = held_;
     new_.assign(shape_.ranks, 0);
     rank_load_.assign(shape_.ranks, 0);
+    rank_power_.assign(shape_.ranks, 0);
     SumLoads();
   }
 
   /// Makes the best step; returns false if none is worthwhile. `copied` counts copies by rank over
-  /// all layers.
-  bool Improve(std::vector<std::size_t>& copied) {
+  /// all layers, `max_copied` bounds it.
+  bool Improve(std::vector<std::size_t>& copied, std::size_t max_copied) {
     step best;
     std::vector<std::uint32_t> ranks(shape_.ranks);
     std::iota(ranks.begin(), ranks.end(), 0U);
-    std::sort(ranks.begin(), ranks.end(), [&](std::uint32_t left, std::uint32_t right) {
-      return rank_load_[left] > rank_load_[right];
-    });
-    for (std::size_t i = 0; i < std::min(kConsideredRanks, ranks.size()); ++i) {
-      for (const expert_index expert : HeaviestOf(ranks[i])) Consider(expert, copied, best);
+    const std::size_t considered = std::min(kConsideredRanks, ranks.size());
+    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(considered),
+                      ranks.end(), [&](std::uint32_t left, std::uint32_t right) {
+                        return rank_load_[left] > rank_load_[right];
+                      });
+    for (std::size_t i = 0; i < considered; ++i) {
+      for (const expert_index expert : HeaviestOf(ranks[i])) {
+        Consider(expert, copied, max_copied, best);
+      }
       for (const expert_index expert : lists_[ranks[i]]) {
-        if (holders_[expert] >= 2) Judge({.rank = ranks[i], .evicted = expert}, best);
+        if (holders_[expert].size() >= 2) Judge({.rank = ranks[i], .evicted = expert}, best);
       }
     }
     const double potential = Potential();
@@ -74,14 +81,12 @@
   };
 
   double Share(expert_index expert) const {
-    return holders_[expert] == 0 ? 0 : load_[expert] / holders_[expert];
+    return holders_[expert].empty() ? 0 : load_[expert] / Count(holders_[expert].size());
   }
 
-  double Potential() const {
-    double sum = 0;
-    for (const double load : rank_load_) sum += Power(load);
-    return sum;
-  }
+  static double Count(std::size_t count) { return static_cast<double>(count); }
+
+  double Potential() const { return std::accumulate(rank_power_.begin(), rank_power_.end(), 0.0); }
 
   std::vector<expert_index> HeaviestOf(std::uint32_t rank) const {
     std::vector<expert_index> experts = lists_[rank];
@@ -93,12 +98,14 @@
     return experts;
   }
 
-  void Consider(expert_index expert, const std::vector<std::size_t>& copied, step& best) const {
+  void Consider(expert_index expert, const std::vector<std::size_t>& copied,
+                std::size_t max_copied, step& best) const {
+    const double mean = std::accumulate(rank_load_.begin(), rank_load_.end(), 0.0) / shape_.ranks;
     for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
-      if (held_[rank][expert]) continue;
+      // A rank with more than its part gains nothing by another expert.
+      if (held_[rank][expert] || rank_load_[rank] > mean) continue;
       const bool is_new = !original_[rank][expert];
-      if (is_new &&
-          (new_[rank] >= options_.max_new_per_layer || copied[rank] >= options_.max_new_per_rank)) {
+      if (is_new && (new_[rank] >= options_.max_new_per_layer || copied[rank] >= max_copied)) {
         continue;
       }
       if (lists_[rank].size() < shape_.slots_per_rank) {
@@ -106,36 +113,45 @@
         continue;
       }
       for (const expert_index evicted : lists_[rank]) {
-        if (holders_[evicted] < 2) continue;
+        if (holders_[evicted].size() < 2) continue;
         Judge({.expert = expert, .rank = rank, .evicted = evicted}, best);
       }
     }
   }
 
+  /// Change of the potential if the load of the rank changes by that much.
+  double ChangeOf(std::uint32_t rank, double load_change) const {
+    return Power(rank_load_[rank] + pace_[rank] * load_change) - rank_power_[rank];
+  }
+
   void Judge(step candidate, step& best) const {
-    double gained_share = 0;
+    double own_change = 0;
     double gained_change = 0;  // of the share of the other holders
+    double evicted_change = 0;
     if (candidate.expert) {
-      gained_share = load_[*candidate.expert] / (holders_[*candidate.expert] + 1);
-      gained_change = gained_share - Share(*candidate.expert);
+      const double share = load_[*candidate.expert] / Count(holders_[*candidate.expert].size() + 1);
+      gained_change = share - Share(*candidate.expert);
+      own_change += share;
     }
-    double evicted_share = 0;
-    double evicted_change = 0;
     if (candidate.evicted) {
-      evicted_share = Share(*candidate.evicted);
+      const double share = Share(*candidate.evicted);
       evicted_change =
-          load_[*candidate.evicted] / (holders_[*candidate.evicted] - 1) - evicted_share;
+          load_[*candidate.evicted] / Count(holders_[*candidate.evicted].size() - 1) - share;
+      own_change -= share;
     }
-    for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
-      double change = 0;
-      if (rank == candidate.rank) {
-        change = gained_share - evicted_share;
-      } else {
-        if (candidate.expert && held_[rank][*candidate.expert]) change += gained_change;
-        if (candidate.evicted && held_[rank][*candidate.evicted]) change += evicted_change;
+    candidate.change = ChangeOf(candidate.rank, own_change);
+    if (candidate.expert) {
+      for (const std::uint32_t rank : holders_[*candidate.expert]) {
+        const bool loses_both = candidate.evicted && held_[rank][*candidate.evicted];
+        candidate.change += ChangeOf(rank, gained_change + (loses_both ? evicted_change : 0));
+      }
+    }
+    if (candidate.evicted) {
+      for (const std::uint32_t rank : holders_[*candidate.evicted]) {
+        const bool counted = candidate.expert && held_[rank][*candidate.expert];
+        if (rank == candidate.rank || counted) continue;
+        candidate.change += ChangeOf(rank, evicted_change);
       }
-      const double load = rank_load_[rank] + pace_[rank] * change;
-      candidate.change += Power(load) - Power(rank_load_[rank]);
     }
     if (candidate.change < best.change) best = candidate;
   }
@@ -145,7 +161,8 @@
     if (chosen.evicted) {
       list.erase(std::find(list.begin(), list.end(), *chosen.evicted));
       held_[chosen.rank][*chosen.evicted] = false;
-      --holders_[*chosen.evicted];
+      std::vector<std::uint32_t>& others = holders_[*chosen.evicted];
+      others.erase(std::find(others.begin(), others.end(), chosen.rank));
       if (!original_[chosen.rank][*chosen.evicted]) {
         --new_[chosen.rank];
         --copied[chosen.rank];
@@ -154,7 +171,7 @@
     if (chosen.expert) {
       list.push_back(*chosen.expert);
       held_[chosen.rank][*chosen.expert] = true;
-      ++holders_[*chosen.expert];
+      holders_[*chosen.expert].push_back(chosen.rank);
       if (!original_[chosen.rank][*chosen.expert]) {
         ++new_[chosen.rank];
         ++copied[chosen.rank];
@@ -168,6 +185,7 @@
       double sum = 0;
       for (const expert_index expert : lists_[rank]) sum += Share(expert);
       rank_load_[rank] = pace_[rank] * sum;
+      rank_power_[rank] = Power(rank_load_[rank]);
     }
   }
 
@@ -175,16 +193,15 @@
   layout_planner_options options_;
   std::vector<double> pace_;
   std::vector<double> load_;  // by expert, in units of the mean rank
-  std::vector<std::uint32_t> holders_;
+  std::vector<std::vector<std::uint32_t>> holders_;  // ranks, by expert
   std::vector<std::vector<expert_index>> lists_;
   std::vector<std::vector<bool>> held_;
   std::vector<std::vector<bool>> original_;
   std::vector<std::size_t> new_;
   std::vector<double> rank_load_;
+  std::vector<double> rank_power_;
 };
 
-}  // namespace
-
 rank_layout::rank_layout(const group_shape& shape)
     : shape_(shape), lists_(std::size_t{shape.layers} * shape.ranks) {}
 
@@ -268,28 +285,34 @@
   return total;
 }
 
-rank_layout PlanLayout(const rank_layout& current, const group_work& work,
-                       const layout_planner_options& options) {
-  const group_shape& shape = current.Shape();
-  std::vector<layer_plan> layers;
-  for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
-    layers.emplace_back(current, work, layer, options);
+layout_planner::layout_planner(const rank_layout& current, const group_work& work,
+                               const layout_planner_options& options)
+    : shape_(current.Shape()), copied_(shape_.ranks, 0) {
+  for (std::uint32_t layer = 0; layer < shape_.layers; ++layer) {
+    layers_.emplace_back(current, work, layer, options);
   }
-  std::vector<std::size_t> copied(shape.ranks, 0);
+}
+
+layout_planner::~layout_planner() = default;
+
+void layout_planner::Extend(std::size_t max_new_per_rank) {
   // One step a layer by turns, so that the copies of a rank serve all layers.
-  std::vector<bool> open(shape.layers, true);
+  std::vector<bool> open(shape_.layers, true);
   for (bool improved = true; improved;) {
     improved = false;
-    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
+    for (std::uint32_t layer = 0; layer < shape_.layers; ++layer) {
       if (!open[layer]) continue;
-      open[layer] = layers[layer].Improve(copied);
+      open[layer] = layers_[layer].Improve(copied_, max_new_per_rank);
       improved = improved || open[layer];
     }
   }
-  rank_layout planned(shape);
-  for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
-    for (std::uint32_t rank = 0; rank < shape.ranks; ++rank) {
-      planned.Set(layer, rank, layers[layer].List(rank));
+}
+
+rank_layout layout_planner::Layout() const {
+  rank_layout planned(shape_);
+  for (std::uint32_t layer = 0; layer < shape_.layers; ++layer) {
+    for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
+      planned.Set(layer, rank, layers_[layer].List(rank));
     }
   }
   return planned;
--- a/tests/version/expert/rank_layout_test.cc
+++ b/tests/version/expert/rank_layout_test.cc
@@ -25,6 +25,12 @@
   return layout;
 }
 
+rank_layout Plan(const rank_layout& current, const group_work& work, std::size_t max_new_per_rank) {
+  layout_planner planner(current, work, {.max_new_per_layer = 4});
+  planner.Extend(max_new_per_rank);
+  return planner.Layout();
+}
+
 /// Few experts carry most of the load, others in each layer.
 expert_load SkewedLoad(std::uint64_t seed) {
   std::mt19937_64 random(seed);
@@ -40,8 +46,7 @@
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     const rank_layout current = InTurn(kShape);
     const group_work work{.load = SkewedLoad(seed)};
-    const rank_layout planned =
-        PlanLayout(current, work, {.max_new_per_layer = 4, .max_new_per_rank = 18});
+    const rank_layout planned = Plan(current, work, 18);
     BOOST_TEST(planned.IsSound());
     BOOST_TEST(LongestCopy(current, planned) <= 18U);
     BOOST_TEST(PassSkew(current, work) > 1.5);
@@ -56,17 +61,33 @@
   work.pace = {4, 1, 1, 1, 1, 1, 1, 1};
   rank_layout planned = current;
   for (int round = 0; round < 3; ++round) {
-    planned = PlanLayout(planned, work, {.max_new_per_layer = 4, .max_new_per_rank = 18});
+    planned = Plan(planned, work, 18);
   }
   BOOST_TEST(planned.IsSound());
   BOOST_TEST(PassSkew(current, work) > 3.9);
   BOOST_TEST(PassSkew(planned, work) < 1.6);
 }
 
+// Pattern: the coordinator weighs plans with few and with many copies of the same demand.
+BOOST_AUTO_TEST_CASE(a_plan_that_is_extended_keeps_its_bounds_and_improves) {
+  const rank_layout current = InTurn(kShape);
+  const group_work work{.load = SkewedLoad(5)};
+  layout_planner planner(current, work, {.max_new_per_layer = 4});
+  double before = PassSkew(current, work);
+  for (const std::size_t limit : {1U, 2U, 4U, 11U}) {
+    planner.Extend(limit);
+    const rank_layout planned = planner.Layout();
+    BOOST_TEST(planned.IsSound());
+    BOOST_TEST(LongestCopy(current, planned) <= limit);
+    BOOST_TEST(PassSkew(planned, work) <= before);
+    before = PassSkew(planned, work);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_even_load_is_left_alone) {
   const rank_layout current = InTurn(kShape);
   const group_work work{.load = expert_load(std::size_t{kShape.layers} * kShape.experts, 1.0)};
-  BOOST_TEST((PlanLayout(current, work, {}) == current));
+  BOOST_TEST((Plan(current, work, 6) == current));
   BOOST_TEST(!ChooseLayout(current, work, {}).has_value());
 }
 
