Predict the passes of rank groups from the engine's constants

All ranks of its group scored alike, so the slow rank went on getting requests, each of which costs its group four times as much; and the bound by measured pauses took the time that a pass takes in any case to be that of a usual rank. Ruled out: the map (the slow rank gave up its experts within 0.8 s; planned skew 1.22). Change: pass_model: own part of each rank by its pace, experts' part shared by the group. The board chooses by the predicted pass with one more request; the bound uses the slowest rank's fixed time and is dropped where many late answers are worth more than few in time.

--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -12,6 +12,7 @@
 
 #include "berylbarrow/process/membership/upstream_registry.h"
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/request/dispatch/pass_model.h"
 #include "berylbarrow/version/routing/routing_view.h"
 
 namespace berylbarrow {
@@ -84,6 +85,8 @@
   duration group_block = std::chrono::milliseconds(150);
   /// Share of the longest pause of a stream's route that passes may take, their spread included.
   double pause_share = 0.9;
+  /// What an answer with longer pauses is worth to its caller, against one without.
+  double late_worth = 0.5;
   /// Requests that an engine gets whatever its pauses are, so that they are still measured.
   std::uint32_t least_engine_load = 2;
   duration pause_lifetime = std::chrono::milliseconds(600);
@@ -150,15 +153,10 @@
     time_point at;
   };
   /// The upstreams that run passes together, as one choice sees them.
-  struct group_view {
-    double load = 0;  // of all ranks
-    double ranks = 0;
-    double slowest_pass = 0;  // in milliseconds; 0: they are no group
-  };
-  using group_views = std::map<std::string, group_view>;
+  using group_models = std::map<std::string, pass_model>;
 
   std::uint32_t Load(const upstream_state& state, time_point now) const;
-  std::uint32_t Capacity(const upstream_state& state, const group_views& groups,
+  std::uint32_t Capacity(const upstream_state& state, const group_models& groups,
                          time_point now) const;
   std::string PassKey(const upstream_state& state) const;
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
@@ -166,12 +164,11 @@
   bool HasColdRoom(const upstream_state& state, time_point now) const;
   double ColdTokens(const upstream_state& state, time_point now) const;
   double FailureScore(const upstream_state& state, time_point now) const;
-  double Score(const upstream_state& state, const dispatch_query& query, const group_views& groups,
+  double Score(const upstream_state& state, const dispatch_query& query, const group_models& groups,
                time_point now) const;
-  group_views GroupViews(const std::string& service, time_point now) const;
+  group_models GroupModels(const std::string& service, time_point now) const;
   void AddPeerLoad(const load_by_upstream& in_flight);
   double Pace(const upstream_state& state) const;
-  double PassTime(const upstream_state& state, double requests) const;
   void Block(upstream_state& state, time_point now);
   void BlockGroup(const upstream_state& state, time_point now);
 
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -79,7 +79,7 @@
   return state.report && !state.report->group.empty() ? state.report->group : state.record.id;
 }
 
-std::uint32_t upstream_board::Capacity(const upstream_state& state, const group_views& groups,
+std::uint32_t upstream_board::Capacity(const upstream_state& state, const group_models& groups,
                                        time_point now) const {
   const std::uint32_t slots = std::max(1U, state.record.slots);
   if (state.engine) {
@@ -89,12 +89,17 @@
                           now - passes->second.at <= options_.pause_lifetime;
     if (!measured) return most;
     // A pass takes a fixed time and a time that grows with the requests of the ranks.
-    const double fixed = state.engine->stride * state.engine->step_ms;
-    const double limit = options_.pause_share * Seconds(state.pause_limit) * 1000.0 - fixed;
+    const pass_model& group = groups.at(PassKey(state));
+    const double fixed = group.FixedTime();
+    const double longest = options_.pause_share * Seconds(state.pause_limit) * 1000.0;
     const double taken = passes->second.mean + passes->second.spread - fixed;
-    if (taken <= 0 || limit <= 0) return most;
-    const group_view& group = groups.at(PassKey(state));
-    const double fits = group.load / group.ranks * limit / taken;
+    if (taken <= 0 || longest <= fixed) return most;
+    const double per_request = taken / std::max(1.0, group.RequestsPerRank());
+    const double fits = (longest - fixed) / per_request;
+    // More requests with longer pauses may be worth more than few without.
+    const double in_time = fits / longest;
+    const double late = options_.late_worth * most / (fixed + per_request * most);
+    if (in_time < late) return most;
     return std::clamp(static_cast<std::uint32_t>(std::ceil(fits)),
                       std::min(options_.least_engine_load, most), most);
   }
@@ -133,40 +138,27 @@
   return state.report ? std::max(0.5, state.report->pace) : 1.0;
 }
 
-double upstream_board::PassTime(const upstream_state& state, double requests) const {
-  const engine_profile& engine = *state.engine;
-  const double context_k = (engine.usual_prompt + engine.usual_answer / 2.0) / 1000.0;
-  const double step =
-      engine.step_ms + requests * (engine.per_sequence_ms + engine.per_context_k_ms * context_k);
-  return Pace(state) * engine.stride * step;
-}
-
-upstream_board::group_views upstream_board::GroupViews(const std::string& service,
+upstream_board::group_models upstream_board::GroupModels(const std::string& service,
                                                        time_point now) const {
-  group_views groups;
+  group_models groups;
   for (const auto& [id, state] : upstreams_) {
     if (state.record.service != service || !state.engine) continue;
-    group_view& group = groups[PassKey(state)];
-    const std::uint32_t load = Load(state, now);
-    group.load += load;
-    ++group.ranks;
-    if (state.report && !state.report->group.empty()) {
-      group.slowest_pass = std::max(group.slowest_pass, PassTime(state, load));
-    }
+    pass_model& group = groups.try_emplace(PassKey(state), *state.engine).first->second;
+    group.AddRank(Load(state, now), Pace(state));
   }
   return groups;
 }
 
 double upstream_board::Score(const upstream_state& state, const dispatch_query& query,
-                             const group_views& groups, time_point now) const {
+                             const group_models& groups, time_point now) const {
   const double slots = std::max(1U, state.record.slots);
   const double load = Load(state, now) + 1.0;
   double score = load / slots;
   if (state.engine) {
-    double pass = PassTime(state, load);
-    pass = std::max(pass, groups.at(PassKey(state)).slowest_pass);
-    const double usual = PassTime(state, slots) / Pace(state);
-    score = kLoadWeight * score + (1 - kLoadWeight) * pass / std::max(1.0, usual);
+    const pass_model& group = groups.at(PassKey(state));
+    const double pass = group.PassWithOneMore(load - 1, Pace(state));
+    const double usual = std::max(1.0, group.UsualPass(slots));
+    score = kLoadWeight * score + (1 - kLoadWeight) * pass / usual;
   } else if (state.latency_ms > 0) {
     score = load * state.latency_ms / 1000.0;
   }
@@ -178,7 +170,7 @@
 }
 
 dispatch_choice upstream_board::Choose(const dispatch_query& query, time_point now) const {
-  const group_views groups = GroupViews(query.service, now);
+  const group_models groups = GroupModels(query.service, now);
   dispatch_choice choice;
   const upstream_state* best = nullptr;
   const upstream_state* least_blocked = nullptr;
