Let late requests use a part of an engine's places only, and log what a switch was decided by

Ruled out: maps (skew 1.1 to 1.4 from 1 s after the groups opened), slow ranks (pace 1.0 in the new fields of switch_begins). Change: a request that cannot meet its objective any more is sent only where an engine has less than 0.7 of its requests; resumed streams are not concerned. Test: a_backlog_of_late_requests_leaves_places_for_those_on_time.

--- a/include/berylbarrow/request/dispatch/upstream_board.h
+++ b/include/berylbarrow/request/dispatch/upstream_board.h
@@ -50,6 +50,7 @@
   std::string domain;              // of the entry
   std::set<std::string> excluded;  // upstreams that had this request before
   std::uint32_t tokens = 0;        // expected, prompt and answer
+  bool late = false;               // it cannot meet its latency objective any more
   double draw = 0;                 // uniform in [0, 1), breaks ties
 };
 
@@ -87,6 +88,9 @@
   double pause_share = 0.9;
   /// What an answer with longer pauses is worth to its caller, against one without.
   double late_worth = 0.5;
+  /// Share of an engine's requests up to which it gets late ones. After an outage a backlog of them
+  /// would fill it, and the requests that can still be on time would be late as well.
+  double late_share = 0.7;
   /// Requests that an engine gets whatever its pauses are, so that they are still measured.
   std::uint32_t least_engine_load = 2;
   duration pause_lifetime = std::chrono::milliseconds(600);
@@ -158,6 +162,8 @@
   std::uint32_t Load(const upstream_state& state, time_point now) const;
   std::uint32_t Capacity(const upstream_state& state, const group_models& groups,
                          time_point now) const;
+  bool HasPlace(const upstream_state& state, const group_models& groups, bool late,
+                time_point now) const;
   std::string PassKey(const upstream_state& state) const;
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
   bool IsGroupOpen(const upstream_state& state, time_point now) const;
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -356,6 +356,10 @@
                 {{"version", std::to_string(version)},
                  {"skew", std::to_string(chosen->skew_before)},
                  {"planned_skew", std::to_string(chosen->skew_after)},
+                 {"slowest_pace", std::to_string(*std::max_element(work->pace.begin(),
+                                                                   work->pace.end()))},
+                 {"running", std::to_string(status_->running)},
+                 {"waiting", std::to_string(status_->waiting)},
                  {"longest_copy", std::to_string(chosen->longest_copy)},
                  {"copies", std::to_string(chosen->copies)}});
   draft_ = layout_draft{.version = version, .layout = chosen->layout};
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -104,7 +104,7 @@
       .account = admitted.account,
       .priority = admitted.priority,
       .arrival = admitted.arrival,
-      .on_time_until = admitted.arrival + admitted.route_used->goal * 7 / 10,
+      .on_time_until = LatestStart(admitted),
       .hopeless_from = hopeless};
   if (waiting.hopeless_from <= now || !LineOf(admitted.service).Push(waiting)) {
     request.Refuse("no_place", BusyRetryAfter());
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -24,6 +24,10 @@
 
 }  // namespace
 
+time_point LatestStart(const admitted_request& request) {
+  return request.arrival + request.route_used->goal * 7 / 10;
+}
+
 relayed_request::relayed_request(admitted_request&& request, relay_context& context,
                                  relay_host& host, answer_sink& sink)
     : request_(std::move(request)),
@@ -36,11 +40,17 @@
   return request_.facts.prompt_tokens + request_.facts.answer_tokens;
 }
 
+bool relayed_request::IsLate(time_point now) const {
+  // A stream that has begun is to go on without a pause.
+  return first_event_ == time_point::min() && now > LatestStart(request_);
+}
+
 dispatch_choice relayed_request::Choose(time_point now) {
   return context_.board.Choose({.service = request_.service,
                                 .domain = context_.settings.domain,
                                 .excluded = tried_,
                                 .tokens = Tokens(),
+                                .late = IsLate(now),
                                 .draw = context_.Draw()},
                                now);
 }
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -31,6 +31,9 @@
   std::uint64_t fingerprint = 0;
 };
 
+/// A request that is sent later misses its latency objective.
+time_point LatestStart(const admitted_request& request);
+
 /// Relays one request: chooses upstreams, sends it, repeats what may be repeated, resumes streams,
 /// and gives the caller one final answer.
 class relayed_request final : public served_request,
@@ -71,6 +74,7 @@
   };
 
   std::uint32_t Tokens() const;
+  bool IsLate(time_point now) const;
   dispatch_choice Choose(time_point now);
   void Send(const dispatch_choice& choice, time_point now);
   void EndAttempt(attempt_outcome outcome, time_point now);
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -106,6 +106,12 @@
   return slots + static_cast<std::uint32_t>(slots * options_.plain_queue_per_slot);
 }
 
+bool upstream_board::HasPlace(const upstream_state& state, const group_models& groups, bool late,
+                              time_point now) const {
+  const double share = late && state.engine ? options_.late_share : 1.0;
+  return Load(state, now) < share * Capacity(state, groups, now);
+}
+
 bool upstream_board::IsUsable(const upstream_state& state, const dispatch_query& query) const {
   return state.record.service == query.service && !state.record.leaving &&
          evacuated_.count(state.record.domain) == 0 && query.excluded.count(state.record.id) == 0;
@@ -178,8 +184,7 @@
   double spread = query.draw;
   for (const auto& [id, state] : upstreams_) {
     if (!IsUsable(state, query)) continue;
-    const std::uint32_t load = Load(state, now);
-    if (load >= Capacity(state, groups, now)) {
+    if (!HasPlace(state, groups, query.late, now)) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
       continue;
     }
--- a/tests/request/dispatch/upstream_board_test.cc
+++ b/tests/request/dispatch/upstream_board_test.cc
@@ -102,6 +102,33 @@
   BOOST_TEST(sent["far"] >= 4);
 }
 
+// Pattern: after an outage a backlog of requests that are late already meets engines that are free
+// again, while callers go on sending.
+BOOST_AUTO_TEST_CASE(a_backlog_of_late_requests_leaves_places_for_those_on_time) {
+  board_world world;
+  for (const char* id : {"a", "b"}) world.Add(id, "north");
+  const auto choose = [&](bool late) {
+    return world.board.Choose({.service = "model", .domain = "north", .late = late}, world.now);
+  };
+  int late_sent = 0;
+  for (int i = 0; i < 60; ++i) {
+    const dispatch_choice choice = choose(true);
+    if (choice.upstream_id.empty()) break;
+    world.board.OnSent(choice.upstream_id, 900, world.now);
+    ++late_sent;
+  }
+  BOOST_TEST(late_sent >= 16);
+  BOOST_TEST(late_sent <= 20);
+  BOOST_TEST((choose(true).obstacle == dispatch_obstacle::kAllBusy));
+  int on_time_sent = 0;
+  for (; on_time_sent < 60; ++on_time_sent) {
+    const dispatch_choice choice = choose(false);
+    if (choice.upstream_id.empty()) break;
+    world.board.OnSent(choice.upstream_id, 900, world.now);
+  }
+  BOOST_TEST(late_sent + on_time_sent == 26);
+}
+
 // Pattern: a replica turns slow; its group runs at its pace.
 BOOST_AUTO_TEST_CASE(a_group_with_a_slow_rank_gets_less) {
   board_world world;
