Plan the first layouts after a restart from the counters that are found

Ruled out: membership and settings (all ranks were heard 0.2 s after the start). Change: until something is counted, the shares of the counters since the engine's start stand for the demand; the long average begins anew when real rates come. Test: counters_found_at_the_start_stand_for_the_demand_until_something_is_counted. Format of the new sources.

--- a/include/berylbarrow/version/expert/layout_chooser.h
+++ b/include/berylbarrow/version/expert/layout_chooser.h
@@ -45,6 +45,9 @@
   /// Counters that are smaller than before began anew.
   void Observe(const std::vector<std::uint64_t>& counters, time_point now);
   const std::vector<double>& PerSecond() const { return rates_; }
+  /// The rates, or while nothing was counted yet the shares of the counters as they were found:
+  /// what was in demand before is the best guess after a restart.
+  std::vector<double> Demand() const;
   void Clear();
 
  private:
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -28,6 +28,8 @@
 // are planned for.
 constexpr double kUsualWeight = 0.02;
 constexpr double kUsualShare = 0.25;
+// A long average below this share of the load began before anything was counted, and begins anew.
+constexpr double kLeastKnownShare = 0.01;
 // How long a layout is expected to fit the load of a busy group, in seconds; with less than
 // kBusyShare of the places taken it counts for less.
 constexpr double kLongestHorizon = 3.0;
@@ -307,7 +309,7 @@
 }
 
 std::optional<group_work> companion::GroupWork(time_point now) {
-  expert_load sum = rates_.PerSecond();
+  expert_load sum = rates_.Demand();
   std::vector<double> pace(status_->rank.size, 1.0);
   pace[0] = std::max(1.0, status_->pace);
   for (const auto& [rank, view] : ranks_) {
@@ -318,7 +320,8 @@
   const double total = std::accumulate(sum.begin(), sum.end(), 0.0);
   if (total <= 0) return std::nullopt;
   // Demand that was there before may come back; places that cost nothing now are kept for it.
-  if (usual_.size() != sum.size()) usual_ = sum;
+  const double known = std::accumulate(usual_.begin(), usual_.end(), 0.0);
+  if (known < kLeastKnownShare * total) usual_ = sum;
   for (std::size_t i = 0; i < sum.size(); ++i) {
     usual_[i] += kUsualWeight * (sum[i] - usual_[i]);
     sum[i] += kUsualShare * usual_[i];
@@ -352,16 +355,16 @@
   if (!chosen) return;
   const std::uint64_t version =
       (switch_.HighestVersion() / kVersionStep + 1) * kVersionStep + random_() % kVersionStep;
-  logger::Event(log_level::kInfo, "engine", "switch_begins",
-                {{"version", std::to_string(version)},
-                 {"skew", std::to_string(chosen->skew_before)},
-                 {"planned_skew", std::to_string(chosen->skew_after)},
-                 {"slowest_pace", std::to_string(*std::max_element(work->pace.begin(),
-                                                                   work->pace.end()))},
-                 {"running", std::to_string(status_->running)},
-                 {"waiting", std::to_string(status_->waiting)},
-                 {"longest_copy", std::to_string(chosen->longest_copy)},
-                 {"copies", std::to_string(chosen->copies)}});
+  logger::Event(
+      log_level::kInfo, "engine", "switch_begins",
+      {{"version", std::to_string(version)},
+       {"skew", std::to_string(chosen->skew_before)},
+       {"planned_skew", std::to_string(chosen->skew_after)},
+       {"slowest_pace", std::to_string(*std::max_element(work->pace.begin(), work->pace.end()))},
+       {"running", std::to_string(status_->running)},
+       {"waiting", std::to_string(status_->waiting)},
+       {"longest_copy", std::to_string(chosen->longest_copy)},
+       {"copies", std::to_string(chosen->copies)}});
   draft_ = layout_draft{.version = version, .layout = chosen->layout};
   for (std::uint32_t i = 0; i < chosen->layout.Shape().layers; ++i) draft_->layers.insert(i);
   switch_.OnLayoutKnown(version);
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -107,7 +107,8 @@
     }
   }
   if (state->rank == 0 || !coordinator_) return;
-  const bool load_due = now >= next_load_ && !rates_.PerSecond().empty();
+  const std::vector<double> demand = rates_.Demand();
+  const bool load_due = now >= next_load_ && !demand.empty();
   if (!load_due) {
     Send(EncodeRankMessage(message), *coordinator_);
     return;
@@ -123,7 +124,7 @@
     message.lists = SplitLayout(lists, own_lists_->version);
     message.lists.resize(std::min<std::size_t>(message.lists.size(), 1));
   }
-  for (load_part& part : SplitLoad(rates_.PerSecond())) {
+  for (load_part& part : SplitLoad(demand)) {
     part.pace = status_->pace;
     message.load = {part};
     Send(EncodeRankMessage(message), *coordinator_);
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -99,13 +99,12 @@
   }
   time_point hopeless = admitted.deadline - (streaming ? kUsualStream : kUsualPlain);
   if (streaming) hopeless = std::min(hopeless, admitted.arrival + kStreamPatience);
-  const waiting_request waiting{
-      .id = admitted.id,
-      .account = admitted.account,
-      .priority = admitted.priority,
-      .arrival = admitted.arrival,
-      .on_time_until = LatestStart(admitted),
-      .hopeless_from = hopeless};
+  const waiting_request waiting{.id = admitted.id,
+                                .account = admitted.account,
+                                .priority = admitted.priority,
+                                .arrival = admitted.arrival,
+                                .on_time_until = LatestStart(admitted),
+                                .hopeless_from = hopeless};
   if (waiting.hopeless_from <= now || !LineOf(admitted.service).Push(waiting)) {
     request.Refuse("no_place", BusyRetryAfter());
     return;
--- a/src/request/dispatch/upstream_board.cc
+++ b/src/request/dispatch/upstream_board.cc
@@ -145,7 +145,7 @@
 }
 
 upstream_board::group_models upstream_board::GroupModels(const std::string& service,
-                                                       time_point now) const {
+                                                         time_point now) const {
   group_models groups;
   for (const auto& [id, state] : upstreams_) {
     if (state.record.service != service || !state.engine) continue;
--- a/src/version/expert/layout_chooser.cc
+++ b/src/version/expert/layout_chooser.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <numeric>
 
 namespace berylbarrow {
 namespace {
@@ -60,6 +61,16 @@
   last_at_ = now;
 }
 
+std::vector<double> rate_average::Demand() const {
+  const auto is_counted = [](double rate) { return rate > 0; };
+  if (std::any_of(rates_.begin(), rates_.end(), is_counted)) return rates_;
+  std::vector<double> shares(last_.begin(), last_.end());
+  const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+  if (sum <= 0) return rates_;
+  for (double& each : shares) each /= sum;
+  return shares;
+}
+
 void rate_average::Clear() {
   last_.clear();
   last_at_.reset();
--- a/src/version/expert/rank_layout.cc
+++ b/src/version/expert/rank_layout.cc
@@ -98,8 +98,8 @@
     return experts;
   }
 
-  void Consider(expert_index expert, const std::vector<std::size_t>& copied,
-                std::size_t max_copied, step& best) const {
+  void Consider(expert_index expert, const std::vector<std::size_t>& copied, std::size_t max_copied,
+                step& best) const {
     const double mean = std::accumulate(rank_load_.begin(), rank_load_.end(), 0.0) / shape_.ranks;
     for (std::uint32_t rank = 0; rank < shape_.ranks; ++rank) {
       // A rank with more than its part gains nothing by another expert.
@@ -192,7 +192,7 @@
   group_shape shape_;
   layout_planner_options options_;
   std::vector<double> pace_;
-  std::vector<double> load_;  // by expert, in units of the mean rank
+  std::vector<double> load_;                         // by expert, in units of the mean rank
   std::vector<std::vector<std::uint32_t>> holders_;  // ranks, by expert
   std::vector<std::vector<expert_index>> lists_;
   std::vector<std::vector<bool>> held_;
--- a/tests/version/expert/rank_layout_test.cc
+++ b/tests/version/expert/rank_layout_test.cc
@@ -122,5 +122,19 @@
   BOOST_TEST(rates.PerSecond()[0] == 0.0);
 }
 
+// Pattern: all processes lose power and start again beside engines that have counted for long.
+BOOST_AUTO_TEST_CASE(counters_found_at_the_start_stand_for_the_demand_until_something_is_counted) {
+  rate_average rates(std::chrono::milliseconds(300));
+  BOOST_TEST(rates.Demand().empty());
+  time_point now{std::chrono::hours(1)};
+  rates.Observe({300, 100}, now);
+  BOOST_TEST(rates.Demand()[0] == 0.75);
+  rates.Observe({300, 100}, now + std::chrono::milliseconds(150));
+  BOOST_TEST(rates.Demand()[0] == 0.75);
+  rates.Observe({300, 130}, now + std::chrono::milliseconds(300));
+  BOOST_TEST(rates.Demand()[0] == 0.0);
+  BOOST_TEST(rates.Demand()[1] > 0.0);
+}
+
 }  // namespace
 }  // namespace berylbarrow
