--- a/src/process/entry/entry_core.cc
+++ b/src/process/entry/entry_core.cc
@@ -170,7 +170,9 @@
   }
   const bool is_needed = !is_agent || !context_.index.IsKnown() || peers_.Find(name) != nullptr;
   if (members.Find(name) == nullptr && !is_needed) {
-    return;  // it tells entries that may lack a document
+    // It tells entries that may lack a document. Its news of deaths is good for all.
+    peers_.OnSuspects(event.content.suspects);
+    return;
   }
   if (members.Find(name) == nullptr && members.Members().size() >= context_.options.max_members) {
     ++context_.counters.ignored_heartbeats;
