Log requests that a gateway admits after SIGTERM or cuts off by its exit

The gateway wrote no line for the end of such a request, and process_finished only counted it, so an exit that cuts requests could not be told from a stream that the gateway gave up.

Change: admitted_in_shutdown with the rest of the grace; request_cut_off for each request that is open at the exit; process_finished with the time since SIGTERM. No decision changes.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -97,8 +97,10 @@
   WaitForShutdownSignal();
   Tick();
   context_.run();
+  for (const auto& [id, request] : requests_) request->LogCutOff();
   logger::Event(log_level::kInfo, "process", "process_finished",
-                {{"open_requests", std::to_string(requests_.size())}});
+                {{"open_requests", std::to_string(requests_.size())},
+                 {"shutdown_ms", MillisecondsText(clock_.Now() - shutdown_started_)}});
   logger::Flush();
   return 0;
 }
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -56,6 +56,8 @@
     if (left < (streaming ? kMinGraceForStream : kMinGraceForShortRequest)) {
       return refuse({.reason = "leaving", .retry_after = kShutdownRetryAfter});
     }
+    logger::Event(log_level::kInfo, "request", "admitted_in_shutdown",
+                  {{"id", facts.attempt_id}, {"grace_left_ms", MillisecondsText(left)}});
   }
   admitted_request admitted{.id = next_request_id_++,
                             .view = routing_view_,
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -411,6 +411,16 @@
   listener_.OnRequestDone(request_.id);
 }
 
+void relayed_request::LogCutOff() const {
+  logger::Event(log_level::kError, "request", "request_cut_off",
+                {{"id", request_.facts.attempt_id},
+                 {"attempt_open", attempt_ ? "true" : "false"},
+                 {"answer_begun", head_sent_ ? "true" : "false"},
+                 {"ms", MillisecondsText(context_.clock.Now() - request_.arrival)},
+                 {"left_ms", MillisecondsText(request_.deadline - context_.clock.Now())},
+                 {"sends", std::to_string(sent_attempts_)}});
+}
+
 void relayed_request::LogAttempt(std::string_view event, std::string_view reason) const {
   const log_level level = event == "attempt_sent" ? log_level::kInfo : log_level::kWarning;
   logger::Event(level, "request", event,
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -56,6 +56,8 @@
   void Refuse(std::string_view reason, duration retry_after);
   /// Called regularly. Ends the request at its deadline, and retries it if the upstream is silent.
   void CheckTimeouts(time_point now);
+  /// Logs the request as cut off. Called if the process ends before the request does.
+  void LogCutOff() const;
 
   void OnCallerGone() override;
   bool OnAnswerHead(const http_head& head) override;
