--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
+#include <cstdio>
+#include <utility>
 
 #include "platform/exchange.h"
 
@@ -24,23 +26,24 @@
           static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
-route MakeRoute(const std::string& name, request_kind kind, std::uint32_t max_attempts) {
+route MakeRoute(const std::string& name, request_kind kind, std::uint32_t max_attempts,
+                duration timeout) {
   return {.name = name,
           .host = "h.example",
           .prefix = "/" + name + "/",
           .kind = kind,
-          .timeout = std::chrono::seconds(3),
+          .timeout = timeout,
           .goal = milliseconds(500),
           .max_attempts = max_attempts,
           .resumable = kind == request_kind::kStreaming,
           .services = {{"app", 1}}};
 }
 
-routing_content MakeRoutingContent() {
+routing_content MakeRoutingContent(duration timeout) {
   routing_content content{.version = 4};
-  content.routes = {MakeRoute("pay", request_kind::kNonIdempotent, 1),
-                    MakeRoute("read", request_kind::kIdempotent, 2),
-                    MakeRoute("draft", request_kind::kStreaming, 2)};
+  content.routes = {MakeRoute("pay", request_kind::kNonIdempotent, 1, timeout),
+                    MakeRoute("read", request_kind::kIdempotent, 2, timeout),
+                    MakeRoute("draft", request_kind::kStreaming, 2, timeout)};
   content.services = {{.name = "app"}};
   content.accounts = {{.name = "counter", .keys = {"key-1"}}};
   return content;
@@ -49,11 +52,14 @@
 class fake_platform_feed final : public platform_feed {
  public:
   fake_platform_feed(platform_sink& sink, std::vector<upstream_record> records,
-                     const std::atomic<std::int64_t>& stale_age_ns)
-      : sink_(sink), records_(std::move(records)), stale_age_ns_(stale_age_ns) {}
+                     duration route_timeout, const std::atomic<std::int64_t>& stale_age_ns)
+      : sink_(sink),
+        records_(std::move(records)),
+        route_timeout_(route_timeout),
+        stale_age_ns_(stale_age_ns) {}
 
   void Start() override {
-    sink_.OnRouting(MakeRoutingContent());
+    sink_.OnRouting(MakeRoutingContent(route_timeout_));
     sink_.OnUpstreamList(records_);
   }
   void RefreshUpstreams() override {}
@@ -64,6 +70,7 @@
  private:
   platform_sink& sink_;
   std::vector<upstream_record> records_;
+  duration route_timeout_;
   const std::atomic<std::int64_t>& stale_age_ns_;
 };
 
@@ -125,6 +132,10 @@
     }
     const scripted_reply reply = handler_(request);
     boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
+    if (!reply.delayed_bytes.empty()) {
+      std::this_thread::sleep_for(reply.delay);
+      boost::asio::write(socket, boost::asio::buffer(reply.delayed_bytes), error);
+    }
     if (reply.action == scripted_reply::connection_action::kKeepOpen) continue;
     if (reply.action == scripted_reply::connection_action::kReset) {
       std::this_thread::sleep_for(milliseconds(30));  // lets the reply arrive before the reset
@@ -135,14 +146,15 @@
   }
 }
 
-gateway_fixture::gateway_fixture(const std::vector<const scripted_upstream*>& upstreams) {
+gateway_fixture::gateway_fixture(const std::vector<const scripted_upstream*>& upstreams,
+                                 const gateway_fixture_options& options) {
   settings_ = {.name = "entry-a",
                .domain = "north",
                .callers_address = FreeLoopbackAddress(),
                .readiness_address = FreeLoopbackAddress(),
                .directory_address = FreeLoopbackAddress(),
                .peers_address = FreeLoopbackAddress(),
-               .bounds = {.shutdown_grace = milliseconds(600)}};
+               .bounds = {.shutdown_grace = options.shutdown_grace}};
   std::vector<upstream_record> records;
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
     records.push_back(
@@ -153,14 +165,14 @@
          .domain = i == 0 ? "north" : "south",
          .slots = 6});
   }
-  thread_ = std::thread([this, records] {
+  thread_ = std::thread([this, records, route_timeout = options.route_timeout] {
     const platform::header_codec exchange;
     const platform::discovery_api directory;
     const gateway_platform fake_platform{
         .exchange = exchange,
         .directory = directory,
         .make_feed = [&](boost::asio::io_context&, platform_sink& sink) {
-          return std::make_unique<fake_platform_feed>(sink, records, stale_age_ns_);
+          return std::make_unique<fake_platform_feed>(sink, records, route_timeout, stale_age_ns_);
         }};
     RunGateway(settings_, fake_platform, clock_);
   });
@@ -176,8 +188,18 @@
 }
 
 gateway_fixture::~gateway_fixture() {
+  RequestShutdown();
+  WaitForEnd();
+}
+
+void gateway_fixture::RequestShutdown() {
+  // Once the gateway has ended, nothing handles the signal any more.
+  if (std::exchange(shutdown_requested_, true)) return;
   std::raise(SIGTERM);
-  thread_.join();
+}
+
+void gateway_fixture::WaitForEnd() {
+  if (thread_.joinable()) thread_.join();
 }
 
 void gateway_fixture::MakeConfigurationStale(duration age) {
@@ -209,10 +231,28 @@
   return received;
 }
 
-std::string MakeRequest(const std::string& route, const std::string& id, const std::string& key) {
+std::string MakeRequest(const std::string& route, const std::string& id, const std::string& key,
+                        milliseconds deadline) {
   return "POST /" + route + "/x HTTP/1.1\r\nHost: h.example\r\nRequest-Attempt-Id: " + id +
          "\r\nAuthorization: Token " + key +
-         "\r\nDeadline-Remaining-Ms: 2500\r\nContent-Length: 3\r\n\r\nabc";
+         "\r\nDeadline-Remaining-Ms: " + std::to_string(deadline.count()) +
+         "\r\nContent-Length: 3\r\n\r\nabc";
+}
+
+std::string MakeChunk(const std::string& bytes) {
+  std::array<char, 16> length{};
+  std::snprintf(length.data(), length.size(), "%zx\r\n", bytes.size());
+  return length.data() + bytes + "\r\n";
+}
+
+std::string MakeStreamResponse(const std::string& request, const std::vector<std::string>& chunks,
+                               bool complete) {
+  std::string text =
+      "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: " + HeaderValue(request, "Request-Attempt-Id") +
+      "\r\nReplica-Signature: sig\r\nContent-Type: text/event-stream\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& chunk : chunks) text += MakeChunk(chunk);
+  return complete ? text + "0\r\n\r\n" : text;
 }
 
 std::string HeaderValue(const std::string& request, const std::string& name) {
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -20,6 +21,9 @@
   enum class connection_action : std::uint8_t { kKeepOpen, kClose, kReset };
   std::string bytes;
   connection_action action = connection_action::kKeepOpen;
+  /// Sent `delay` after `bytes`, before `action`.
+  std::string delayed_bytes;
+  std::chrono::milliseconds delay{0};
 };
 
 /// An upstream on loopback whose replies come from a handler. Each connection has its own thread,
@@ -54,12 +58,25 @@
   std::thread accept_thread_;
 };
 
+struct gateway_fixture_options {
+  duration shutdown_grace = std::chrono::milliseconds(600);
+  duration route_timeout = std::chrono::seconds(3);
+};
+
 /// Runs a gateway on loopback with a fake platform feed.
 class gateway_fixture {
  public:
-  explicit gateway_fixture(const std::vector<const scripted_upstream*>& upstreams);
+  explicit gateway_fixture(const std::vector<const scripted_upstream*>& upstreams,
+                           const gateway_fixture_options& options = {});
   ~gateway_fixture();
 
+  /// Sends SIGTERM. The gateway ends within its shutdown grace.
+  void RequestShutdown();
+  /// Blocks until the gateway has ended.
+  void WaitForEnd();
+  /// "IP:port" at which callers connect.
+  const std::string& CallersAddress() const { return settings_.callers_address; }
+
   /// Stops confirming the configuration as current, and blocks for `age`.
   void MakeConfigurationStale(duration age);
   /// Sends raw bytes on a new connection and returns everything received until the connection
@@ -74,13 +91,21 @@
   system_clock clock_;
   std::atomic<std::int64_t> stale_age_ns_{0};  // 0 while the feed confirms the configuration
   mutable bool last_connection_was_reset_ = false;
+  bool shutdown_requested_ = false;
   std::thread thread_;
 };
 
 /// Builds a request to one of the routes of the fixture: "pay" (non-idempotent), "read"
 /// (idempotent) or "draft" (resumable stream).
 std::string MakeRequest(const std::string& route, const std::string& id,
-                        const std::string& key = "key-1");
+                        const std::string& key = "key-1",
+                        std::chrono::milliseconds deadline = std::chrono::milliseconds(2500));
+/// Builds the header of a chunked event stream and the given chunks, and ends the stream if
+/// `complete`.
+std::string MakeStreamResponse(const std::string& request, const std::vector<std::string>& chunks,
+                               bool complete);
+/// Builds the chunk of a chunked response.
+std::string MakeChunk(const std::string& bytes);
 /// Builds a signed response with a Content-Length for the attempt id of `request`.
 std::string MakeSignedResponse(const std::string& request, unsigned status, const std::string& body,
                                const std::string& headers = "");
--- /dev/null
+++ b/tests/platform/gateway_shutdown_test.cc
@@ -0,0 +1,39 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/gateway_fixture.h"
+
+namespace berylbarrow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Sends one event at once, and the last one after `duration`.
+scripted_upstream UpstreamStreamingFor(milliseconds duration) {
+  return scripted_upstream([duration](const std::string& request) {
+    return scripted_reply{.bytes = MakeStreamResponse(request, {"id: 1\ndata: a\n\n"}, false),
+                          .delayed_bytes = MakeChunk("id: 2\ndata: b\n\n") + "0\r\n\r\n",
+                          .delay = duration};
+  });
+}
+
+bool IsWholeStream(const std::string& response) {
+  return response.starts_with("HTTP/1.1 200") &&
+         response.ends_with(MakeChunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+}
+
+// Regression test (incident inc1, LOST): a draft that arrived long after SIGTERM was admitted,
+// because streams typically end within 3.5 s, and was cut off by the exit of the gateway.
+BOOST_AUTO_TEST_CASE(a_draft_admitted_after_sigterm_is_not_cut_off_by_the_exit) {
+  const scripted_upstream upstream = UpstreamStreamingFor(seconds(4));
+  gateway_fixture gateway({&upstream}, {.shutdown_grace = seconds(4), .route_timeout = seconds(8)});
+  gateway.RequestShutdown();
+  std::this_thread::sleep_for(milliseconds(100));
+  const std::string response =
+      gateway.SendAndReceive(MakeRequest("draft", "a1", "key-1", seconds(8)), seconds(5));
+  const bool refused = response.starts_with("HTTP/1.1 503") && upstream.Requests().empty();
+  BOOST_TEST((refused || IsWholeStream(response)), response);
+}
+
+}  // namespace
+}  // namespace berylbarrow
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -8,8 +8,6 @@
 using std::chrono::milliseconds;
 using connection_action = scripted_reply::connection_action;
 
-constexpr const char* kEventStreamHeader = "Content-Type: text/event-stream\r\n";
-
 bool Contains(const std::string& text, const std::string& part) {
   return text.find(part) != std::string::npos;
 }
@@ -20,21 +18,6 @@
   return count;
 }
 
-/// Builds the header of a chunked event stream and the given chunks, and ends the stream if
-/// `complete`.
-std::string MakeStreamResponse(const std::string& request, const std::vector<std::string>& chunks,
-                               bool complete) {
-  std::string text =
-      "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: " + HeaderValue(request, "Request-Attempt-Id") +
-      "\r\nReplica-Signature: sig\r\n" + kEventStreamHeader + "Transfer-Encoding: chunked\r\n\r\n";
-  for (const std::string& chunk : chunks) {
-    char length[16];
-    std::snprintf(length, sizeof(length), "%zx\r\n", chunk.size());
-    text += length + chunk + "\r\n";
-  }
-  return complete ? text + "0\r\n\r\n" : text;
-}
-
 scripted_upstream UpstreamReturning(const std::string& body) {
   return scripted_upstream([body](const std::string& request) {
     return scripted_reply{.bytes = MakeSignedResponse(request, 200, body)};
