Admit after SIGTERM only requests whose deadline is before the exit

Cause: admission during the shutdown compared the rest of the grace with a fixed time, 3.5 s for a stream and 1 s for other requests. The gateway exits 0.5 s before the end of the grace whatever is running, so a stream had 3.0 s for certain and may take until its deadline, 8 s. The fault is of the class in which a promise rests on a typical duration instead of the bound that the process itself enforces.

Evidence: the cut came at the grace less the exit margin and one tick (8 - 0.5 + 0.017 s). platform.gateway_shutdown_test reproduced it: admitted with 3.9 s of a grace of 4 s left, cut 3.416 s later, 4.583 s before its deadline.

Change: shutdown_window says when the process ends and whether a request is certain to end before it: its deadline must be no later. The deadline is enforced by the gateway, so this holds for every kind of request. Others are refused at once as not run, with Retry-After, and the caller goes to another gateway.

Not compared with the old admission.

Weighed: admitting by a measured upper quantile of recent durations.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -100,7 +100,7 @@
   for (const auto& [id, request] : requests_) request->LogCutOff();
   logger::Event(log_level::kInfo, "process", "process_finished",
                 {{"open_requests", std::to_string(requests_.size())},
-                 {"shutdown_ms", MillisecondsText(clock_.Now() - shutdown_started_)}});
+                 {"shutdown_ms", MillisecondsText(clock_.Now() - shutdown_->SignalledAt())}});
   logger::Flush();
   return 0;
 }
@@ -221,22 +221,22 @@
 }
 
 void gateway::BeginShutdown() {
-  if (shutting_down_) return;
-  shutting_down_ = true;
-  shutdown_started_ = clock_.Now();
+  if (shutdown_) return;
+  const time_point now = clock_.Now();
+  // Callers that were given this gateway's address go on using it for a while.
+  shutdown_.emplace(shutdown_window_options{.grace = settings_.bounds.shutdown_grace,
+                                            .exit_margin = kExitMargin,
+                                            .address_use = kAddressLifetimesInUse *
+                                                           settings_.bounds.address_lifetime},
+                    now);
   logger::Event(log_level::kInfo, "process", "shutdown_requested",
                 {{"open_requests", std::to_string(requests_.size())}});
   caller_server_.CloseAfterAnswers();
-  SendHeartbeat(shutdown_started_);
+  SendHeartbeat(now);
 }
 
 void gateway::CheckShutdown(time_point now) {
-  if (!shutting_down_) return;
-  const duration elapsed = now - shutdown_started_;
-  const duration grace = settings_.bounds.shutdown_grace - kExitMargin;
-  // Callers that were given this gateway's address go on using it for a while.
-  const duration address_use = kAddressLifetimesInUse * settings_.bounds.address_lifetime;
-  if (elapsed >= grace || (elapsed >= address_use && requests_.empty())) context_.stop();
+  if (shutdown_ && shutdown_->MayExit(now, !requests_.empty())) context_.stop();
 }
 
 duration gateway::ConfigurationAge(time_point now) const {
@@ -245,7 +245,7 @@
 }
 
 bool gateway::IsReady(time_point now) const {
-  return !shutting_down_ && routing_view_ != nullptr && has_upstream_list_ &&
+  return !shutdown_ && routing_view_ != nullptr && has_upstream_list_ &&
          admission_gate_.AreKeysCurrent(ConfigurationAge(now));
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -14,6 +15,7 @@
 #include "berylbarrow/process/gateway/gateway.h"
 #include "berylbarrow/process/membership/fleet_members.h"
 #include "berylbarrow/process/membership/upstream_registry.h"
+#include "berylbarrow/request/admission/shutdown_window.h"
 #include "connection/peer/heartbeat_socket.h"
 #include "process/gateway/admission_gate.h"
 #include "process/gateway/information_handler.h"
@@ -111,8 +113,7 @@
   std::uint64_t heartbeat_sequence_ = 0;
   time_point next_heartbeat_ = time_point::min();
   time_point next_periodic_check_ = time_point::min();
-  time_point shutdown_started_ = time_point::min();
-  bool shutting_down_ = false;
+  std::optional<shutdown_window> shutdown_;  // set when the process has been told to end
   std::shared_ptr<heartbeat_socket> heartbeat_socket_;
   information_handler directory_handler_;
   information_handler readiness_handler_;
--- a/src/process/gateway/gateway_information.cc
+++ b/src/process/gateway/gateway_information.cc
@@ -21,7 +21,7 @@
   members_.Self().ready = IsReady(now);
   std::vector<std::string> addresses =
       members_.ReadyAddresses(query->domain, kMinLocalAddresses, now);
-  if (addresses.empty() && !shutting_down_) addresses.push_back(settings_.callers_address);
+  if (addresses.empty() && !shutdown_) addresses.push_back(settings_.callers_address);
   return platform_.directory.MakeAddressAnswer(addresses, settings_.bounds.address_lifetime);
 }
 
@@ -51,7 +51,7 @@
   const nlohmann::json state = {
       {"name", settings_.name},
       {"ready", IsReady(now)},
-      {"leaving", shutting_down_},
+      {"leaving", shutdown_.has_value()},
       {"version", routing_view_ ? routing_view_->Version() : 0},
       {"configuration_age_ms", routing_view_ ? MillisecondsText(ConfigurationAge(now)) : "unknown"},
       {"evacuated", evacuated_domains_},
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -11,10 +11,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMaxQueuedRequests = 2000;  // per service
-// Requests that arrive with less than this left of the shutdown grace period are refused, because
-// they might not complete before the process ends.
-constexpr duration kMinGraceForStream = milliseconds(3500);
-constexpr duration kMinGraceForShortRequest = milliseconds(1000);
 // Typical time from dispatch to the end of the answer.
 constexpr duration kTypicalStreamDuration = milliseconds(1500);
 constexpr duration kTypicalShortRequestDuration = milliseconds(40);
@@ -50,14 +46,15 @@
   };
   if (decision.refusal) return refuse(*decision.refusal);
   const route& matched = *decision.matched_route;
-  const bool streaming = matched.kind == request_kind::kStreaming;
-  if (shutting_down_) {
-    const duration left = settings_.bounds.shutdown_grace - (now - shutdown_started_);
-    if (left < (streaming ? kMinGraceForStream : kMinGraceForShortRequest)) {
+  time_point deadline = now + matched.timeout;
+  if (facts.deadline) deadline = std::min(deadline, now + *facts.deadline);
+  if (shutdown_) {
+    if (!shutdown_->CanComplete(deadline)) {
       return refuse({.reason = "leaving", .retry_after = kShutdownRetryAfter});
     }
-    logger::Event(log_level::kInfo, "request", "admitted_in_shutdown",
-                  {{"id", facts.attempt_id}, {"grace_left_ms", MillisecondsText(left)}});
+    logger::Event(
+        log_level::kInfo, "request", "admitted_in_shutdown",
+        {{"id", facts.attempt_id}, {"work_left_ms", MillisecondsText(shutdown_->WorkEnd() - now)}});
   }
   admitted_request admitted{.id = next_request_id_++,
                             .view = routing_view_,
@@ -65,12 +62,11 @@
                             .service = ChooseService(matched, relay_context_.UniformRandom()),
                             .priority = matched.priority,
                             .arrival = now,
-                            .deadline = now + matched.timeout};
+                            .deadline = deadline};
   if (decision.account != nullptr) {
     admitted.account = decision.account->name;
     admitted.priority = decision.account->priority.value_or(matched.priority);
   }
-  if (facts.deadline) admitted.deadline = std::min(admitted.deadline, now + *facts.deadline);
   admitted.fingerprint = RequestFingerprint(head.method, head.target, admitted.account, body);
   if (crash_counter_.IsRefused(admitted.fingerprint))
     return refuse({.reason = "crashes_upstreams"});
--- a/tests/platform/gateway_shutdown_test.cc
+++ b/tests/platform/gateway_shutdown_test.cc
@@ -35,5 +35,24 @@
   BOOST_TEST((refused || IsWholeStream(response)), response);
 }
 
+// The same fault with a payment, which must not be cut off in the last part of the grace either.
+BOOST_AUTO_TEST_CASE(a_payment_whose_deadline_is_after_the_exit_is_refused_as_not_run) {
+  const scripted_upstream upstream([](const std::string& request) {
+    return scripted_reply{.bytes = MakeSignedResponse(request, 200, "done")};
+  });
+  gateway_fixture gateway({&upstream}, {.shutdown_grace = seconds(2)});
+  gateway.RequestShutdown();
+  std::this_thread::sleep_for(milliseconds(100));
+  const std::string early =
+      gateway.SendAndReceive(MakeRequest("pay", "a1", "key-1", milliseconds(600)));
+  BOOST_TEST(early.starts_with("HTTP/1.1 200"), early);
+  std::this_thread::sleep_for(milliseconds(900));
+  const std::string late =
+      gateway.SendAndReceive(MakeRequest("pay", "a2", "key-1", milliseconds(600)));
+  BOOST_TEST(late.starts_with("HTTP/1.1 503"), late);
+  BOOST_TEST(late.find("Retry-After: ") != std::string::npos, late);
+  BOOST_TEST(upstream.Requests().size() == 1U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
