End a gateway only when its answers are with their callers

What callers saw: with a slow reader, the connection closed in the middle of an answer that the gateway counted as done.

Cause: the gateway ended when no request was open. A request ends when its answer is handed to the connection, so answers that were still being written and requests that were still arriving did not count.

Evidence: a_slow_reader_gets_its_whole_answer_before_the_gateway_ends failed on: the caller got 3,919,872 of 7,340,032 bytes.

Change: http_server tells whether an exchange is unfinished; shutdown_window waits for that until 150 ms before the end of the grace.

Result: the test passes; platform.gateway_test and request.shutdown_window_test pass.

--- a/include/berylbarrow/connection/http/http_server.h
+++ b/include/berylbarrow/connection/http/http_server.h
@@ -80,6 +80,9 @@
   void CloseAfterAnswers() { closing_ = true; }
   /// Ends connections that took too long. Called a few times a second.
   void CheckTimeouts(time_point now);
+  /// Whether a request is arriving or being answered, or the bytes of an answer are not all with
+  /// their caller.
+  bool HasUnfinishedExchanges() const;
 
  private:
   friend class http_server_connection;
--- a/include/berylbarrow/request/admission/shutdown_window.h
+++ b/include/berylbarrow/request/admission/shutdown_window.h
@@ -10,8 +10,11 @@
 struct shutdown_window_options {
   /// From the signal until the process is killed.
   duration grace = duration::zero();
-  /// Part of the grace that is reserved for the last answers and the exit.
+  /// Part of the grace in which no request runs any more.
   duration exit_margin = duration::zero();
+  /// Part of `exit_margin` that is reserved for the exit itself. In the rest of the margin the last
+  /// answers are written.
+  duration kill_margin = duration::zero();
   /// Time for which callers may go on using the address of the process.
   duration address_use = duration::zero();
   auto operator<=>(const shutdown_window_options&) const = default;
@@ -24,16 +27,17 @@
   shutdown_window(const shutdown_window_options& options, time_point signalled_at)
       : options_(options), signalled_at_(signalled_at) {}
 
-  /// When the process ends, whatever is still running.
+  time_point SignalledAt() const { return signalled_at_; }
+  /// When the requests that are still open are ended.
   time_point WorkEnd() const { return signalled_at_ + options_.grace - options_.exit_margin; }
   /// Whether a request is certain to end before the process does. Typical durations do not count:
   /// an admitted request may take until its deadline.
   bool CanComplete(time_point deadline) const { return deadline <= WorkEnd(); }
-  /// Whether the process may end now. `has_work`: a request is not completely answered.
+  /// Whether the process may end now. `has_work`: an exchange with a caller is not complete.
   bool MayExit(time_point now, bool has_work) const {
-    return now >= WorkEnd() || (!has_work && now >= signalled_at_ + options_.address_use);
+    if (has_work) return now >= signalled_at_ + options_.grace - options_.kill_margin;
+    return now >= WorkEnd() || now >= signalled_at_ + options_.address_use;
   }
-  time_point SignalledAt() const { return signalled_at_; }
 
   auto operator<=>(const shutdown_window&) const = default;
 
--- a/src/connection/http/http_server.cc
+++ b/src/connection/http/http_server.cc
@@ -1,5 +1,6 @@
 #include "berylbarrow/connection/http/http_server.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,6 +27,11 @@
   for (const auto& each : all) each->CheckTimeouts(now);
 }
 
+bool http_server::HasUnfinishedExchanges() const {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& each) { return each->IsUnfinished(); });
+}
+
 void http_server::Accept() {
   acceptor_.async_accept([this](const boost::system::error_code& error,
                                 boost::asio::ip::tcp::socket socket) {
--- a/src/connection/http/http_server_connection.cc
+++ b/src/connection/http/http_server_connection.cc
@@ -235,6 +235,14 @@
   if (now - since_ > options.idle_timeout) Close();
 }
 
+bool http_server_connection::IsUnfinished() const {
+  if (state_ != state::kReading) return state_ != state::kClosed;
+  if (write_pending_ || parser_->HasStarted()) return true;
+  // A request that has arrived but is not read yet must not be lost either.
+  boost::system::error_code error;
+  return socket_.available(error) > 0;
+}
+
 void http_server_connection::LoseCaller() {
   if (const auto request = std::exchange(request_, nullptr)) request->OnCallerGone();
 }
--- a/src/connection/http/http_server_connection.h
+++ b/src/connection/http/http_server_connection.h
@@ -21,6 +21,8 @@
 
   void Start();
   void CheckTimeouts(time_point now);
+  /// Whether a request is arriving or being answered, or its answer is not all with the caller.
+  bool IsUnfinished() const;
   /// Ends the connection at once.
   void Close();
 
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -21,8 +21,11 @@
 constexpr duration kPeriodicCheckInterval = milliseconds(200);
 // Callers use an address answer for up to three times its lifetime.
 constexpr int kAddressLifetimesInUse = 3;
-// Part of the shutdown grace that is reserved for the exit of the process.
+// Part of the shutdown grace that is reserved for the last answers and the exit of the process.
 constexpr duration kExitMargin = milliseconds(500);
+// Part of kExitMargin that is reserved for the exit. A processor quota may stop the process for
+// 100 ms.
+constexpr duration kKillMargin = milliseconds(150);
 // Retry budgets are divided by at least this number of gateways, which is that of a small fleet.
 constexpr std::uint32_t kMinGateways = 6;
 // Share of the fleet's retry budget that is used. The rest is a reserve, because gateways may not
@@ -226,6 +229,7 @@
   // Callers that were given this gateway's address go on using it for a while.
   shutdown_.emplace(shutdown_window_options{.grace = settings_.bounds.shutdown_grace,
                                             .exit_margin = kExitMargin,
+                                            .kill_margin = kKillMargin,
                                             .address_use = kAddressLifetimesInUse *
                                                            settings_.bounds.address_lifetime},
                     now);
@@ -236,7 +240,9 @@
 }
 
 void gateway::CheckShutdown(time_point now) {
-  if (shutdown_ && shutdown_->MayExit(now, !requests_.empty())) context_.stop();
+  if (!shutdown_) return;
+  const bool has_work = !requests_.empty() || caller_server_.HasUnfinishedExchanges();
+  if (shutdown_->MayExit(now, has_work)) context_.stop();
 }
 
 duration gateway::ConfigurationAge(time_point now) const {
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -154,7 +154,8 @@
                .readiness_address = FreeLoopbackAddress(),
                .directory_address = FreeLoopbackAddress(),
                .peers_address = FreeLoopbackAddress(),
-               .bounds = {.shutdown_grace = options.shutdown_grace}};
+               .bounds = {.shutdown_grace = options.shutdown_grace,
+                          .address_lifetime = options.address_lifetime}};
   std::vector<upstream_record> records;
   for (std::size_t i = 0; i < upstreams.size(); ++i) {
     records.push_back(
@@ -207,12 +208,18 @@
   std::this_thread::sleep_for(age);
 }
 
-std::string gateway_fixture::SendAndReceive(const std::string& request,
-                                            milliseconds idle_timeout) const {
-  boost::asio::io_context context;
+tcp::socket gateway_fixture::Send(boost::asio::io_context& context,
+                                  const std::string& request) const {
   tcp::socket socket(context);
   socket.connect(MakeEndpoint(settings_.callers_address));
   boost::asio::write(socket, boost::asio::buffer(request));
+  return socket;
+}
+
+std::string gateway_fixture::SendAndReceive(const std::string& request,
+                                            milliseconds idle_timeout) const {
+  boost::asio::io_context context;
+  tcp::socket socket = Send(context, request);
   std::string received;
   std::array<char, 4096> bytes{};
   bool received_data = true;
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -61,6 +61,7 @@
 struct gateway_fixture_options {
   duration shutdown_grace = std::chrono::milliseconds(600);
   duration route_timeout = std::chrono::seconds(3);
+  duration address_lifetime = std::chrono::seconds(2);
 };
 
 /// Runs a gateway on loopback with a fake platform feed.
@@ -74,8 +75,9 @@
   void RequestShutdown();
   /// Blocks until the gateway has ended.
   void WaitForEnd();
-  /// "IP:port" at which callers connect.
-  const std::string& CallersAddress() const { return settings_.callers_address; }
+  /// Sends raw bytes on a new connection, which is returned.
+  boost::asio::ip::tcp::socket Send(boost::asio::io_context& context,
+                                    const std::string& request) const;
 
   /// Stops confirming the configuration as current, and blocks for `age`.
   void MakeConfigurationStale(duration age);
--- a/tests/platform/gateway_shutdown_test.cc
+++ b/tests/platform/gateway_shutdown_test.cc
@@ -1,3 +1,4 @@
+#include <boost/asio/read.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "platform/gateway_fixture.h"
@@ -17,6 +18,14 @@
   });
 }
 
+/// Reads until the gateway closes the connection.
+std::string ReadToEnd(boost::asio::ip::tcp::socket& socket) {
+  std::string received;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(received), error);
+  return received;
+}
+
 bool IsWholeStream(const std::string& response) {
   return response.starts_with("HTTP/1.1 200") &&
          response.ends_with(MakeChunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
@@ -54,5 +63,23 @@
   BOOST_TEST(upstream.Requests().size() == 1U);
 }
 
+// A gateway counted an answer as complete when it was handed to the connection, and ended while the
+// caller was still reading it.
+BOOST_AUTO_TEST_CASE(a_slow_reader_gets_its_whole_answer_before_the_gateway_ends) {
+  const std::string body(7U << 20U, 'b');
+  const scripted_upstream upstream([&body](const std::string& request) {
+    return scripted_reply{.bytes = MakeSignedResponse(request, 200, body)};
+  });
+  gateway_fixture gateway({&upstream},
+                          {.shutdown_grace = seconds(3), .address_lifetime = milliseconds(100)});
+  boost::asio::io_context context;
+  auto socket = gateway.Send(context, MakeRequest("read", "a1"));
+  std::this_thread::sleep_for(milliseconds(300));
+  gateway.RequestShutdown();
+  std::this_thread::sleep_for(milliseconds(900));
+  const std::string response = ReadToEnd(socket);
+  BOOST_TEST(response.ends_with(body), response.size());
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/request/shutdown_window_test.cc
+++ b/tests/request/shutdown_window_test.cc
@@ -9,8 +9,11 @@
 using std::chrono::seconds;
 
 const time_point kSignal = time_point(seconds(100));
-const shutdown_window kWindow(
-    {.grace = seconds(8), .exit_margin = milliseconds(500), .address_use = seconds(6)}, kSignal);
+const shutdown_window kWindow({.grace = seconds(8),
+                               .exit_margin = milliseconds(500),
+                               .kill_margin = milliseconds(150),
+                               .address_use = seconds(6)},
+                              kSignal);
 
 // Incident inc1: what counts is the time that a request may take, not the time that is left.
 BOOST_AUTO_TEST_CASE(a_request_is_admitted_only_if_its_deadline_is_before_the_end_of_work) {
@@ -22,7 +25,12 @@
   BOOST_TEST(!kWindow.MayExit(kSignal + milliseconds(5999), false));
   BOOST_TEST(kWindow.MayExit(kSignal + seconds(6), false));
   BOOST_TEST(!kWindow.MayExit(kSignal + seconds(6), true));
-  BOOST_TEST(kWindow.MayExit(kSignal + milliseconds(7500), true));
+}
+
+BOOST_AUTO_TEST_CASE(the_last_answers_are_written_between_the_end_of_work_and_the_exit) {
+  BOOST_TEST(!kWindow.MayExit(kSignal + milliseconds(7500), true));
+  BOOST_TEST(!kWindow.MayExit(kSignal + milliseconds(7849), true));
+  BOOST_TEST(kWindow.MayExit(kSignal + milliseconds(7850), true));
 }
 
 }  // namespace
