Answer the requests that are still open at the end of the shutdown grace

What callers saw: the connection closed without any answer, so that a payment could not be told from one that never arrived, and a request that only waited was not known to be not run.

Cause: the exit closed the connections of open requests; nothing ended the requests first. In the log they had no end either.

The deadline ends requests by the same function.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -241,10 +241,21 @@
 
 void gateway::CheckShutdown(time_point now) {
   if (!shutdown_) return;
+  if (now >= shutdown_->WorkEnd()) EndOpenRequests(now);
   const bool has_work = !requests_.empty() || caller_server_.HasUnfinishedExchanges();
   if (shutdown_->MayExit(now, has_work)) context_.stop();
 }
 
+void gateway::EndOpenRequests(time_point now) {
+  std::vector<std::shared_ptr<relayed_request>> open;
+  open.reserve(requests_.size());
+  for (const auto& [id, request] : requests_) open.push_back(request);
+  for (const auto& request : open) {
+    request->EndUnfinished({.status = 502, .reason = "leaving", .retry_after = kShutdownRetryAfter},
+                           now);
+  }
+}
+
 duration gateway::ConfigurationAge(time_point now) const {
   return configuration_current_at_ == time_point::min() ? duration::max()
                                                         : now - configuration_current_at_;
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -24,6 +24,10 @@
 
 namespace berylbarrow {
 
+/// Retry-After of requests that a gateway refuses because it shuts down. Other gateways can take
+/// them at once.
+constexpr duration kShutdownRetryAfter = std::chrono::milliseconds(50);
+
 /// Accepts requests from callers and relays them to upstreams. Runs on one thread.
 class gateway final : public request_handler, public platform_sink, public relay_listener {
  public:
@@ -63,6 +67,8 @@
   void WaitForReloadSignal();
   void BeginShutdown();
   void CheckShutdown(time_point now);
+  /// Ends the requests for which the process has no time left.
+  void EndOpenRequests(time_point now);
   bool IsReady(time_point now) const;
   /// Time since the configuration was last known to be current; the maximum if it never was.
   duration ConfigurationAge(time_point now) const;
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -20,7 +20,6 @@
 // retry at the same time.
 constexpr duration kBusyRetryAfter = milliseconds(500);
 constexpr duration kBusyRetrySpread = milliseconds(700);
-constexpr duration kShutdownRetryAfter = milliseconds(50);
 
 }  // namespace
 
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -312,11 +312,18 @@
     RetryIfSilent(now);
     return;
   }
+  EndUnfinished({.status = 504, .reason = "deadline"}, now);
+}
+
+void relayed_request::EndUnfinished(const unfinished_answer& answer, time_point now) {
+  if (state_ == state::kDone) return;
   const auto self = shared_from_this();
-  if (state_ == state::kWaiting && possible_runs_ == 0) return Refuse("deadline", duration::zero());
+  if (state_ == state::kWaiting && possible_runs_ == 0) {
+    return Refuse(answer.reason, answer.retry_after);
+  }
   if (attempt_) ++possible_runs_;
   CancelAttempt(now);
-  SendFailure(504, "deadline");
+  SendFailure(answer.status, answer.reason);
 }
 
 void relayed_request::RetryIfSilent(time_point now) {
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -31,6 +31,14 @@
   std::uint64_t fingerprint = 0;  // identifies the request in the crash counter
 };
 
+/// How a request is answered that ends before it is complete.
+struct unfinished_answer {
+  unsigned status = 504;  // if the request may have run; otherwise it is refused with 503
+  std::string_view reason;
+  duration retry_after = duration::zero();  // of the refusal; zero: none is sent
+  auto operator<=>(const unfinished_answer&) const = default;
+};
+
 /// Latest time of dispatch at which the request is expected to meet its latency objective.
 time_point LatestOnTimeDispatch(const admitted_request& request);
 
@@ -56,6 +64,8 @@
   void Refuse(std::string_view reason, duration retry_after);
   /// Called regularly. Ends the request at its deadline, and retries it if the upstream is silent.
   void CheckTimeouts(time_point now);
+  /// Ends the request before its answer is complete.
+  void EndUnfinished(const unfinished_answer& answer, time_point now);
   /// Logs the request as cut off. Called if the process ends before the request does.
   void LogCutOff() const;
 
--- a/tests/platform/gateway_shutdown_test.cc
+++ b/tests/platform/gateway_shutdown_test.cc
@@ -81,5 +81,28 @@
   BOOST_TEST(response.ends_with(body), response.size());
 }
 
+// Requests that were open at the end of the grace saw their connection close without an answer.
+BOOST_AUTO_TEST_CASE(requests_without_an_answer_at_the_end_of_the_grace_get_one) {
+  const scripted_upstream silent([](const std::string&) { return scripted_reply{}; });
+  gateway_fixture gateway({&silent}, {.shutdown_grace = seconds(1)});
+  boost::asio::io_context context;
+  auto payment = gateway.Send(context, MakeRequest("pay", "a1"));
+  std::this_thread::sleep_for(milliseconds(100));
+  gateway.RequestShutdown();
+  const std::string response = ReadToEnd(payment);
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
+}
+
+BOOST_AUTO_TEST_CASE(requests_that_wait_at_the_end_of_the_grace_are_refused_as_not_run) {
+  gateway_fixture gateway({}, {.shutdown_grace = seconds(1)});
+  boost::asio::io_context context;
+  auto draft = gateway.Send(context, MakeRequest("draft", "a1", "key-1", milliseconds(8000)));
+  std::this_thread::sleep_for(milliseconds(100));
+  gateway.RequestShutdown();
+  const std::string response = ReadToEnd(draft);
+  BOOST_TEST(response.starts_with("HTTP/1.1 503"), response);
+  BOOST_TEST(response.find("Retry-After: ") != std::string::npos, response);
+}
+
 }  // namespace
 }  // namespace berylbarrow
