Bound what an upstream may send without end

What callers saw: nothing until their deadline, while the gateway took in bytes without a bound: an upstream in trouble may send bytes that are no answer, in a head or in a body, until its caller closes.

Cause: four parts of an answer had no bound. Beast limits heads and bodies, but not chunk extensions and trailers, which it parses only when they are whole. Interim answers and answers to other requests were skipped without a count. An event without an end was kept and counted as a sign of life of the stream, byte by byte. And the bodies that may be 8 MB each had no limit together.

For a chunk extension without end the gateway took 2.5 GB in 12 s, for a trailer 2.9 GB, for interim answers 0.2 GB and answers to other requests 0.5 GB; the payment was not answered; the draft was not continued; a caller that sent such a chunk got no answer.

Change: http_parser fails if more than the header limit is left unparsed, for upstreams and callers alike; a link fails after 8 ignored answers; an event may have 64 KB, and only whole events count as progress of a stream; all links share a limit of 64 MB for the answers that they hold; the buffer of http_get has a limit. A payment gets 502 and is not sent again, since it may have run; a draft continues at another upstream or is reset. An upstream that still sends does not count as crashed by the request.

The limit of http_get has no test of its own.

--- a/include/berylbarrow/connection/http/http_parser.h
+++ b/include/berylbarrow/connection/http/http_parser.h
@@ -41,7 +41,7 @@
 class http_parser final : private boost::beast::http::basic_parser<IsRequest> {
  public:
   struct limits {
-    std::uint32_t header_bytes = 16384;
+    std::uint32_t header_bytes = 16384;  // also of the head of a chunk and of the trailer
     std::uint64_t body_bytes = 8U << 20U;
   };
 
@@ -87,6 +87,7 @@
 
   parse_state Fail(const error_code& error);
 
+  const std::uint32_t max_unparsed_bytes_;
   http_head head_;
   std::string body_;
   bool started_ = false;
--- a/include/berylbarrow/connection/http/upstream_link.h
+++ b/include/berylbarrow/connection/http/upstream_link.h
@@ -20,6 +20,7 @@
   kNoAnswer,  // the request may have been read; no byte of an answer came
   kCutShort,  // the connection broke inside the answer
   kGarbled,   // the answer is not HTTP
+  kTooLarge,  // the answer exceeds a limit
 };
 
 /// Receives the answer to one request. Every call may be the last one; `OnAnswerEnd` and
@@ -35,9 +36,28 @@
   virtual void OnLinkFailure(link_failure failure) = 0;
 };
 
+/// Limits the bytes that the links of a process hold at one time.
+class byte_budget {
+ public:
+  explicit byte_budget(std::size_t limit) : limit_(limit) {}
+  /// Replaces `held` bytes of one holder by `wanted`. Returns false, and changes nothing, if that
+  /// exceeds the limit.
+  bool Replace(std::size_t held, std::size_t wanted) {
+    if (wanted > held && wanted - held > limit_ - used_) return false;
+    used_ = used_ - held + wanted;
+    return true;
+  }
+  std::size_t Used() const { return used_; }
+
+ private:
+  std::size_t limit_;
+  std::size_t used_ = 0;
+};
+
 struct upstream_link_options {
   std::string address;  // "IP:port"
   std::uint64_t max_answer_bytes = 8U << 20U;
+  std::shared_ptr<byte_budget> answer_budget;  // shared by all links; null: none
   duration connect_timeout = std::chrono::milliseconds(500);
   duration silence_limit = std::chrono::seconds(3);  // of unacknowledged bytes
 };
@@ -48,6 +68,7 @@
   /// `on_idle_end` is called when the connection ends while no request uses it.
   upstream_link(boost::asio::io_context& context, const upstream_link_options& options,
                 const runtime_clock& clock, std::function<void(upstream_link&)> on_idle_end);
+  ~upstream_link();
 
   /// Sends `request` (whole message) and gives the answer to `handler`. Connects first if needed.
   /// `is_head`: the answer has no body whatever its fields say.
@@ -80,6 +101,11 @@
   void HandleComplete();
   void HandleEnd(const boost::system::error_code& error);
   void BeginParser();
+  /// Accounts for the part of the answer that this link holds. Returns false if the budget is used
+  /// up.
+  bool HoldBytes(std::size_t size);
+  /// How an answer that cannot be parsed has failed.
+  link_failure ParseFailure() const;
   void Fail(link_failure failure);
   void ReadKeepAlive(const http_head& head);
 
@@ -95,6 +121,8 @@
   bool is_head_ = false;
   bool head_shown_ = false;
   bool skipping_ = false;
+  std::uint32_t ignored_answers_ = 0;  // interim answers and answers to other requests
+  std::size_t held_bytes_ = 0;         // of `answer_budget`
   std::string input_;
   std::optional<response_parser> parser_;
   time_point connect_started_;
--- a/include/berylbarrow/request/stream/event_splitter.h
+++ b/include/berylbarrow/request/stream/event_splitter.h
@@ -1,6 +1,7 @@
 #ifndef BERYLBARROW_REQUEST_STREAM_EVENT_SPLITTER_H_
 #define BERYLBARROW_REQUEST_STREAM_EVENT_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -12,6 +13,9 @@
 /// event can be resumed from another upstream. Events that were forwarded before are dropped.
 class event_splitter {
  public:
+  /// Longest event that is accepted, with its fields and the blank line.
+  static constexpr std::size_t kMaxEventBytes = 64U << 10U;
+
   /// `last_event_id`: id of the event after which the stream begins; none for a new stream.
   explicit event_splitter(std::optional<std::uint64_t> last_event_id)
       : last_event_id_(last_event_id) {}
@@ -28,6 +32,8 @@
   std::uint64_t ForwardedEvents() const { return forwarded_events_; }
   /// Whether the resumed stream skipped an event id. No further events are returned then.
   bool HasGap() const { return has_gap_; }
+  /// Whether the incomplete event is longer than `kMaxEventBytes`.
+  bool IsEventTooLarge() const { return partial_event_.size() > kMaxEventBytes; }
 
  private:
   /// Whether the event is to be forwarded. Updates the last event id and detects gaps.
--- a/src/connection/http/http_get.cc
+++ b/src/connection/http/http_get.cc
@@ -23,6 +23,9 @@
 using boost::asio::ip::tcp;
 using boost::system::error_code;
 
+// Holds one header of the maximum size and the block that Beast reads at a time (64 KiB).
+constexpr std::size_t kMaxBufferBytes = 128UL * 1024;
+
 }  // namespace
 
 class http_get::impl final : public std::enable_shared_from_this<impl> {
@@ -112,7 +115,7 @@
   const http_get_options options_;
   callback done_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferBytes};
   http::request<http::string_body> request_;
   http::response_parser<http::string_body> parser_;
 };
--- a/src/connection/http/http_parser.cc
+++ b/src/connection/http/http_parser.cc
@@ -35,7 +35,8 @@
 }
 
 template <bool IsRequest>
-http_parser<IsRequest>::http_parser(const limits& limits) {
+http_parser<IsRequest>::http_parser(const limits& limits)
+    : max_unparsed_bytes_(limits.header_bytes) {
   base::eager(true);
   base::header_limit(limits.header_bytes);
   base::body_limit(limits.body_bytes);
@@ -59,6 +60,10 @@
   input.erase(0, used);
   // A body of length zero is complete with the head.
   if (state == parse_state::kNeedMore && base::is_done()) state = parse_state::kComplete;
+  // Beast has no limit for chunk extensions and trailers, which it parses only when they are whole.
+  if (state == parse_state::kNeedMore && input.size() > max_unparsed_bytes_) {
+    return Fail(http::error::header_limit);
+  }
   return state;
 }
 
--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -10,15 +10,25 @@
 #include "connection/http/socket_options.h"
 
 namespace berylbarrow {
+namespace {
+
+// Interim answers and answers to other requests that may precede the answer to a request.
+constexpr std::uint32_t kMaxIgnoredAnswers = 8;
+
+}  // namespace
+
 upstream_link::upstream_link(boost::asio::io_context& context, const upstream_link_options& options,
                              const runtime_clock& clock,
                              std::function<void(upstream_link&)> on_idle_end)
     : socket_(context), options_(options), clock_(clock), on_idle_end_(std::move(on_idle_end)) {}
 
+upstream_link::~upstream_link() { HoldBytes(0); }
+
 void upstream_link::Exchange(std::string request, bool is_head, exchange_handler* handler) {
   handler_ = handler;
   output_ = std::move(request);
   is_head_ = is_head;
+  ignored_answers_ = 0;
   BeginParser();
   if (state_ == state::kNew) {
     Connect();
@@ -31,6 +41,7 @@
 void upstream_link::Close() {
   state_ = state::kClosed;
   handler_ = nullptr;
+  HoldBytes(0);
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
@@ -116,20 +127,37 @@
       if (state_ != state::kBusy) return;
     }
     if (parsed == parse_state::kFailed) {
-      Fail(head_shown_ && !skipping_ ? link_failure::kCutShort : link_failure::kGarbled);
+      Fail(ParseFailure());
       return;
     }
     if (head_shown_ && !skipping_ && !parser_->Body().empty() && parsed == parse_state::kNeedMore) {
       handler_->OnAnswerBody(parser_->Body());
       if (state_ != state::kBusy) return;
     }
-    if (parsed == parse_state::kNeedMore) return;
+    if (parsed == parse_state::kNeedMore) {
+      if (!HoldBytes(input_.size() + parser_->Body().size())) Fail(link_failure::kTooLarge);
+      return;
+    }
     HandleComplete();
   }
 }
 
+link_failure upstream_link::ParseFailure() const {
+  if (parser_->BodyTooLarge() || parser_->HeaderTooLarge()) return link_failure::kTooLarge;
+  return head_shown_ && !skipping_ ? link_failure::kCutShort : link_failure::kGarbled;
+}
+
+bool upstream_link::HoldBytes(std::size_t size) {
+  if (!options_.answer_budget) return true;
+  if (!options_.answer_budget->Replace(held_bytes_, size)) return false;
+  held_bytes_ = size;
+  return true;
+}
+
 void upstream_link::HandleComplete() {
+  HoldBytes(0);
   if (parser_->Head().status < 200 || skipping_) {
+    if (++ignored_answers_ > kMaxIgnoredAnswers) return Fail(link_failure::kGarbled);
     BeginParser();
     return;
   }
--- a/src/process/gateway/link_pool.h
+++ b/src/process/gateway/link_pool.h
@@ -14,6 +14,8 @@
 
 struct link_pool_options {
   upstream_link_options link;
+  /// Bytes of answers that all links together may hold.
+  std::size_t max_held_answer_bytes = std::size_t{64} << 20U;
   std::size_t max_idle_per_upstream = 24;
   /// Idle time after which a link is closed if its upstream has not sent a keep-alive timeout.
   duration idle_lifetime = std::chrono::seconds(4);
@@ -27,7 +29,9 @@
  public:
   link_pool(boost::asio::io_context& context, const link_pool_options& options,
             const runtime_clock& clock)
-      : context_(context), options_(options), clock_(clock) {}
+      : context_(context), options_(options), clock_(clock) {
+    options_.link.answer_budget = std::make_shared<byte_budget>(options_.max_held_answer_bytes);
+  }
 
   /// Returns a link for one exchange: the most recently used idle link of the upstream that has
   /// this address, or a new one. `must_be_recent` applies `max_idle_if_not_repeatable`.
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -137,9 +137,7 @@
 
 void relayed_request::OnAnswerBody(std::string& body) {
   if (state_ != state::kStreaming) return;
-  const time_point now = context_.clock.Now();
-  attempt_->last_received = now;
-  ForwardStreamPart(body, now);
+  ForwardStreamPart(body, context_.clock.Now());
 }
 
 void relayed_request::ForwardStreamPart(std::string& body, time_point now) {
@@ -149,11 +147,23 @@
     HandleBrokenAttempt("event_gap", now);
     return;
   }
-  if (events.empty() || sink_ == nullptr) return;
+  if (!events.empty()) ForwardEvents(events, now);
+  if (state_ != state::kStreaming || !splitter_.IsEventTooLarge()) return;
+  CancelAttempt(now);
+  ++possible_runs_;
+  HandleBrokenAttempt("event_too_large", now);
+}
+
+void relayed_request::ForwardEvents(const std::string& events, time_point now) {
+  if (sink_ == nullptr) return;
   if (attempt_ && attempt_->last_event) {
     context_.selector.OnEventGap(attempt_->upstream_id, now - *attempt_->last_event, now);
   }
-  if (attempt_) attempt_->last_event = now;
+  if (attempt_) {
+    // Bytes that complete no event are no progress for the caller.
+    attempt_->last_received = now;
+    attempt_->last_event = now;
+  }
   if (first_event_time_ == time_point::min()) {
     first_event_time_ = now;
     context_.counts.Observe("first_event", {.service = request_.service}, now - request_.arrival);
@@ -294,13 +304,16 @@
     return;
   }
   ++possible_runs_;
-  context_.crashes.OnCrash(request_.fingerprint, now);
+  // An upstream that still sends has not crashed.
+  if (failure != link_failure::kTooLarge) context_.crashes.OnCrash(request_.fingerprint, now);
   EndAttempt(attempt_outcome::kBroken, now);
   switch (failure) {
     case link_failure::kNoAnswer:
       return HandleBrokenAttempt("no_answer", now);
     case link_failure::kCutShort:
       return HandleBrokenAttempt("cut_short", now);
+    case link_failure::kTooLarge:
+      return HandleBrokenAttempt("answer_too_large", now);
     default:
       return HandleBrokenAttempt("garbled", now);
   }
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -82,7 +82,7 @@
     std::string upstream_id;
     std::shared_ptr<upstream_link> link;
     time_point sent;
-    time_point last_received;  // time of the last data from the upstream
+    time_point last_received;  // time of the head or of the last event from the upstream
     std::optional<time_point> last_event;
     reply_facts facts;
   };
@@ -108,6 +108,7 @@
   /// Handles an attempt that may have run but gave no complete answer.
   void HandleBrokenAttempt(std::string_view reason, time_point now);
   void ForwardStreamPart(std::string& body, time_point now);
+  void ForwardEvents(const std::string& events, time_point now);
   void HandleStreamEnd(time_point now);
   void ForwardAnswer(const http_head& head, std::string&& body);
   /// Aborts the connection to the caller if the head of a stream was already sent, because no other
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -132,6 +132,7 @@
     }
     const scripted_reply reply = handler_(request);
     boost::asio::write(socket, boost::asio::buffer(reply.bytes), error);
+    if (!reply.endless_bytes.empty()) return SendEndlessly(socket, reply);
     if (!reply.delayed_bytes.empty()) {
       std::this_thread::sleep_for(reply.delay);
       boost::asio::write(socket, boost::asio::buffer(reply.delayed_bytes), error);
@@ -146,6 +147,15 @@
   }
 }
 
+void scripted_upstream::SendEndlessly(tcp::socket& socket, const scripted_reply& reply) {
+  boost::system::error_code error;
+  while (!stopping_ && !error) {
+    std::this_thread::sleep_for(reply.pause);
+    endless_byte_count_ +=
+        boost::asio::write(socket, boost::asio::buffer(reply.endless_bytes), error);
+  }
+}
+
 gateway_fixture::gateway_fixture(const std::vector<const scripted_upstream*>& upstreams,
                                  const gateway_fixture_options& options) {
   settings_ = {.name = "entry-a",
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -24,6 +24,10 @@
   /// Sent `delay` after `bytes`, before `action`.
   std::string delayed_bytes;
   std::chrono::milliseconds delay{0};
+  /// Sent again and again after `bytes`, with `pause` before each, until the gateway closes the
+  /// connection.
+  std::string endless_bytes;
+  std::chrono::milliseconds pause{0};
 };
 
 /// An upstream on loopback whose replies come from a handler. Each connection has its own thread,
@@ -38,6 +42,8 @@
 
   std::string Address() const;
   std::vector<std::string> Requests() const;
+  /// Bytes of `endless_bytes` that were written.
+  std::size_t EndlessByteCount() const { return endless_byte_count_; }
   /// Number of connections that the gateway has reset.
   int ResetCount() const { return reset_count_; }
 
@@ -46,12 +52,14 @@
 
   void AcceptConnections();
   void ServeConnection(tcp::socket socket);
+  void SendEndlessly(tcp::socket& socket, const scripted_reply& reply);
 
   request_handler handler_;
   boost::asio::io_context context_;
   tcp::acceptor acceptor_;
   std::atomic<bool> stopping_{false};
   std::atomic<int> reset_count_{0};
+  std::atomic<std::size_t> endless_byte_count_{0};
   mutable std::mutex mutex_;
   std::vector<std::string> requests_;
   std::vector<std::thread> connection_threads_;
