Close the upstream connection of a payment whose answer is too long

What callers saw: nothing wrong at first; the payment ended as unknown. But the agent kept reading an answer without end, so that each such payment held a slot of the upstream for ever and the agent never ended after SIGTERM.

Cause: an answer beyond its limit ended the record of a payment but not its run, because payments run to their end. Here the answer has begun, so the payment has run, and what still comes is thrown away.

Evidence: PaymentBeyondItsBoundReleasesTheUpstream failed on: no upstream_cancel. With AnswerWithoutEndIsBroken six kinds of bytes without end were sent to the agent's upstream client (no head, head, header line, interim answers, chunk extension, trailer): all end as broken with less than 1 MB sent; no change was needed there.

Change: the agent closes the connection as it ends the record, as it does for requests that may be repeated. The outcome stays unknown and the key never runs again.

Result: both tests pass. Open: an answer that stays below the limit but never ends holds its slot; agents have no limit of time for a payment.

--- a/include/berylbarrow/process/agent/agent_core.h
+++ b/include/berylbarrow/process/agent/agent_core.h
@@ -164,6 +164,8 @@
                std::string_view bytes, answer_end end);
   void OnAcknowledgement(const acknowledgement& message);
   void OnCancel(const cancel& message);
+  /// Closes the connection on which the execution runs. Its end no longer counts.
+  void StopAtUpstream(execution_record& record);
   void CancelExecution(execution_record& record);
   void OnDetached(connection_id connection);
   void CancelOrphans();
--- a/src/process/agent/agent_delivery.cc
+++ b/src/process/agent/agent_delivery.cc
@@ -111,10 +111,14 @@
     Finish(record, answer_end::kBroken);
     return;
   }
+  StopAtUpstream(record);
+  Finish(record, answer_end::kBroken);
+}
+
+void agent_core::StopAtUpstream(execution_record& record) {
   record.is_cancelled = true;
   cancelled_.emplace_back(Now() + kCancelWait, record.id);
   Emit(upstream_cancel{.execution = record.id});
-  Finish(record, answer_end::kBroken);
 }
 
 void agent_core::OnDetached(connection_id connection) {
--- a/src/process/agent/agent_upstream.cc
+++ b/src/process/agent/agent_upstream.cc
@@ -239,6 +239,8 @@
 void agent_core::OnOverflow(execution_record& record) {
   ++counters_.parts_dropped;
   if (!record.key.empty()) {
+    // The answer has begun, so the operation has run; what still comes would hold the slot.
+    StopAtUpstream(record);
     EndUnknown(record, refusal_reason::kOverload);
     return;
   }
--- a/tests/connection/upstream_client_test.cc
+++ b/tests/connection/upstream_client_test.cc
@@ -149,6 +149,36 @@
   BOOST_TEST((Of(f.ends.back()) == End(upstream_outcome::kBroken, 99)));
 }
 
+// Guards against an upstream that sends bytes without end, in a head or between the chunks of a
+// body: the bytes that are held stay bounded, and the work does not count as "not sent".
+BOOST_AUTO_TEST_CASE(AnswerWithoutEndIsBroken) {
+  const std::string line = "X: " + std::string(1000, 'x') + "\r\n";
+  const std::vector<std::pair<std::string, std::string>> answers{
+      {"", std::string(1000, '\0')},
+      {"HTTP/1.1 200 OK\r\n", line},
+      {"HTTP/1.1 200 OK\r\nX: ", std::string(1000, 'x')},
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;x=", std::string(1000, 'x')},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", line}};
+  constexpr std::size_t kMaxBytes = 1U << 20U;
+  fixture f;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    f.sockets.clear();
+    f.Start(i);
+    const auto upstream = f.Receiving("POST /pay");
+    upstream->Send(answers[i].first);
+    std::size_t sent = 0;
+    while (f.ends.size() == i && sent < kMaxBytes) {
+      upstream->Send(answers[i].second);
+      sent += answers[i].second.size();
+      f.context.restart();
+      f.context.run_for(std::chrono::milliseconds(1));
+    }
+    BOOST_REQUIRE_MESSAGE(f.ends.size() > i, answers[i].first);
+    BOOST_TEST((Of(f.ends[i]) == End(upstream_outcome::kBroken, i)), answers[i].first);
+  }
+}
+
 // Guards against a death that is confirmed a whole poll interval late, or ruled out by a report
 // from before it; and against polls that cancels cause.
 BOOST_AUTO_TEST_CASE(BreakIsFollowedByANewReport) {
--- a/tests/process/agent/agent_core_test.cc
+++ b/tests/process/agent/agent_core_test.cc
@@ -354,6 +354,26 @@
   BOOST_TEST((agent.Sent<answer_part>(1).back().end == answer_end::kBroken));
 }
 
+// Guards against a payment whose answer does not end and holds its slot and the shutdown for ever.
+BOOST_AUTO_TEST_CASE(PaymentBeyondItsBoundReleasesTheUpstream) {
+  agent_harness agent({.max_answer_bytes = 10, .max_buffered_bytes = 1000});
+  agent.Serve();
+  agent.Receive(1, TestPayment(1, "n"));
+  agent.Input(upstream_head{.execution = 1, .status = 200});
+  agent.Input(upstream_part{.execution = 1, .bytes = "12345678"});
+  agent.Input(upstream_part{.execution = 1, .bytes = "12345678"});
+  BOOST_TEST(agent.All<upstream_cancel>().size() == 1U);
+  BOOST_TEST_REQUIRE(agent.Sent<refusal>(1).size() == 1U);
+  BOOST_TEST((agent.Sent<refusal>(1).back().certainty == run_certainty::kUnknown));
+  agent.Input(upstream_end{.execution = 1, .outcome = upstream_outcome::kBroken});
+  agent.Receive(1, TestPayment(2, "n"));
+  BOOST_TEST(agent.All<upstream_start>().size() == 1U);
+  BOOST_TEST((agent.Sent<refusal>(1).back().certainty == run_certainty::kUnknown));
+  agent.Input(shutdown_requested{});
+  agent.Advance(std::chrono::seconds(11));
+  BOOST_TEST(agent.All<process_finished>().size() == 1U);
+}
+
 // Guards against a late copy of a payment that was refused when the table had no room for it.
 BOOST_AUTO_TEST_CASE(KeyRefusedByAFullTableNeverRuns) {
   agent_harness agent({.max_executions = 1});
