--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -52,11 +52,13 @@
 class fake_platform_feed final : public platform_feed {
  public:
   fake_platform_feed(platform_sink& sink, std::vector<upstream_record> records,
-                     duration route_timeout, const std::atomic<std::int64_t>& stale_age_ns)
+                     duration route_timeout, const std::atomic<std::int64_t>& stale_age_ns,
+                     std::atomic<std::int64_t>& block_ns)
       : sink_(sink),
         records_(std::move(records)),
         route_timeout_(route_timeout),
-        stale_age_ns_(stale_age_ns) {}
+        stale_age_ns_(stale_age_ns),
+        block_ns_(block_ns) {}
 
   void Start() override {
     sink_.OnRouting(MakeRoutingContent(route_timeout_));
@@ -64,6 +66,7 @@
   }
   void RefreshUpstreams() override {}
   void Advance(time_point now) override {
+    std::this_thread::sleep_for(std::chrono::nanoseconds(block_ns_.exchange(0)));
     if (stale_age_ns_ == 0) sink_.OnConfigurationCurrent(now);
   }
 
@@ -72,6 +75,7 @@
   std::vector<upstream_record> records_;
   duration route_timeout_;
   const std::atomic<std::int64_t>& stale_age_ns_;
+  std::atomic<std::int64_t>& block_ns_;
 };
 
 }  // namespace
@@ -183,7 +187,8 @@
         .exchange = exchange,
         .directory = directory,
         .make_feed = [&](boost::asio::io_context&, platform_sink& sink) {
-          return std::make_unique<fake_platform_feed>(sink, records, route_timeout, stale_age_ns_);
+          return std::make_unique<fake_platform_feed>(sink, records, route_timeout, stale_age_ns_,
+                                                      block_ns_);
         }};
     RunGateway(settings_, fake_platform, clock_);
   });
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -79,6 +79,8 @@
                            const gateway_fixture_options& options = {});
   ~gateway_fixture();
 
+  /// Keeps the thread of the gateway busy for a while, as a large configuration does.
+  void BlockThread(duration time) { block_ns_ = time.count(); }
   /// Sends SIGTERM. The gateway ends within its shutdown grace.
   void RequestShutdown();
   /// Blocks until the gateway has ended.
@@ -99,6 +101,7 @@
  private:
   gateway_settings settings_;
   system_clock clock_;
+  std::atomic<std::int64_t> block_ns_{0};      // for which the feed blocks the thread once
   std::atomic<std::int64_t> stale_age_ns_{0};  // 0 while the feed confirms the configuration
   mutable bool last_connection_was_reset_ = false;
   bool shutdown_requested_ = false;
--- a/tests/platform/gateway_shutdown_test.cc
+++ b/tests/platform/gateway_shutdown_test.cc
@@ -93,6 +93,24 @@
   BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
 }
 
+// The grace was counted from the time at which a busy gateway noticed SIGTERM, so that SIGKILL came
+// before the gateway had answered.
+BOOST_AUTO_TEST_CASE(a_gateway_that_notices_sigterm_late_still_answers_within_the_grace) {
+  const scripted_upstream silent([](const std::string&) { return scripted_reply{}; });
+  gateway_fixture gateway({&silent},
+                          {.shutdown_grace = milliseconds(1500), .route_timeout = seconds(8)});
+  boost::asio::io_context context;
+  auto payment = gateway.Send(context, MakeRequest("pay", "a1", "key-1", seconds(8)));
+  std::this_thread::sleep_for(milliseconds(100));
+  gateway.BlockThread(milliseconds(800));
+  std::this_thread::sleep_for(milliseconds(50));
+  const auto signalled_at = std::chrono::steady_clock::now();
+  gateway.RequestShutdown();
+  const std::string response = ReadToEnd(payment);
+  BOOST_TEST((std::chrono::steady_clock::now() - signalled_at < milliseconds(1500)));
+  BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_wait_at_the_end_of_the_grace_are_refused_as_not_run) {
   gateway_fixture gateway({}, {.shutdown_grace = seconds(1)});
   boost::asio::io_context context;
