End an entry only when its slow readers stop or have their answers

What callers saw: the connection closed in the middle of an answer that the entry counted as done, although they went on reading.

Cause: after process_finished the process waited 5 s for the I/O threads to write what was left, whatever was being written. The comment and docs/OPERATIONS.md explain the limit by a caller that reads nothing for so long, but it counted from the start and not from the last progress.

Change: the 5 s start again whenever fewer bytes are left than at the last check. A caller that stops reading is still given up after 5 s.

Limit: a socket reports progress only when it has room for more, so a very slow reader may still count as stopped; this was not measured.

--- a/include/berylbarrow/connection/http/caller_server.h
+++ b/include/berylbarrow/connection/http/caller_server.h
@@ -68,6 +68,8 @@
   std::size_t ConnectionCount() const;
   /// Connections that receive a request, wait for an answer, or have bytes of one to write.
   std::size_t UnfinishedConnections() const;
+  /// Bytes of answers that the sockets have not taken yet.
+  std::size_t UnwrittenBytes() const;
   /// May be called by any thread.
   caller_server_counters Counters() const;
 
--- a/src/connection/http/caller_connection.cc
+++ b/src/connection/http/caller_connection.cc
@@ -258,8 +258,7 @@
   if (phase_ == phase::kClosed) {
     return;
   }
-  const auto waiting = outgoing_.size() + in_write_.size() - written_;
-  if (waiting + bytes.size() > host_->Options().max_outgoing_bytes) {
+  if (UnwrittenBytes() + bytes.size() > host_->Options().max_outgoing_bytes) {
     ++host_->Count().slow_callers;
     Abandon();
     return;
--- a/src/connection/http/caller_connection.h
+++ b/src/connection/http/caller_connection.h
@@ -59,6 +59,8 @@
 
   /// Whether a request has begun to arrive, or its answer is not completely written.
   bool IsUnfinished() const;
+  /// Bytes that the socket has not taken yet.
+  std::size_t UnwrittenBytes() const { return outgoing_.size() + in_write_.size() - written_; }
   /// Closes the connection if no request has begun to arrive.
   void CloseIfIdle();
   void Close();
--- a/src/connection/http/caller_server.cc
+++ b/src/connection/http/caller_server.cc
@@ -109,6 +109,14 @@
                       [](const auto& item) { return item.second->IsUnfinished(); }));
   }
 
+  std::size_t UnwrittenBytes() const {
+    std::size_t sum = 0;
+    for (const auto& [key, connection] : connections_) {
+      sum += connection->UnwrittenBytes();
+    }
+    return sum;
+  }
+
   caller_server_counters Counters() const {
     return {.requests = counters_.requests,
             .malformed = counters_.malformed,
@@ -248,6 +256,8 @@
 
 std::size_t caller_server::UnfinishedConnections() const { return impl_->UnfinishedConnections(); }
 
+std::size_t caller_server::UnwrittenBytes() const { return impl_->UnwrittenBytes(); }
+
 caller_server_counters caller_server::Counters() const { return impl_->Counters(); }
 
 }  // namespace berylbarrow
--- a/src/process/agent/run_agent.cc
+++ b/src/process/agent/run_agent.cc
@@ -1,5 +1,6 @@
 #include "berylbarrow/process/agent/run_agent.h"
 
+#include <cstddef>
 #include <exception>
 #include <iostream>
 #include <utility>
@@ -25,6 +26,7 @@
                                    });
     wiring.Run(upstream, to_upstream,
                {.is_flushed = [] { return true; },
+                .unwritten_bytes = [] { return std::size_t{0}; },
                 .counters =
                     [&client, &engine] {
                       return CountersText(client.Counters()) + CountersText(engine.Counters());
--- a/src/process/entry/run_entry.cc
+++ b/src/process/entry/run_entry.cc
@@ -25,6 +25,7 @@
                                   [&](entry_output&& output) { server.Deliver(output); });
     wiring.Run(callers, to_callers,
                {.is_flushed = [&server] { return server.UnfinishedConnections() == 0; },
+                .unwritten_bytes = [&server] { return server.UnwrittenBytes(); },
                 .counters = [&server] { return CountersText(server.Counters()); },
                 .addresses = {{"callers", settings.callers_address}}});
     return 0;
--- a/src/process/runtime/process_wiring.h
+++ b/src/process/runtime/process_wiring.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <stdexcept>
@@ -35,9 +36,10 @@
 
 /// What the wiring needs to know of the role's duty.
 struct role_hooks {
-  std::function<bool()> is_flushed;       // nothing is left to write; on the role's thread
-  std::function<std::string()> counters;  // text exposition; on any thread
-  std::vector<log_field> addresses;       // for the log
+  std::function<bool()> is_flushed;              // nothing is left to write; on the role's thread
+  std::function<std::size_t()> unwritten_bytes;  // on the role's thread
+  std::function<std::string()> counters;         // text exposition; on any thread
+  std::vector<log_field> addresses;              // for the log
 };
 
 /// The duties that entries and agents have in common, and the rings between them and the decisions.
@@ -101,9 +103,8 @@
   }
 
  private:
-  // Longest time for the I/O threads to write what the decisions sent last. A caller or peer that
-  // reads nothing for so long has most likely gone.
-  static constexpr std::chrono::seconds kMaxFlushTime{5};
+  // The callers and peers that read nothing for so long have most likely gone.
+  static constexpr std::chrono::seconds kFlushStallTime{5};
   static constexpr std::chrono::milliseconds kFlushPoll{5};
   static constexpr std::chrono::milliseconds kSignalRetry{1};
   static constexpr std::size_t kMinQueuedBytes = 8U << 20;
@@ -202,11 +203,15 @@
   }
 
   void HandleFinished() {
-    finish_timer_.expires_after(kMaxFlushTime);
+    ArmFinishTimer();
+    CheckFlushed();
+  }
+
+  void ArmFinishTimer() {
+    finish_timer_.expires_after(kFlushStallTime);
     finish_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) Finish(false);
     });
-    CheckFlushed();
   }
 
   /// Asks the threads that write to callers and peers, one after the other, for what is left. What
@@ -214,16 +219,19 @@
   void CheckFlushed() {
     boost::asio::post(role_->Context(), [this] {
       const bool role_flushed = to_role_->IsEmpty() && hooks_.is_flushed();
-      boost::asio::post(peer_duty_.Context(), [this, role_flushed] {
-        const bool peers_flushed = to_peers_.IsEmpty() && peers_.UnwrittenBytes() == 0;
-        boost::asio::post(main_, [this, flushed = role_flushed && peers_flushed] {
-          flushed ? Finish(true) : CheckFlushedLater();
+      const std::size_t role_bytes = hooks_.unwritten_bytes();
+      boost::asio::post(peer_duty_.Context(), [this, role_flushed, role_bytes] {
+        const std::size_t peer_bytes = peers_.UnwrittenBytes();
+        const bool flushed = role_flushed && to_peers_.IsEmpty() && peer_bytes == 0;
+        boost::asio::post(main_, [this, flushed, unwritten = role_bytes + peer_bytes] {
+          flushed ? Finish(true) : CheckFlushedLater(unwritten);
         });
       });
     });
   }
 
-  void CheckFlushedLater() {
+  void CheckFlushedLater(std::size_t unwritten) {
+    if (unwritten < std::exchange(unwritten_, unwritten)) ArmFinishTimer();
     flush_timer_.expires_after(kFlushPoll);
     flush_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) CheckFlushed();
@@ -273,6 +281,7 @@
   boost::asio::steady_timer signal_timer_{main_};
   boost::asio::steady_timer finish_timer_{main_};
   boost::asio::steady_timer flush_timer_{main_};
+  std::size_t unwritten_ = 0;  // bytes, at the last check
   duty peer_duty_{"peers"};
   duty platform_duty_{"platform"};
   duty operator_duty_{"operators"};
--- a/tests/system/shutdown_test.cc
+++ b/tests/system/shutdown_test.cc
@@ -1,5 +1,12 @@
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <csignal>
+#include <string>
+#include <thread>
 
 #include "support/load_table.h"
 #include "support/process_fleet.h"
@@ -43,5 +50,58 @@
   CheckGracefulShutdown(fleet, {"entry-1", "alajuela-draft"});
 }
 
+/// A caller with a small receive buffer that reads only when told to.
+class slow_reader {
+ public:
+  slow_reader(const std::string& address, const std::string& body) {
+    const auto colon = address.rfind(':');
+    const tcp::endpoint entry(boost::asio::ip::make_address(address.substr(0, colon)),
+                              static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+    socket_.open(entry.protocol());
+    socket_.set_option(tcp::socket::receive_buffer_size(16 << 10));
+    socket_.connect(entry);
+    boost::asio::write(socket_,
+                       boost::asio::buffer("POST /v1/completions HTTP/1.1\r\nHost: a\r\n"
+                                           "Content-Type: application/json\r\n"
+                                           "Berylbarrow-Account: counter\r\nContent-Length: " +
+                                           std::to_string(body.size()) + "\r\n\r\n" + body));
+  }
+
+  /// Reads to the end of the connection at about `rate` bytes per second.
+  std::string ReadAll(std::size_t rate) {
+    using clock = std::chrono::steady_clock;
+    const auto start = clock::now();
+    std::string text;
+    std::array<char, 4096> piece{};
+    boost::system::error_code error;
+    while (!error) {
+      text.append(piece.data(), socket_.read_some(boost::asio::buffer(piece), error));
+      std::this_thread::sleep_until(start + std::chrono::milliseconds(text.size() * 1000 / rate));
+    }
+    return text;
+  }
+
+ private:
+  using tcp = boost::asio::ip::tcp;
+  boost::asio::io_context context_;
+  tcp::socket socket_{context_};
+};
+
+// Guards against an entry that ends while a slow caller is still reading a complete answer.
+BOOST_AUTO_TEST_CASE(EntryWritesTheWholeAnswerToASlowReader) {
+  process_fleet fleet({.token_ms = 0});
+  slow_reader caller(fleet.Callers("entry-1"), DraftBody("long", 100'000));
+  const auto in_flight = [&] { return fleet.Metric("entry-1", "berylbarrow_requests_in_flight"); };
+  BOOST_TEST(Eventually([&] { return in_flight() > 0; }));
+  BOOST_TEST(Eventually([&] { return in_flight() == 0; }));
+  fleet.Signal("entry-1", SIGTERM);
+  BOOST_REQUIRE(
+      Eventually([&] { return fleet.State("entry-1").at("stopped_accepting").get<bool>(); }));
+  const std::string answer = caller.ReadAll(300'000);
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(answer.ends_with("\r\n0\r\n\r\n"), "cut off after " << answer.size() << " bytes");
+  BOOST_TEST(fleet.WaitExit("entry-1") == 0);
+}
+
 }  // namespace
 }  // namespace berylbarrow
