Write the answer that ends a connection to its end

What callers saw: a caller that paused for over a second lost the rest of an answer that ends its connection. After SIGTERM these are all answers. A stream to an HTTP/1.0 caller that was cut so ended in order and looked complete.

Cause: the time for which a connection lingers after its answer, 1 s, ran from the end of the request and not from the last written byte, and the connection was then closed in order with bytes unwritten.

Change: while bytes are unwritten, the idle time-out of callers applies, from the last progress. A connection that ends with an incomplete answer is reset.

--- a/src/connection/http/http_server.cc
+++ b/src/connection/http/http_server.cc
@@ -19,7 +19,11 @@
   Accept();
 }
 
-http_server::~http_server() = default;
+http_server::~http_server() {
+  for (const auto& each : connections_) {
+    if (each->HasUnwrittenBytes()) each->ResetOnClose();
+  }
+}
 
 void http_server::CheckTimeouts(time_point now) {
   const std::vector<std::shared_ptr<http_server_connection>> all(connections_.begin(),
--- a/src/connection/http/http_server_connection.cc
+++ b/src/connection/http/http_server_connection.cc
@@ -152,10 +152,14 @@
 void http_server_connection::Abort() {
   if (state_ == state::kClosed) return;
   request_.reset();
+  ResetOnClose();
+  Close();
+}
+
+void http_server_connection::ResetOnClose() {
   // A reset cannot be taken for the end of an answer without length.
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-  Close();
 }
 
 void http_server_connection::FinishAnswer() {
@@ -195,6 +199,7 @@
 void http_server_connection::OnWritten(const boost::system::error_code& error, std::size_t size) {
   write_pending_ = false;
   if (state_ == state::kClosed) return;
+  if (state_ == state::kLingering) since_ = server_.clock_.Now();
   if (error) {
     Close();
     return;
@@ -225,7 +230,12 @@
 
 void http_server_connection::CheckTimeouts(time_point now) {
   const http_server_options& options = server_.options_;
-  if (state_ == state::kLingering && now - since_ > kLinger) return Close();
+  if (state_ == state::kLingering) {
+    // A caller may read slowly, so the time runs from the last progress.
+    const duration limit = HasUnwrittenBytes() ? options.idle_timeout : kLinger;
+    if (now - since_ > limit) Close();
+    return;
+  }
   if (state_ != state::kReading) return;
   if (parser_->HasStarted()) {
     const duration limit = parser_->HasHead() ? options.idle_timeout : options.header_timeout;
@@ -237,7 +247,7 @@
 
 bool http_server_connection::IsUnfinished() const {
   if (state_ != state::kReading) return state_ != state::kClosed;
-  if (write_pending_ || parser_->HasStarted()) return true;
+  if (HasUnwrittenBytes() || !input_.empty() || parser_->HasStarted()) return true;
   // A request that has arrived but is not read yet must not be lost either.
   boost::system::error_code error;
   return socket_.available(error) > 0;
@@ -249,6 +259,7 @@
 
 void http_server_connection::Close() {
   if (state_ == state::kClosed) return;
+  if (state_ == state::kAnswering || HasUnwrittenBytes()) ResetOnClose();
   state_ = state::kClosed;
   const auto self = shared_from_this();
   boost::system::error_code ignored;
--- a/src/connection/http/http_server_connection.h
+++ b/src/connection/http/http_server_connection.h
@@ -23,8 +23,11 @@
   void CheckTimeouts(time_point now);
   /// Whether a request is arriving or being answered, or its answer is not all with the caller.
   bool IsUnfinished() const;
-  /// Ends the connection at once.
+  /// Ends the connection at once; by a reset if an answer is not complete.
   void Close();
+  bool HasUnwrittenBytes() const { return write_pending_ || !output_.empty(); }
+  /// Lets the end of the connection be seen as a reset.
+  void ResetOnClose();
 
   void SendAnswer(const http_answer& answer) override;
   void BeginStream(const http_answer& head) override;
