Take the tick before the last one as the earliest time of SIGTERM

Cause: the last tick may run between a long handler, for example of a large configuration, and the handler of the signal, and then hides the wait.

Change: the grace counts from the tick before the last one. The timer of the last one fired after a poll that would also have seen the signal.

A wait outside the tick has no test of its own.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -117,7 +117,7 @@
 
 void gateway::Tick() {
   const time_point now = clock_.Now();
-  last_tick_ = now;
+  previous_tick_ = std::exchange(last_tick_, now);
   feed_->Advance(now);
   registry_.Advance(now);
   UpdateSelector(now);
@@ -227,17 +227,18 @@
 void gateway::BeginShutdown() {
   if (shutdown_) return;
   const time_point now = clock_.Now();
-  // The signal came after the last tick, and may have waited while the thread was busy.
+  // The signal may have waited while the thread was busy, but not for longer than since the tick
+  // before the last one: the last one may have been called together with the signal.
   // Callers that were given this gateway's address go on using it for a while.
   shutdown_.emplace(shutdown_window_options{.grace = settings_.bounds.shutdown_grace,
                                             .exit_margin = kExitMargin,
                                             .kill_margin = kKillMargin,
                                             .address_use = kAddressLifetimesInUse *
                                                            settings_.bounds.address_lifetime},
-                    last_tick_);
+                    previous_tick_);
   logger::Event(log_level::kInfo, "process", "shutdown_requested",
                 {{"open_requests", std::to_string(requests_.size())},
-                 {"thread_busy_ms", MillisecondsText(now - last_tick_)}});
+                 {"thread_busy_ms", MillisecondsText(now - previous_tick_)}});
   caller_server_.CloseAfterAnswers();
   SendHeartbeat(now);
 }
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -120,6 +120,7 @@
   time_point next_heartbeat_ = time_point::min();
   time_point next_periodic_check_ = time_point::min();
   time_point last_tick_;
+  time_point previous_tick_;
   std::optional<shutdown_window> shutdown_;  // set when the process has been told to end
   std::shared_ptr<heartbeat_socket> heartbeat_socket_;
   information_handler directory_handler_;
