Keep small answers from failing because of large ones

Cause: the limit for the answers that all links hold together counted every byte. An upstream that sends without end on several links used it up, and then any answer in more than one read failed, those of other upstreams too. Pointed out in the review; by reading.

Change: the first 32 KB of each link do not count; the links of a gateway bound that part by their number.

Result: small_answers_do_not_fail_because_of_large_ones passes; it needs the new parameter, so it was not run on the old code.

--- a/include/berylbarrow/connection/http/upstream_link.h
+++ b/include/berylbarrow/connection/http/upstream_link.h
@@ -36,21 +36,29 @@
   virtual void OnLinkFailure(link_failure failure) = 0;
 };
 
-/// Limits the bytes that the links of a process hold at one time.
+/// Limits the bytes that the links of a process hold at one time. Up to `free_bytes` of each holder
+/// do not count, so that a few large answers cannot make usual ones fail.
 class byte_budget {
  public:
-  explicit byte_budget(std::size_t limit) : limit_(limit) {}
+  byte_budget(std::size_t limit, std::size_t free_bytes) : limit_(limit), free_bytes_(free_bytes) {}
   /// Replaces `held` bytes of one holder by `wanted`. Returns false, and changes nothing, if that
   /// exceeds the limit.
   bool Replace(std::size_t held, std::size_t wanted) {
-    if (wanted > held && wanted - held > limit_ - used_) return false;
-    used_ = used_ - held + wanted;
+    const std::size_t before = Counted(held);
+    const std::size_t after = Counted(wanted);
+    if (after > before && after - before > limit_ - used_) return false;
+    used_ = used_ - before + after;
     return true;
   }
   std::size_t Used() const { return used_; }
 
  private:
+  std::size_t Counted(std::size_t bytes) const {
+    return bytes > free_bytes_ ? bytes - free_bytes_ : 0;
+  }
+
   std::size_t limit_;
+  std::size_t free_bytes_;
   std::size_t used_ = 0;
 };
 
--- a/src/process/gateway/link_pool.h
+++ b/src/process/gateway/link_pool.h
@@ -14,8 +14,9 @@
 
 struct link_pool_options {
   upstream_link_options link;
-  /// Bytes of answers that all links together may hold.
+  /// Bytes of answers that all links together may hold, beyond `free_answer_bytes` of each.
   std::size_t max_held_answer_bytes = std::size_t{64} << 20U;
+  std::size_t free_answer_bytes = std::size_t{32} << 10U;
   std::size_t max_idle_per_upstream = 24;
   /// Idle time after which a link is closed if its upstream has not sent a keep-alive timeout.
   duration idle_lifetime = std::chrono::seconds(4);
@@ -30,7 +31,8 @@
   link_pool(boost::asio::io_context& context, const link_pool_options& options,
             const runtime_clock& clock)
       : context_(context), options_(options), clock_(clock) {
-    options_.link.answer_budget = std::make_shared<byte_budget>(options_.max_held_answer_bytes);
+    options_.link.answer_budget =
+        std::make_shared<byte_budget>(options_.max_held_answer_bytes, options_.free_answer_bytes);
   }
 
   /// Returns a link for one exchange: the most recently used idle link of the upstream that has
--- a/tests/platform/gateway_endless_answer_test.cc
+++ b/tests/platform/gateway_endless_answer_test.cc
@@ -110,7 +110,7 @@
 
 // Memory stays bounded if several upstreams do so at once.
 BOOST_AUTO_TEST_CASE(answers_share_one_limit_for_the_bytes_that_are_held) {
-  byte_budget budget(100);
+  byte_budget budget(100, 0);
   BOOST_TEST(budget.Replace(0, 60));
   BOOST_TEST(!budget.Replace(0, 41));
   BOOST_TEST(budget.Replace(60, 100));
@@ -119,6 +119,17 @@
   BOOST_TEST(budget.Used() == 0U);
 }
 
+// Answers without end of one upstream used up the limit, and those of all others failed.
+BOOST_AUTO_TEST_CASE(small_answers_do_not_fail_because_of_large_ones) {
+  byte_budget budget(100, 10);
+  BOOST_TEST(budget.Replace(0, 110));
+  BOOST_TEST(budget.Used() == 100U);
+  BOOST_TEST(budget.Replace(0, 10));
+  BOOST_TEST(!budget.Replace(10, 11));
+  BOOST_TEST(budget.Replace(110, 5));
+  BOOST_TEST(budget.Used() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(a_caller_that_sends_a_chunk_head_without_end_gets_431) {
   const gateway_fixture gateway({});
   const std::string response = gateway.SendAndReceive(
