Count an event without end against its upstream

Pointed out in the review; by reading.

Change: the attempt ends as broken; too many ignored answers are too large an answer.

Result: platform.gateway_endless_answer_test and platform.gateway_test pass; which upstream new drafts get after it has no test.

--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -157,7 +157,7 @@
 void upstream_link::HandleComplete() {
   HoldBytes(0);
   if (parser_->Head().status < 200 || skipping_) {
-    if (++ignored_answers_ > kMaxIgnoredAnswers) return Fail(link_failure::kGarbled);
+    if (++ignored_answers_ > kMaxIgnoredAnswers) return Fail(link_failure::kTooLarge);
     BeginParser();
     return;
   }
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -149,7 +149,8 @@
   }
   if (!events.empty()) ForwardEvents(events, now);
   if (state_ != state::kStreaming || !splitter_.IsEventTooLarge()) return;
-  CancelAttempt(now);
+  attempt_->link->Abort();
+  EndAttempt(attempt_outcome::kBroken, now);
   ++possible_runs_;
   HandleBrokenAttempt("event_too_large", now);
 }
