Admit streams and lookups while callers cannot know of the shutdown

Cause: admission by the deadline alone refuses every draft at once, although callers cannot know of the shutdown until their address answer expires (2 s).

Change: for the address lifetime after SIGTERM, a request that is not a payment is also admitted with at least half of its time left. After that, and for payments always, the deadline must be before the end of work.

Conclusion: within the first 2 s a draft that takes longer than the rest, 5.5 s or more, can still be cut off.

--- a/include/berylbarrow/request/admission/shutdown_window.h
+++ b/include/berylbarrow/request/admission/shutdown_window.h
@@ -15,6 +15,8 @@
   /// Part of `exit_margin` that is reserved for the exit itself. In the rest of the margin the last
   /// answers are written.
   duration kill_margin = duration::zero();
+  /// Time for which callers may have an address answer from before the signal.
+  duration address_lifetime = duration::zero();
   /// Time for which callers may go on using the address of the process.
   duration address_use = duration::zero();
   auto operator<=>(const shutdown_window_options&) const = default;
@@ -33,6 +35,15 @@
   /// Whether a request is certain to end before the process does. Typical durations do not count:
   /// an admitted request may take until its deadline.
   bool CanComplete(time_point deadline) const { return deadline <= WorkEnd(); }
+  /// Whether to admit a request that arrives now. `must_complete`: an unknown outcome is worse for
+  /// its caller than a refusal. Others are also admitted with half of their time left, while
+  /// callers cannot know of the shutdown: a small fleet that is restarted would refuse many of them
+  /// at each attempt.
+  bool Admits(time_point now, time_point deadline, bool must_complete) const {
+    if (CanComplete(deadline)) return true;
+    const bool is_known = now >= signalled_at_ + options_.address_lifetime;
+    return !must_complete && !is_known && WorkEnd() - now >= deadline - WorkEnd();
+  }
   /// Whether the process may end now. `has_work`: an exchange with a caller is not complete.
   bool MayExit(time_point now, bool has_work) const {
     if (has_work) return now >= signalled_at_ + options_.grace - options_.kill_margin;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -233,6 +233,7 @@
   shutdown_.emplace(shutdown_window_options{.grace = settings_.bounds.shutdown_grace,
                                             .exit_margin = kExitMargin,
                                             .kill_margin = kKillMargin,
+                                            .address_lifetime = settings_.bounds.address_lifetime,
                                             .address_use = kAddressLifetimesInUse *
                                                            settings_.bounds.address_lifetime},
                     previous_tick_);
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -48,7 +48,8 @@
   time_point deadline = now + matched.timeout;
   if (facts.deadline) deadline = std::min(deadline, now + *facts.deadline);
   if (shutdown_) {
-    if (!shutdown_->CanComplete(deadline)) {
+    const bool must_complete = matched.kind == request_kind::kNonIdempotent;
+    if (!shutdown_->Admits(now, deadline, must_complete)) {
       return refuse({.reason = "leaving", .retry_after = kShutdownRetryAfter});
     }
     logger::Event(
