Count a SIGTERM right after the start from the start of the process

Cause: before the second tick of a gateway the tick before the last one had no time yet, so that a SIGTERM in the first 20 ms began its grace at the epoch of the clock and ended the process at once.

Change: the start of the process counts as a tick. The window names what callers know.

Result: platform.gateway_shutdown_test and request.shutdown_window_test pass; the first 20 ms have no test.

--- a/include/berylbarrow/request/admission/shutdown_window.h
+++ b/include/berylbarrow/request/admission/shutdown_window.h
@@ -41,8 +41,8 @@
   /// at each attempt.
   bool Admits(time_point now, time_point deadline, bool must_complete) const {
     if (CanComplete(deadline)) return true;
-    const bool is_known = now >= signalled_at_ + options_.address_lifetime;
-    return !must_complete && !is_known && WorkEnd() - now >= deadline - WorkEnd();
+    const bool callers_know = now >= signalled_at_ + options_.address_lifetime;
+    return !must_complete && !callers_know && WorkEnd() - now >= deadline - WorkEnd();
   }
   /// Whether the process may end now. `has_work`: an exchange with a caller is not complete.
   bool MayExit(time_point now, bool has_work) const {
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -98,6 +98,7 @@
   heartbeat_socket_->Start();
   feed_->Start();
   WaitForShutdownSignal();
+  last_tick_ = clock_.Now();
   Tick();
   context_.run();
   for (const auto& [id, request] : requests_) request->LogCutOff();
@@ -229,6 +230,7 @@
   const time_point now = clock_.Now();
   // The signal may have waited while the thread was busy, but not for longer than since the tick
   // before the last one: the last one may have been called together with the signal.
+  const time_point signalled_at = previous_tick_;
   // Callers that were given this gateway's address go on using it for a while.
   shutdown_.emplace(shutdown_window_options{.grace = settings_.bounds.shutdown_grace,
                                             .exit_margin = kExitMargin,
@@ -236,10 +238,10 @@
                                             .address_lifetime = settings_.bounds.address_lifetime,
                                             .address_use = kAddressLifetimesInUse *
                                                            settings_.bounds.address_lifetime},
-                    previous_tick_);
+                    signalled_at);
   logger::Event(log_level::kInfo, "process", "shutdown_requested",
                 {{"open_requests", std::to_string(requests_.size())},
-                 {"thread_busy_ms", MillisecondsText(now - previous_tick_)}});
+                 {"thread_busy_ms", MillisecondsText(now - signalled_at)}});
   caller_server_.CloseAfterAnswers();
   SendHeartbeat(now);
 }
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -119,7 +119,7 @@
   std::uint64_t heartbeat_sequence_ = 0;
   time_point next_heartbeat_ = time_point::min();
   time_point next_periodic_check_ = time_point::min();
-  time_point last_tick_;
+  time_point last_tick_;  // start of the process before the first one
   time_point previous_tick_;
   std::optional<shutdown_window> shutdown_;  // set when the process has been told to end
   std::shared_ptr<heartbeat_socket> heartbeat_socket_;
