Order the signal of the gateway tests after the start of the gateway

Cause: the thread sanitizer reported a data race in platform.gateway_shutdown_test between the construction of Asio's signal set on the gateway's thread and std::raise on the test's thread; nothing ordered the two. Only the fixture is concerned.

Change: the fixture reads an atomic that each tick of the gateway writes.

--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -211,6 +211,8 @@
 void gateway_fixture::RequestShutdown() {
   // Once the gateway has ended, nothing handles the signal any more.
   if (std::exchange(shutdown_requested_, true)) return;
+  // Each tick of the gateway writes this, so its signal handlers are visible to this thread.
+  (void)block_ns_.load();
   std::raise(SIGTERM);
 }
 
