Log the prompt parts and the progress of each attempt

Change: the adapter parses the ids of the prompt parts that requests may share; attempt lines carry them and the number of events.

--- a/include/berylbarrow/connection/http/exchange_dialect.h
+++ b/include/berylbarrow/connection/http/exchange_dialect.h
@@ -21,6 +21,9 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t answer_tokens = 0;  // at most
   std::uint32_t answer_hint = 0;    // the caller's estimate; 0: none
+  /// Ids of the prompt parts that other requests may share, in order. The last part of a prompt
+  /// belongs to one request or session and is left out.
+  std::vector<std::uint64_t> shared_parts;
 };
 
 /// What an entry adds to a request on its way to an upstream.
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -1,6 +1,8 @@
 #include "process/gateway/relayed_request.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <utility>
 
 #include "berylbarrow/process/telemetry/log.h"
@@ -25,6 +27,18 @@
 constexpr duration kStreamSilenceLimit = milliseconds(1100);
 constexpr duration kUnreachableRetryAfter = milliseconds(300);
 
+/// Hexadecimal ids, separated by commas.
+std::string PartsText(const std::vector<std::uint64_t>& parts) {
+  std::string text;
+  for (const std::uint64_t part : parts) {
+    std::array<char, 16> digits{};
+    char* const end = std::to_chars(digits.data(), digits.data() + digits.size(), part, 16).ptr;
+    if (!text.empty()) text += ',';
+    text.append(digits.data(), end);
+  }
+  return text;
+}
+
 }  // namespace
 
 time_point LatestOnTimeDispatch(const admitted_request& request) {
@@ -451,6 +465,8 @@
                  {"service", request_.service},
                  {"load", std::to_string(last_upstream_load_)},
                  {"version", std::to_string(request_.view->Version())},
+                 {"parts", PartsText(request_.facts.shared_parts)},
+                 {"events", std::to_string(splitter_.ForwardedEvents())},
                  {"ms", MillisecondsText(context_.clock.Now() - request_.arrival)}});
 }
 
--- a/tests/platform/exchange_test.cc
+++ b/tests/platform/exchange_test.cc
@@ -108,6 +108,22 @@
   BOOST_TEST(discovery.IsReadinessProbe({.method = "GET", .target = "/readyz"}));
 }
 
+BOOST_AUTO_TEST_CASE(the_shared_prompt_parts_are_all_but_the_last) {
+  const header_codec codec;
+  const auto parts = [&](const std::string& value) {
+    return codec.ReadCaller({.fields = {{"Prompt-Prefix", value}}}).shared_parts;
+  };
+  BOOST_TEST(parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250") ==
+                 (std::vector<std::uint64_t>{0x5c1e07a2, 0x91bd3f06}),
+             boost::test_tools::per_element());
+  BOOST_TEST(parts("5c1e07a2:800").empty());
+  BOOST_TEST(parts("").empty());
+  BOOST_TEST(parts("no id:1,5c1e07a2:800").empty());
+  std::string many;
+  for (int i = 0; i < 1000; ++i) many += "1:1,";
+  BOOST_TEST(parts(many + "2:1").size() == 32U);
+}
+
 // Guards against uses of the platform's wire names outside its adapter.
 BOOST_AUTO_TEST_CASE(platform_wire_names_occur_only_in_the_platform_folder) {
   const std::regex wire_names(
