Treat a stream that ends with its connection without an event as broken

Callers would see: an empty stream that looks complete, if an upstream crashes after the head of an answer without length or chunks and its host closes the connection in order.

Cause: the end of the connection counted as the end of the stream, also before the first event.

Change: such an end is a broken attempt; it is retried or the caller gets a failure, and the crash analysis hears of it.

--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -41,6 +41,11 @@
   return text;
 }
 
+/// Whether the end of the connection is the end of the answer.
+bool EndsWithConnection(const http_head& head) {
+  return !head.Has("Content-Length") && !head.Has("Transfer-Encoding");
+}
+
 }  // namespace
 
 time_point LatestOnTimeDispatch(const admitted_request& request) {
@@ -249,7 +254,7 @@
       sink_->BeginStream(ToCallerAnswer(head));
     }
     ForwardStreamPart(body, now);
-    if (state_ == state::kStreaming && attempt_) HandleStreamEnd(now);
+    if (state_ == state::kStreaming && attempt_) HandleStreamEnd(EndsWithConnection(head), now);
     return;
   }
   const reply_facts facts = attempt_->facts;
@@ -286,13 +291,14 @@
   ForwardAnswer(head, std::move(body));
 }
 
-void relayed_request::HandleStreamEnd(time_point now) {
-  if (!splitter_.PartialEvent().empty()) {
-    // The stream ended within an event.
+void relayed_request::HandleStreamEnd(bool ends_with_connection, time_point now) {
+  // Nothing else tells an upstream that crashed before the first event from an empty stream.
+  const bool is_missing = ends_with_connection && !attempt_->last_event;
+  if (is_missing || !splitter_.PartialEvent().empty()) {
     if (!attempt_->last_event) ReportCrash(now);
     EndAttempt(attempt_outcome::kBroken, now);
     ++possible_runs_;
-    HandleBrokenAttempt("torn_end", now);
+    HandleBrokenAttempt(is_missing ? "no_event" : "torn_end", now);
     return;
   }
   ++possible_runs_;
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -120,7 +120,8 @@
   void HandleBrokenAttempt(std::string_view reason, time_point now);
   void ForwardStreamPart(std::string& body, time_point now);
   void ForwardEvents(const std::string& events, time_point now);
-  void HandleStreamEnd(time_point now);
+  /// `ends_with_connection`: only the end of the connection told that the stream is complete.
+  void HandleStreamEnd(bool ends_with_connection, time_point now);
   void ForwardAnswer(const http_head& head, std::string&& body);
   /// Aborts the connection to the caller if the head of a stream was already sent, because no other
   /// answer is possible then. Returns false if no head was sent.
