--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -165,23 +165,26 @@
   }
 }
 
-void gateway::SendCrashDigest(time_point now) {
-  next_crash_digest_ = now + kHeartbeatInterval;
-  if (!crashes_.HasObservations()) return;
-  const bool to_all = crashes_.HasNews() || repeat_crash_news_;
-  repeat_crash_news_ = crashes_.HasNews();
+void gateway::SendToGateways(const std::string& datagram, bool to_all, time_point now) {
   std::vector<std::string> targets = members_.GatewayAddresses(now);
   if (!to_all) {
     std::vector<std::string> few;
     std::sample(targets.begin(), targets.end(), std::back_inserter(few), kDigestTargets, random_);
     targets = std::move(few);
   }
-  const std::string datagram = EncodeCrashDigest(crashes_.MakeDigest(now));
   for (const std::string& target : targets) {
     heartbeat_socket_->Send(datagram, ParseUdpEndpoint(target));
   }
 }
 
+void gateway::SendCrashDigest(time_point now) {
+  next_crash_digest_ = now + kHeartbeatInterval;
+  if (!crashes_.HasObservations()) return;
+  const bool has_news = crashes_.HasNews();
+  const bool was_news = std::exchange(repeat_crash_news_, has_news);
+  SendToGateways(EncodeCrashDigest(crashes_.MakeDigest(now)), has_news || was_news, now);
+}
+
 void gateway::OnDatagram(std::string_view datagram) {
   const time_point now = clock_.Now();
   if (const auto heartbeat = DecodeBeat(datagram)) {
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -64,6 +64,8 @@
   void SendCrashDigest(time_point now);
   void OnDatagram(std::string_view datagram);
   void OnHeartbeat(const fleet_beat& heartbeat, time_point now);
+  /// Sends a datagram to all live gateways, or to a few random ones.
+  void SendToGateways(const std::string& datagram, bool to_all, time_point now);
   void HandleLostMembers(time_point now);
   /// Passes the upstreams to the selector if the registry has changed.
   void UpdateSelector(time_point now);
