Share the limits that upstreams name among the gateways

Class: a bound of the whole fleet that no process has a part of.

Change: upstream_limits keeps what answers name, for as long as they name it, and gateways tell each other with digests. fleet_share is the one way to divide a rate of the fleet: from the live gateways alone, without messages; a rate too small for all belongs to as many gateways as can send once a second, chosen by rendezvous hashing for each upstream; a gateway that has just started takes no part for 1.5 s. Limits and cold starts use it, retry budgets its equal share. A limit starts with nothing saved up, as requests may just have been sent. If all upstreams are limited and the share does not allow a request in its time, it is refused at once with a Retry-After that accounts for the wait.

Of upstream_selector_test, the case with 100 entries, which asked for one request of one entry, is now one over all 100 entries: at most 59 requests a second, what the users' rule allows for 36 a second; the old sharing let all 100 send at once.

--- a/include/berylbarrow/connection/http/exchange_dialect.h
+++ b/include/berylbarrow/connection/http/exchange_dialect.h
@@ -50,6 +50,8 @@
   std::string failed_upstream;  // whose failure caused the refusal
   std::optional<reply_load> load;
   std::optional<duration> cold_left;
+  /// Requests per second that the upstream takes from all entries together.
+  std::optional<double> rate_limit;
 };
 
 /// Header fields of callers and upstreams. Implemented by each platform.
--- a/include/berylbarrow/process/membership/fleet_members.h
+++ b/include/berylbarrow/process/membership/fleet_members.h
@@ -46,6 +46,8 @@
   std::uint32_t LiveGateways(time_point now) const;
   /// Whether no other live gateway has a lower incarnation.
   bool IsLowestGateway(time_point now) const;
+  /// Names of the live gateways without this one.
+  std::vector<std::string> GatewayNames(time_point now) const;
   /// Peers addresses of the live gateways without this one.
   std::vector<std::string> GatewayAddresses(time_point now) const;
   /// Callers' addresses of the ready gateways, this one included if it is one: first those of
--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -13,6 +13,7 @@
 #include "berylbarrow/process/membership/upstream_registry.h"
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/request/dispatch/pass_time_model.h"
+#include "berylbarrow/request/routing/fleet_share.h"
 #include "berylbarrow/version/routing/routing_view.h"
 
 namespace berylbarrow {
@@ -63,6 +64,7 @@
   kAllBusy,        // full or blocked
   kColdRateLimit,  // an upstream is cold and has reached its request rate limit
   kNoRetryBudget,  // a retry has to wait until the retry budget allows it
+  kAllLimited,     // all upstreams have named a request rate limit, and their shares are used up
 };
 
 struct dispatch_choice {
@@ -70,6 +72,10 @@
   std::string address;
   std::uint32_t load = 0;                                       // known requests on the upstream
   dispatch_obstacle obstacle = dispatch_obstacle::kNoUpstream;  // applies if `upstream_id` is empty
+  /// Of kAllLimited: time until a limit allows the next request, if this entry has a share, and the
+  /// requests per second that it may then send.
+  std::optional<duration> limited_for;
+  double limited_rate = 0;
 };
 
 struct upstream_selector_options {
@@ -116,8 +122,11 @@
   void SetUpstreams(const upstream_registry& registry, const routing_view* view, time_point now);
   /// Sets the failure domains that get no requests.
   void SetEvacuatedDomains(const std::set<std::string>& domains, time_point now);
-  /// Sets the number of entries, including this one, that share the rate limit of cold upstreams.
-  void SetEntryCount(std::uint32_t count) { entry_count_ = count == 0 ? 1 : count; }
+  /// Must be called when the shares of this entry may have changed. `share` must outlive the
+  /// selector.
+  void UpdateRates(const fleet_share& share, time_point now);
+  /// Sets the requests per second that an upstream takes from all entries together.
+  void SetRateLimit(std::uint32_t id_hash, std::optional<double> limit, time_point now);
 
   dispatch_choice Choose(const dispatch_query& query, time_point now) const;
 
@@ -158,9 +167,9 @@
     time_point last_failure_at = time_point::min();
     std::uint32_t consecutive_failures = 0;
     time_point blocked_until = time_point::min();
-    double latency_ms = 0;        // moving average of served responses; 0: none yet
-    double cold_rate_tokens = 1;  // of the rate limiter, as of `cold_rate_tokens_at`
-    time_point cold_rate_tokens_at = time_point::min();
+    double latency_ms = 0;             // moving average of served responses; 0: none yet
+    std::optional<double> rate_limit;  // requests per second from all entries
+    std::optional<request_rate> rate;  // of this entry, while cold or limited
     std::optional<engine_report> report;
     time_point report_received_at = time_point::min();
   };
@@ -184,9 +193,9 @@
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
   /// False if a recent report says that the group is waiting for a rank.
   bool IsGroupOpen(const upstream_state& state, time_point now) const;
-  bool IsWithinColdRate(const upstream_state& state, time_point now) const;
-  /// Tokens that the rate limiter of a cold upstream has now.
-  double ColdRateTokens(const upstream_state& state, time_point now) const;
+  bool IsWithinRate(const upstream_state& state, time_point now) const;
+  /// Sets the part of the rate of a cold or limited upstream that this entry may use.
+  void UpdateRate(upstream_state& state, time_point now) const;
   double DecayedFailures(const upstream_state& state, time_point now) const;
   /// Expected cost of sending a request to the upstream; the lowest score is chosen.
   double Score(const upstream_state& state, const dispatch_query& query, const group_models& groups,
@@ -203,7 +212,7 @@
   load_by_upstream total_peer_load_;                   // sum over all peers
   std::map<std::string, pass_time_stats> pass_times_;  // by group key
   std::set<std::string> evacuated_domains_;
-  std::uint32_t entry_count_ = 1;
+  const fleet_share* share_ = nullptr;  // null: this is the only entry
 };
 
 /// Identifies an upstream in messages between entries.
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -29,8 +29,6 @@
 // Part of kExitMargin that is reserved for the exit. A processor quota may stop the process for
 // 100 ms.
 constexpr duration kKillMargin = milliseconds(150);
-// Retry budgets are divided by at least this number of gateways, which is that of a small fleet.
-constexpr std::uint32_t kMinGateways = 6;
 // Share of the fleet's retry budget that is used. The rest is a reserve, because gateways may not
 // know of each other.
 constexpr double kUsedBudgetShare = 0.8;
@@ -56,6 +54,7 @@
       registry_({}),
       selector_({}),
       crashes_({.observer = incarnation_}),
+      share_({}),
       upstream_links_(context_, {}, clock),
       relay_context_{.settings = settings,
                      .dialect = platform.exchange,
@@ -138,6 +137,7 @@
   }
   if (now >= next_heartbeat_) SendHeartbeat(now);
   if (crashes_.HasNews() || now >= next_crash_digest_) SendCrashDigest(now);
+  if (limits_.HasNews() || now >= next_limit_digest_) SendLimitDigest(now);
   if (now >= next_periodic_check_) {
     next_periodic_check_ = now + kPeriodicCheckInterval;
     caller_server_.CheckTimeouts(now);
@@ -185,12 +185,37 @@
   SendToGateways(EncodeCrashDigest(crashes_.MakeDigest(now)), has_news || was_news, now);
 }
 
+void gateway::SendLimitDigest(time_point now) {
+  next_limit_digest_ = now + kHeartbeatInterval;
+  if (limits_.IsEmpty()) return;
+  const bool has_news = limits_.HasNews();
+  const bool was_news = std::exchange(repeat_limit_news_, has_news);
+  SendToGateways(EncodeLimitDigest(limits_.MakeDigest(now)), has_news || was_news, now);
+}
+
+void gateway::ApplyLimit(std::uint32_t upstream, time_point now) {
+  const auto limit = limits_.LimitOf(upstream);
+  selector_.SetRateLimit(upstream, limit, now);
+  logger::Event(log_level::kWarning, "fleet", "upstream_limit",
+                {{"upstream_hash", std::to_string(upstream)},
+                 {"requests_per_s", limit ? std::to_string(*limit) : "none"},
+                 {"gateways", std::to_string(share_.GatewayCount())},
+                 {"own_per_s", limit ? std::to_string(share_.RateOf(upstream, *limit, now)) : ""}});
+}
+
+void gateway::UpdateShares(time_point now) {
+  share_.SetGateways(settings_.name, members_.GatewayNames(now), now);
+  selector_.UpdateRates(share_, now);
+}
+
 void gateway::OnDatagram(std::string_view datagram) {
   const time_point now = clock_.Now();
   if (const auto heartbeat = DecodeBeat(datagram)) {
     OnHeartbeat(*heartbeat, now);
   } else if (const auto digest = DecodeCrashDigest(datagram)) {
     crashes_.Merge(*digest, now);
+  } else if (const auto limits = DecodeLimitDigest(datagram)) {
+    for (const std::uint32_t upstream : limits_.Merge(*limits, now)) ApplyLimit(upstream, now);
   }
 }
 
@@ -199,10 +224,13 @@
   if (members_.OnBeat(heartbeat, now)) {
     logger::Event(log_level::kInfo, "fleet", "member_found",
                   {{"name", heartbeat.self.name}, {"failure_domain", heartbeat.self.domain}});
-    selector_.SetEntryCount(members_.LiveGateways(now));
+    UpdateShares(now);
+    const auto address = ParseUdpEndpoint(heartbeat.self.peers_address);
     if (is_gateway && crashes_.HasObservations()) {
-      heartbeat_socket_->Send(EncodeCrashDigest(crashes_.MakeDigest(now)),
-                              ParseUdpEndpoint(heartbeat.self.peers_address));
+      heartbeat_socket_->Send(EncodeCrashDigest(crashes_.MakeDigest(now)), address);
+    }
+    if (is_gateway && !limits_.IsEmpty()) {
+      heartbeat_socket_->Send(EncodeLimitDigest(limits_.MakeDigest(now)), address);
     }
   }
   for (const engine_report& report : heartbeat.reports) selector_.OnEngineReport(report, now);
@@ -217,22 +245,22 @@
     logger::Event(log_level::kWarning, "fleet", "member_lost", {{"name", name}});
     selector_.RemovePeer(name);
   }
-  selector_.SetEntryCount(members_.LiveGateways(now));
+  UpdateShares(now);
 }
 
 void gateway::UpdateSelector(time_point now) {
   if (registry_.Revision() == selector_revision_) return;
   selector_revision_ = registry_.Revision();
   selector_.SetUpstreams(registry_, routing_view_.get(), now);
+  std::set<std::uint32_t> upstreams;
+  for (const auto& [id, registered] : registry_.Upstreams()) upstreams.insert(UpstreamHash(id));
+  limits_.Retain(upstreams);
 }
 
 void gateway::UpdateRetryBudgets(time_point now) {
   if (routing_view_ == nullptr) return;
-  // A process that is isolated or has just started knows of too few others, so the highest count
-  // that it has seen applies.
-  max_live_gateways_ = std::max({max_live_gateways_, members_.LiveGateways(now), kMinGateways});
   const double window = std::chrono::duration<double>(settings_.bounds.retry_window).count();
-  const double slack = settings_.bounds.retry_slack * kUsedBudgetShare / max_live_gateways_;
+  const double slack = settings_.bounds.retry_slack * kUsedBudgetShare * share_.EqualShare();
   const retry_budget_options options{
       .retries_per_request = settings_.bounds.retry_share * kUsedBudgetShare,
       .min_retries_per_second = 0.3 * slack / window,
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -16,6 +16,8 @@
 #include "berylbarrow/process/membership/fleet_members.h"
 #include "berylbarrow/process/membership/upstream_registry.h"
 #include "berylbarrow/request/admission/shutdown_window.h"
+#include "berylbarrow/request/routing/fleet_share.h"
+#include "berylbarrow/request/routing/upstream_limits.h"
 #include "connection/peer/heartbeat_socket.h"
 #include "process/gateway/admission_gate.h"
 #include "process/gateway/information_handler.h"
@@ -53,6 +55,8 @@
   void OnRequeueNeeded(relayed_request& request) override;
   void OnMisdirectedAttempt() override;
   bool IsTrialOwner() const override;
+  void OnAnswerHead(const std::string& upstream_id, const reply_facts& facts,
+                    time_point sent_at) override;
   void OnRequestDone(queued_request_id id) override;
 
  private:
@@ -64,8 +68,13 @@
   void SendCrashDigest(time_point now);
   void OnDatagram(std::string_view datagram);
   void OnHeartbeat(const fleet_beat& heartbeat, time_point now);
+  /// Tells other gateways of the limits that upstreams name, like SendCrashDigest().
+  void SendLimitDigest(time_point now);
   /// Sends a datagram to all live gateways, or to a few random ones.
   void SendToGateways(const std::string& datagram, bool to_all, time_point now);
+  void ApplyLimit(std::uint32_t upstream, time_point now);
+  /// Recomputes this gateway's shares after the live gateways may have changed.
+  void UpdateShares(time_point now);
   void HandleLostMembers(time_point now);
   /// Passes the upstreams to the selector if the registry has changed.
   void UpdateSelector(time_point now);
@@ -88,6 +97,8 @@
   /// wait for the retry budget.
   void DispatchQueued(const std::string& service, time_point now);
   duration BusyRetryAfter();
+  /// Time until the rate limits of the upstreams allow a request that is queued now.
+  duration ExpectedLimitedWait(const relayed_request& request, time_point now);
   /// Refuses queued requests that can no longer be served in time.
   void RefuseExpired(time_point now);
   /// Recomputes this gateway's share of the retries that the fleet is allowed.
@@ -106,6 +117,8 @@
   upstream_registry registry_;
   upstream_selector selector_;
   crash_analysis crashes_;
+  upstream_limits limits_;
+  fleet_share share_;
   metrics metrics_;
   link_pool upstream_links_;
   std::map<std::string, start_delay> start_delays_;    // by service
@@ -122,12 +135,14 @@
   std::map<std::string, request_queue> queues_;  // by service
   std::set<std::string> scheduled_dispatches_;   // services with a posted DispatchQueued() call
   queued_request_id next_request_id_ = 1;
-  std::uint32_t max_live_gateways_ = 1;  // most that were live at once
   std::uint64_t selector_revision_ = 0;  // of the registry, as last passed to the selector
   std::uint64_t heartbeat_sequence_ = 0;
   time_point next_heartbeat_ = time_point::min();
   time_point next_crash_digest_ = time_point::min();
-  bool repeat_crash_news_ = false;  // the next digest goes to all gateways, in case one was lost
+  time_point next_limit_digest_ = time_point::min();
+  // The next digest goes to all gateways once more, in case one was lost.
+  bool repeat_crash_news_ = false;
+  bool repeat_limit_news_ = false;
   time_point next_periodic_check_ = time_point::min();
   time_point last_tick_;  // start of the process before the first one
   time_point previous_tick_;
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -20,6 +20,8 @@
 // retry at the same time.
 constexpr duration kBusyRetryAfter = milliseconds(500);
 constexpr duration kBusyRetrySpread = milliseconds(700);
+// Longest part of a Retry-After that rate limits account for; another gateway may have a share.
+constexpr duration kMaxLimitedRetryAfter = milliseconds(1500);
 
 }  // namespace
 
@@ -115,6 +117,13 @@
                               .arrival = admitted.arrival,
                               .on_time_until = LatestOnTimeDispatch(admitted),
                               .dispatch_deadline = dispatch_by};
+  if (obstacle == dispatch_obstacle::kAllLimited) {
+    const duration wait = ExpectedLimitedWait(request, now);
+    if (now + wait > dispatch_by) {
+      request.Refuse("rate_limited", std::min(wait, kMaxLimitedRetryAfter) + BusyRetryAfter());
+      return;
+    }
+  }
   if (queued.dispatch_deadline <= now || !QueueOf(admitted.service).Push(queued)) {
     request.Refuse("no_place", BusyRetryAfter());
     return;
@@ -126,6 +135,14 @@
                  {"waiting", std::to_string(QueueOf(admitted.service).Size())}});
 }
 
+duration gateway::ExpectedLimitedWait(const relayed_request& request, time_point now) {
+  const dispatch_choice choice = request.ChooseUpstream(std::nullopt, now);
+  if (!choice.limited_for) return duration::max() / 2;  // the limits leave nothing to this gateway
+  const double waiting = static_cast<double>(QueueOf(request.Request().service).Size());
+  return *choice.limited_for + std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+                                   waiting / std::max(choice.limited_rate, 0.01)));
+}
+
 duration gateway::BusyRetryAfter() {
   return kBusyRetryAfter +
          std::chrono::duration_cast<duration>(kBusyRetrySpread * relay_context_.UniformRandom());
@@ -181,6 +198,13 @@
 
 bool gateway::IsTrialOwner() const { return members_.IsLowestGateway(clock_.Now()); }
 
+void gateway::OnAnswerHead(const std::string& upstream_id, const reply_facts& facts,
+                           time_point sent_at) {
+  const std::uint32_t upstream = UpstreamHash(upstream_id);
+  const time_point now = clock_.Now();
+  if (limits_.OnAnswer(upstream, facts.rate_limit, sent_at, now)) ApplyLimit(upstream, now);
+}
+
 void gateway::OnRequestDone(queued_request_id id) {
   const auto found = requests_.find(id);
   if (found == requests_.end()) return;
--- a/src/process/gateway/relay_context.h
+++ b/src/process/gateway/relay_context.h
@@ -49,6 +49,9 @@
   virtual void OnRequeueNeeded(relayed_request& request) = 0;
   /// Another upstream answered at the address of the instance list, so the list is out of date.
   virtual void OnMisdirectedAttempt() = 0;
+  /// An upstream has begun to answer a request that was sent to it at `sent_at`.
+  virtual void OnAnswerHead(const std::string& upstream_id, const reply_facts& facts,
+                            time_point sent_at) = 0;
   /// Whether this gateway is the one that tries requests which are refused for their crashes.
   virtual bool IsTrialOwner() const = 0;
   /// The request has ended and can be removed.
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -69,7 +69,8 @@
   return first_event_time_ == time_point::min() && now > LatestOnTimeDispatch(request_);
 }
 
-dispatch_choice relayed_request::ChooseUpstream(std::optional<std::uint32_t> unit, time_point now) {
+dispatch_choice relayed_request::ChooseUpstream(std::optional<std::uint32_t> unit,
+                                                time_point now) const {
   return context_.selector.Choose({.service = request_.service,
                                    .domain = context_.settings.domain,
                                    .excluded = tried_upstreams_,
@@ -196,6 +197,7 @@
   const time_point now = context_.clock.Now();
   attempt_->last_received = now;
   attempt_->head_received = now;
+  listener_.OnAnswerHead(attempt_->upstream_id, facts, attempt_->sent);
   attempt_->facts = std::move(facts);
   if (!IsStreamAnswer(head)) return true;
   if (!attempt_->facts.is_signed) return true;  // handled as broken in OnAnswerEnd
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -59,6 +59,9 @@
   bool IsDone() const { return state_ == state::kDone; }
   bool IsWaiting() const { return state_ == state::kWaiting; }
 
+  /// The upstream that the request would be sent to now. `unit`: if set, the failure unit to which
+  /// the choice is limited.
+  dispatch_choice ChooseUpstream(std::optional<std::uint32_t> unit, time_point now) const;
   /// Sends the request if an upstream has capacity for it. Otherwise returns the obstacle, and the
   /// caller must try again later.
   dispatch_obstacle TryDispatch(time_point now);
@@ -95,8 +98,6 @@
   std::uint32_t ExpectedTokens() const;
   /// Whether the request can no longer meet its latency objective.
   bool IsLate(time_point now) const;
-  /// `unit`: if set, the failure unit to which the choice is limited.
-  dispatch_choice ChooseUpstream(std::optional<std::uint32_t> unit, time_point now);
   crash_verdict CheckCrashes(time_point now) const;
   /// Answers a request that the crash analysis does not let run now. Returns false if it may run.
   bool EndIfSuspected(const crash_verdict& verdict);
--- a/src/process/membership/fleet_members.cc
+++ b/src/process/membership/fleet_members.cc
@@ -129,6 +129,15 @@
   });
 }
 
+std::vector<std::string> fleet_members::GatewayNames(time_point now) const {
+  std::vector<std::string> names;
+  for (const auto& [name, known] : members_) {
+    const bool live = now - known.heard <= options_.lifetime;
+    if (live && known.member.role == member_role::kGateway) names.push_back(name);
+  }
+  return names;
+}
+
 std::vector<std::string> fleet_members::GatewayAddresses(time_point now) const {
   std::vector<std::string> addresses;
   for (const auto& [name, known] : members_) {
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace berylbarrow {
@@ -17,6 +18,14 @@
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
+/// Adds what the rate of a limited upstream allows later.
+void AddLimited(const request_rate& rate, time_point now, dispatch_choice& choice) {
+  const auto wait = rate.TimeUntilAllowed(now);
+  if (!wait) return;
+  choice.limited_for = std::min(choice.limited_for.value_or(*wait), *wait);
+  choice.limited_rate += rate.RequestsPerSecond();
+}
+
 }  // namespace
 
 std::uint32_t UpstreamHash(const std::string& id) {
@@ -35,6 +44,7 @@
       state.decayed_failures = 0;
       state.consecutive_failures = 0;
       state.blocked_until = time_point::min();
+      state.rate_limit.reset();
     }
     if (state.record.address != registered.record.address) state.blocked_until = time_point::min();
     state.record = registered.record;
@@ -51,6 +61,7 @@
     state.engine = profile->engine;
     state.cold_start = profile->cold_start;
     state.cold_requests_per_second = profile->cold_requests_per_second;
+    UpdateRate(state, now);
   }
 }
 
@@ -59,7 +70,9 @@
     const bool returns = evacuated_domains_.count(state.record.domain) > 0 &&
                          domains.count(state.record.domain) == 0;
     // The upstreams had no requests during the evacuation, so they may be cold again.
-    if (returns) state.cold_until = std::max(state.cold_until, now + state.cold_start);
+    if (!returns) continue;
+    state.cold_until = std::max(state.cold_until, now + state.cold_start);
+    UpdateRate(state, now);
   }
   evacuated_domains_ = domains;
 }
@@ -129,16 +142,40 @@
   return !fresh || state.report->open;
 }
 
-double upstream_selector::ColdRateTokens(const upstream_state& state, time_point now) const {
-  const double rate = state.cold_requests_per_second * options_.cold_rate_share / entry_count_;
-  const double burst = std::max(1.0, rate / 4);
-  if (state.cold_rate_tokens_at == time_point::min()) return burst;
-  return std::min(burst, state.cold_rate_tokens + rate * Seconds(now - state.cold_rate_tokens_at));
+void upstream_selector::UpdateRate(upstream_state& state, time_point now) const {
+  const bool is_cold = now < state.cold_until && state.cold_requests_per_second > 0;
+  if (!is_cold && !state.rate_limit) {
+    state.rate.reset();
+    return;
+  }
+  double fleet_rate = std::numeric_limits<double>::max();
+  if (is_cold) fleet_rate = state.cold_requests_per_second * options_.cold_rate_share;
+  if (state.rate_limit) fleet_rate = std::min(fleet_rate, *state.rate_limit);
+  const double own_rate =
+      share_ == nullptr ? fleet_rate : share_->RateOf(state.id_hash, fleet_rate, now);
+  // Requests may have been sent to a limited upstream just before its limit became known.
+  const bool may_send_at_once = !state.rate_limit && own_rate > 0;
+  if (!state.rate) state.rate.emplace(may_send_at_once ? 1.0 : 0.0, now);
+  state.rate->SetRate(own_rate, now);
 }
 
-bool upstream_selector::IsWithinColdRate(const upstream_state& state, time_point now) const {
-  if (now >= state.cold_until || state.cold_requests_per_second <= 0) return true;
-  return ColdRateTokens(state, now) >= 1;
+void upstream_selector::UpdateRates(const fleet_share& share, time_point now) {
+  share_ = &share;
+  for (auto& [id, state] : upstreams_) UpdateRate(state, now);
+}
+
+void upstream_selector::SetRateLimit(std::uint32_t id_hash, std::optional<double> limit,
+                                     time_point now) {
+  for (auto& [id, state] : upstreams_) {
+    if (state.id_hash != id_hash) continue;
+    state.rate_limit = limit;
+    UpdateRate(state, now);
+  }
+}
+
+bool upstream_selector::IsWithinRate(const upstream_state& state, time_point now) const {
+  const bool is_restricted = now < state.cold_until || state.rate_limit;
+  return !is_restricted || !state.rate || state.rate->IsAllowed(now);
 }
 
 double upstream_selector::DecayedFailures(const upstream_state& state, time_point now) const {
@@ -191,14 +228,17 @@
   const upstream_state* least_blocked = nullptr;
   double best_score = 0;
   double tie_break_sequence = query.tie_break;
+  bool all_limited = true;
   for (const auto& [id, state] : upstreams_) {
     if (!IsUsable(state, query)) continue;
+    all_limited = all_limited && state.rate_limit && !IsWithinRate(state, now);
     if (!HasCapacity(state, groups, query.late, now)) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
       continue;
     }
-    if (!IsWithinColdRate(state, now)) {
+    if (!IsWithinRate(state, now)) {
       choice.obstacle = std::max(choice.obstacle, dispatch_obstacle::kColdRateLimit);
+      if (state.rate_limit) AddLimited(*state.rate, now, choice);
       continue;
     }
     if (now < state.blocked_until || !IsGroupOpen(state, now)) {
@@ -224,6 +264,9 @@
     if (least_blocked != nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
     }
+    if (all_limited && choice.obstacle != dispatch_obstacle::kNoUpstream) {
+      choice.obstacle = dispatch_obstacle::kAllLimited;
+    }
     return choice;
   }
   return {.upstream_id = best->record.id,
@@ -238,10 +281,7 @@
   upstream_state& state = found->second;
   ++state.in_flight;
   state.in_flight_tokens += tokens;
-  if (now < state.cold_until) {
-    state.cold_rate_tokens = ColdRateTokens(state, now) - 1;
-    state.cold_rate_tokens_at = now;
-  }
+  if (state.rate) state.rate->OnSent(now);
 }
 
 void upstream_selector::Block(upstream_state& state, time_point now) {
@@ -295,6 +335,7 @@
   const auto found = upstreams_.find(id);
   if (found == upstreams_.end()) return;
   found->second.cold_until = std::max(found->second.cold_until, now + left);
+  UpdateRate(found->second, now);
 }
 
 void upstream_selector::OnEngineReport(const engine_report& report, time_point now) {
@@ -385,6 +426,8 @@
                    {"failures", DecayedFailures(state, now)},
                    {"blocked", now < state.blocked_until},
                    {"cold", now < state.cold_until},
+                   {"rate_limit", state.rate_limit.value_or(-1)},
+                   {"own_rate", state.rate ? state.rate->RequestsPerSecond() : -1.0},
                    {"group", state.report ? state.report->group : ""},
                    {"pace", state.report ? state.report->pace : 1.0}});
   }
--- a/tests/platform/exchange_test.cc
+++ b/tests/platform/exchange_test.cc
@@ -124,6 +124,18 @@
   BOOST_TEST(parts(many + "2:1").size() == 32U);
 }
 
+BOOST_AUTO_TEST_CASE(the_rate_limit_of_an_upstream_is_a_decimal_number) {
+  const header_codec codec;
+  const auto limit = [&](const std::string& value) {
+    return codec.ReadReply({.status = 200, .fields = {{"Server-Limit", value}}}).rate_limit;
+  };
+  BOOST_TEST(limit("2.25").value() == 2.25);
+  BOOST_TEST(limit("0").value() == 0);
+  for (const char* malformed : {"", "x", "2x", "-1", "nan", "inf", "1e999", "2,5"}) {
+    BOOST_TEST(!limit(malformed).has_value(), malformed);
+  }
+}
+
 // Guards against uses of the platform's wire names outside its adapter.
 BOOST_AUTO_TEST_CASE(platform_wire_names_occur_only_in_the_platform_folder) {
   const std::regex wire_names(
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -179,11 +179,26 @@
   BOOST_TEST((fixture.Choose().obstacle == dispatch_obstacle::kAllBusy));
 }
 
+/// Names of `count` other entries.
+std::vector<std::string> OtherEntries(int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i) names.push_back("entry-" + std::to_string(i));
+  return names;
+}
+
+/// The share of an entry that has known the other entries for long enough.
+fleet_share SettledShare(const std::string& self, const std::vector<std::string>& others) {
+  fleet_share share({});
+  share.SetGateways(self, others, kStart - std::chrono::seconds(10));
+  return share;
+}
+
 // Restarted replicas are cold and crash if all entries send requests at the same time.
 BOOST_AUTO_TEST_CASE(requests_to_a_cold_upstream_are_rate_limited_per_entry) {
   selector_fixture fixture;
   fixture.AddUpstream("a", "north", "model", std::chrono::seconds(3));
-  fixture.selector.SetEntryCount(6);
+  const fleet_share share = SettledShare("self", OtherEntries(5));
+  fixture.selector.UpdateRates(share, fixture.now);
   int sent = 0;
   for (int step = 0; step < 100; ++step, fixture.AdvanceTime(milliseconds(10))) {
     const auto choice = fixture.Choose();
@@ -196,13 +211,76 @@
   BOOST_TEST(sent <= 7);
 }
 
+// Guards against a large fleet in which each entry may send one request at once.
+BOOST_AUTO_TEST_CASE(all_entries_of_a_large_fleet_keep_to_the_rate_of_a_cold_upstream) {
+  constexpr int kEntries = 100;
+  int sent = 0;
+  for (int i = 0; i < kEntries; ++i) {
+    std::vector<std::string> others = OtherEntries(kEntries);
+    const std::string self = others[i];
+    std::erase(others, self);
+    const fleet_share share = SettledShare(self, others);
+    selector_fixture fixture;
+    fixture.AddUpstream("a", "south");
+    fixture.selector.SetEvacuatedDomains({"south"}, fixture.now);
+    BOOST_TEST(fixture.Choose().upstream_id.empty());
+    fixture.selector.UpdateRates(share, fixture.now);
+    fixture.selector.SetEvacuatedDomains({}, fixture.now);
+    for (int step = 0; step < 100; ++step, fixture.AdvanceTime(milliseconds(10))) {
+      const int now_sent = fixture.SendRequests(10)["a"];
+      BOOST_TEST(now_sent <= 1);
+      sent += now_sent;
+    }
+  }
+  // One and a half times the 36 requests per second that it bears, and 5.
+  BOOST_TEST(sent <= 59);
+  BOOST_TEST(sent >= 20);
+}
+
+// Guards against requests beyond the limit that an upstream names, also by an entry that has sent
+// some before it heard of the limit.
+BOOST_AUTO_TEST_CASE(a_limited_upstream_gets_its_limit_and_the_others_the_rest) {
+  selector_fixture fixture;
+  fixture.AddUpstream("a", "north", "plain");
+  fixture.AddUpstream("b", "north", "plain");
+  fixture.selector.SetRateLimit(UpstreamHash("a"), 2.0, fixture.now);
+  std::map<std::string, int> sent;
+  for (int step = 0; step < 400; ++step, fixture.AdvanceTime(milliseconds(10))) {
+    const dispatch_choice choice = fixture.Choose("plain");
+    fixture.selector.OnSent(choice.upstream_id, 1, fixture.now);
+    fixture.selector.OnFinished(choice.upstream_id, 1, attempt_outcome::kServed, milliseconds(9),
+                                fixture.now);
+    ++sent[choice.upstream_id];
+  }
+  BOOST_TEST(sent["a"] <= 8);
+  BOOST_TEST(sent["b"] >= 390);
+  fixture.selector.SetRateLimit(UpstreamHash("a"), std::nullopt, fixture.now);
+  BOOST_TEST(fixture.Choose("plain", {"b"}).upstream_id == "a");
+}
+
+BOOST_AUTO_TEST_CASE(the_obstacle_tells_whether_all_upstreams_are_limited_and_for_how_long) {
+  selector_fixture fixture;
+  for (const char* id : {"a", "b"}) {
+    fixture.AddUpstream(id, "north", "plain");
+    fixture.selector.SetRateLimit(UpstreamHash(id), 0.5, fixture.now);
+  }
+  const dispatch_choice limited = fixture.Choose("plain");
+  BOOST_TEST((limited.obstacle == dispatch_obstacle::kAllLimited));
+  BOOST_TEST((limited.limited_for.value() == std::chrono::seconds(2)));
+  BOOST_TEST(limited.limited_rate == 1.0);
+  fixture.AddUpstream("c", "north", "plain");
+  BOOST_TEST(fixture.Choose("plain").upstream_id == "c");
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_in_an_evacuated_domain_gets_no_requests_and_returns_cold) {
   selector_fixture fixture;
   fixture.AddUpstream("a", "south");
   fixture.selector.SetEvacuatedDomains({"south"}, fixture.now);
   BOOST_TEST(fixture.Choose().upstream_id.empty());
+  std::vector<std::string> others = OtherEntries(10);
+  const fleet_share share = SettledShare("self", others);
+  fixture.selector.UpdateRates(share, fixture.now);
   fixture.selector.SetEvacuatedDomains({}, fixture.now);
-  fixture.selector.SetEntryCount(100);
   BOOST_TEST(fixture.SendRequests(10)["a"] == 1);
 }
 
