End open requests of a suspect once it is known to crash upstreams

Cause: the second request had already been sent and waited for its first event.

Change: whenever the suspects change, a gateway ends its open attempts without an event whose request is now refused, by a reset, and answers them like the others.

Test: an_open_request_is_ended_when_another_one_shows_that_it_crashes_upstreams. It came with the change and was not run without it.

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -85,6 +85,8 @@
   /// A request with the permission kTrial was sent.
   void OnTrialSent(std::uint64_t suspect, time_point now) { trials_[suspect] = now; }
 
+  /// Increases whenever the suspects may have changed.
+  std::uint64_t Revision() const { return revision_; }
   bool HasObservations() const { return !observations_.empty(); }
   /// Whether other gateways should be told at once, since the last call of MakeDigest().
   bool HasNews() const { return has_news_; }
@@ -170,6 +172,7 @@
   std::map<std::uint64_t, time_point> trials_;  // when the last one was sent, by suspect
   std::uint32_t next_sequence_ = 1;
   std::size_t next_old_observation_ = 0;  // with which the next digest continues
+  std::uint64_t revision_ = 0;
   bool has_news_ = false;
 };
 
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -127,10 +127,8 @@
   registry_.Advance(now);
   UpdateSelector(now);
   upstream_links_.CheckTimeouts(now);
-  std::vector<std::shared_ptr<relayed_request>> active;
-  active.reserve(requests_.size());
-  for (const auto& [id, request] : requests_) active.push_back(request);
-  for (const auto& request : active) request->CheckTimeouts(now);
+  for (const auto& request : OpenRequests()) request->CheckTimeouts(now);
+  EndRefusedRequests(now);
   RefuseExpired(now);
   for (auto& [service, queue] : queues_) {
     if (queue.Size() > 0) DispatchQueued(service, now);
@@ -165,6 +163,12 @@
   }
 }
 
+void gateway::EndRefusedRequests(time_point now) {
+  if (crashes_.Revision() == crashes_revision_) return;
+  crashes_revision_ = crashes_.Revision();
+  for (const auto& request : OpenRequests()) request->EndIfRefused(now);
+}
+
 void gateway::SendToGateways(const std::string& datagram, bool to_all, time_point now) {
   std::vector<std::string> targets = members_.GatewayAddresses(now);
   if (!to_all) {
@@ -214,6 +218,7 @@
     OnHeartbeat(*heartbeat, now);
   } else if (const auto digest = DecodeCrashDigest(datagram)) {
     crashes_.Merge(*digest, now);
+    EndRefusedRequests(now);
   } else if (const auto limits = DecodeLimitDigest(datagram)) {
     for (const std::uint32_t upstream : limits_.Merge(*limits, now)) ApplyLimit(upstream, now);
   }
@@ -315,11 +320,15 @@
   if (shutdown_->MayExit(now, has_work)) context_.stop();
 }
 
-void gateway::EndOpenRequests(time_point now) {
+std::vector<std::shared_ptr<relayed_request>> gateway::OpenRequests() const {
   std::vector<std::shared_ptr<relayed_request>> open;
   open.reserve(requests_.size());
   for (const auto& [id, request] : requests_) open.push_back(request);
-  for (const auto& request : open) {
+  return open;
+}
+
+void gateway::EndOpenRequests(time_point now) {
+  for (const auto& request : OpenRequests()) {
     request->EndUnfinished({.status = 502, .reason = "leaving", .retry_after = kShutdownRetryAfter},
                            now);
   }
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -64,6 +64,8 @@
   void Tick();
   /// Sends this gateway's state and load to the other processes of the fleet.
   void SendHeartbeat(time_point now);
+  /// Ends the open requests that the crash analysis has come to refuse.
+  void EndRefusedRequests(time_point now);
   /// Tells other gateways of crashes: all of them if there is news, otherwise a few.
   void SendCrashDigest(time_point now);
   void OnDatagram(std::string_view datagram);
@@ -82,6 +84,8 @@
   void WaitForReloadSignal();
   void BeginShutdown();
   void CheckShutdown(time_point now);
+  /// A copy, because requests may end while it is iterated.
+  std::vector<std::shared_ptr<relayed_request>> OpenRequests() const;
   /// Ends the requests for which the process has no time left.
   void EndOpenRequests(time_point now);
   bool IsReady(time_point now) const;
@@ -142,6 +146,7 @@
   time_point next_limit_digest_ = time_point::min();
   // The next digest goes to all gateways once more, in case one was lost.
   bool repeat_crash_news_ = false;
+  std::uint64_t crashes_revision_ = 0;  // for which EndRefusedRequests() was done
   bool repeat_limit_news_ = false;
   time_point next_periodic_check_ = time_point::min();
   time_point last_tick_;  // start of the process before the first one
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -401,6 +401,16 @@
   EndUnfinished({.status = 504, .reason = "deadline"}, now);
 }
 
+void relayed_request::EndIfRefused(time_point now) {
+  const bool may_end = attempt_ && !attempt_->last_event && request_.matched_route->MayRepeat();
+  if (!may_end || CheckCrashes(now).permission != crash_permission::kRefused) return;
+  const auto self = shared_from_this();
+  LogAttempt("attempt_abandoned", "crashes_upstreams");
+  ++possible_runs_;
+  CancelAttempt(now);
+  SendFailure(kCrashRefusalStatus, "crashes_upstreams");
+}
+
 void relayed_request::EndUnfinished(const unfinished_answer& answer, time_point now) {
   if (state_ == state::kDone) return;
   const auto self = shared_from_this();
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -70,6 +70,9 @@
   void Refuse(std::string_view reason, duration retry_after);
   /// Called regularly. Ends the request at its deadline, and retries it if the upstream is silent.
   void CheckTimeouts(time_point now);
+  /// Ends an attempt without an event if the request is now refused for the crashes that it causes,
+  /// so that it does not crash the upstream as well.
+  void EndIfRefused(time_point now);
   /// Ends the request before its answer is complete.
   void EndUnfinished(const unfinished_answer& answer, time_point now);
   /// Logs the request as cut off. Called if the process ends before the request does.
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -263,6 +263,7 @@
 }
 
 void crash_analysis::UpdateSuspects() {
+  ++revision_;
   suspects_.clear();
   for (const crash& each : FindCrashes()) AddCrash(each);
   ClearAnsweredTraits();
--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -1,5 +1,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 #include "berylbarrow/process/membership/fleet_beat.h"
 #include "berylbarrow/request/suspect/crash_digest.h"
@@ -65,6 +66,35 @@
   BOOST_TEST(Contains(gateway.SendAndReceive(MakeDraft(30, "b1:40,3:9")), "data: a"));
 }
 
+// Guards against a second crash by a request that was sent to another upstream just before the
+// first one, as the gateway learns of the cause while that request still waits for its answer.
+BOOST_AUTO_TEST_CASE(an_open_request_is_ended_when_another_one_shows_that_it_crashes_upstreams) {
+  const scripted_upstream slow([](const std::string& request) {
+    const std::string& id = HeaderValue(request, "Request-Attempt-Id");
+    if (id == "a20") {
+      return scripted_reply{.delayed_bytes = MakeStreamResponse(request, {}, false),
+                            .delay = milliseconds(600)};
+    }
+    if (id == "a21") {
+      return scripted_reply{.bytes = MakeStreamResponse(request, {}, false),
+                            .action = connection_action::kReset};
+    }
+    return scripted_reply{.bytes = MakeStreamResponse(request, {"id: 1\ndata: a\n\n"}, true)};
+  });
+  const gateway_fixture gateway({&slow});
+  SendSoundDrafts(gateway);
+  std::string open_answer;
+  std::thread open([&] {
+    open_answer = gateway.SendAndReceive(MakeDraft(20, "b1:40,dead:9,2:9"), milliseconds(500));
+  });
+  std::this_thread::sleep_for(milliseconds(100));
+  boost::asio::io_context context;
+  const auto sender = gateway.Send(context, MakeDraft(21, "b1:40,dead:9,3:9"));
+  std::this_thread::sleep_for(milliseconds(200));
+  open.join();
+  BOOST_TEST(Contains(open_answer, "HTTP/1.1 400"), open_answer);
+}
+
 // Guards against a gateway that starts later and does not know of the crashes before.
 BOOST_AUTO_TEST_CASE(gateways_tell_each_other_which_parts_crash_upstreams) {
   const scripted_upstream crashing = CrashingUpstream();
