Apply known limits to upstreams that become known later

Cause: a gateway that starts hears of the limits from the others before it has read the instance list. The limits were set on the upstreams that it knew, none, and later reports were no change.

Change: the selector keeps all limits and applies them whenever its upstreams change; limits of unknown upstreams are kept until the instance list has arrived.

Test: a_limit_applies_to_an_upstream_that_becomes_known_later; the old interface could only set limits of known upstreams, so it does not compile there.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -125,8 +125,9 @@
   /// Must be called when the shares of this entry may have changed. `share` must outlive the
   /// selector.
   void UpdateRates(const fleet_share& share, time_point now);
-  /// Sets the requests per second that an upstream takes from all entries together.
-  void SetRateLimit(std::uint32_t id_hash, std::optional<double> limit, time_point now);
+  /// Sets the requests per second that limited upstreams take from all entries together, by hash of
+  /// the id. They also apply to upstreams that become known later.
+  void SetRateLimits(const std::map<std::uint32_t, double>& limits, time_point now);
 
   dispatch_choice Choose(const dispatch_query& query, time_point now) const;
 
@@ -212,7 +213,8 @@
   load_by_upstream total_peer_load_;                   // sum over all peers
   std::map<std::string, pass_time_stats> pass_times_;  // by group key
   std::set<std::string> evacuated_domains_;
-  const fleet_share* share_ = nullptr;  // null: this is the only entry
+  std::map<std::uint32_t, double> rate_limits_;  // requests per second by hash of the id
+  const fleet_share* share_ = nullptr;           // null: this is the only entry
 };
 
 /// Identifies an upstream in messages between entries.
--- a/include/berylbarrow/request/routing/upstream_limits.h
+++ b/include/berylbarrow/request/routing/upstream_limits.h
@@ -50,6 +50,8 @@
   bool OnAnswer(std::uint32_t upstream, std::optional<double> limit, time_point sent_at,
                 time_point now);
   std::optional<double> LimitOf(std::uint32_t upstream) const;
+  /// In requests per second, of the upstreams that are limited now.
+  std::map<std::uint32_t, double> Limits() const;
   /// Forgets all other upstreams.
   void Retain(const std::set<std::uint32_t>& upstreams);
 
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -199,7 +199,7 @@
 
 void gateway::ApplyLimit(std::uint32_t upstream, time_point now) {
   const auto limit = limits_.LimitOf(upstream);
-  selector_.SetRateLimit(upstream, limit, now);
+  selector_.SetRateLimits(limits_.Limits(), now);
   logger::Event(log_level::kWarning, "fleet", "upstream_limit",
                 {{"upstream_hash", std::to_string(upstream)},
                  {"requests_per_s", limit ? std::to_string(*limit) : "none"},
@@ -257,9 +257,12 @@
   if (registry_.Revision() == selector_revision_) return;
   selector_revision_ = registry_.Revision();
   selector_.SetUpstreams(registry_, routing_view_.get(), now);
+  // Other gateways may tell of limits before the instance list arrives.
+  if (!has_upstream_list_) return;
   std::set<std::uint32_t> upstreams;
   for (const auto& [id, registered] : registry_.Upstreams()) upstreams.insert(UpstreamHash(id));
   limits_.Retain(upstreams);
+  selector_.SetRateLimits(limits_.Limits(), now);
 }
 
 void gateway::UpdateRetryBudgets(time_point now) {
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -44,7 +44,6 @@
       state.decayed_failures = 0;
       state.consecutive_failures = 0;
       state.blocked_until = time_point::min();
-      state.rate_limit.reset();
     }
     if (state.record.address != registered.record.address) state.blocked_until = time_point::min();
     state.record = registered.record;
@@ -61,8 +60,8 @@
     state.engine = profile->engine;
     state.cold_start = profile->cold_start;
     state.cold_requests_per_second = profile->cold_requests_per_second;
-    UpdateRate(state, now);
   }
+  for (auto& [id, state] : upstreams_) UpdateRate(state, now);
 }
 
 void upstream_selector::SetEvacuatedDomains(const std::set<std::string>& domains, time_point now) {
@@ -143,6 +142,8 @@
 }
 
 void upstream_selector::UpdateRate(upstream_state& state, time_point now) const {
+  const auto limit = rate_limits_.find(state.id_hash);
+  state.rate_limit = limit == rate_limits_.end() ? std::nullopt : std::optional(limit->second);
   const bool is_cold = now < state.cold_until && state.cold_requests_per_second > 0;
   if (!is_cold && !state.rate_limit) {
     state.rate.reset();
@@ -164,13 +165,10 @@
   for (auto& [id, state] : upstreams_) UpdateRate(state, now);
 }
 
-void upstream_selector::SetRateLimit(std::uint32_t id_hash, std::optional<double> limit,
-                                     time_point now) {
-  for (auto& [id, state] : upstreams_) {
-    if (state.id_hash != id_hash) continue;
-    state.rate_limit = limit;
-    UpdateRate(state, now);
-  }
+void upstream_selector::SetRateLimits(const std::map<std::uint32_t, double>& limits,
+                                      time_point now) {
+  rate_limits_ = limits;
+  for (auto& [id, state] : upstreams_) UpdateRate(state, now);
 }
 
 bool upstream_selector::IsWithinRate(const upstream_state& state, time_point now) const {
--- a/src/request/routing/upstream_limits.cc
+++ b/src/request/routing/upstream_limits.cc
@@ -47,6 +47,14 @@
   return known->second.requests_per_1000_s / 1000.0;
 }
 
+std::map<std::uint32_t, double> upstream_limits::Limits() const {
+  std::map<std::uint32_t, double> limits;
+  for (const auto& [upstream, named] : limits_) {
+    if (named.is_limited) limits[upstream] = named.requests_per_1000_s / 1000.0;
+  }
+  return limits;
+}
+
 void upstream_limits::Retain(const std::set<std::uint32_t>& upstreams) {
   std::erase_if(limits_, [&](const auto& entry) { return upstreams.count(entry.first) == 0; });
 }
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -243,7 +243,7 @@
   selector_fixture fixture;
   fixture.AddUpstream("a", "north", "plain");
   fixture.AddUpstream("b", "north", "plain");
-  fixture.selector.SetRateLimit(UpstreamHash("a"), 2.0, fixture.now);
+  fixture.selector.SetRateLimits({{UpstreamHash("a"), 2.0}}, fixture.now);
   std::map<std::string, int> sent;
   for (int step = 0; step < 400; ++step, fixture.AdvanceTime(milliseconds(10))) {
     const dispatch_choice choice = fixture.Choose("plain");
@@ -254,16 +254,23 @@
   }
   BOOST_TEST(sent["a"] <= 8);
   BOOST_TEST(sent["b"] >= 390);
-  fixture.selector.SetRateLimit(UpstreamHash("a"), std::nullopt, fixture.now);
+  fixture.selector.SetRateLimits({}, fixture.now);
   BOOST_TEST(fixture.Choose("plain", {"b"}).upstream_id == "a");
 }
 
+// Regression test (capped with kills, ophodnja-hr seeds 1 and 2, LIMIT): a gateway that had just
+// started heard of the limits before it had the instance list, and never applied them.
+BOOST_AUTO_TEST_CASE(a_limit_applies_to_an_upstream_that_becomes_known_later) {
+  selector_fixture fixture;
+  fixture.selector.SetRateLimits({{UpstreamHash("a"), 0.5}}, fixture.now);
+  fixture.AddUpstream("a", "north", "plain");
+  BOOST_TEST((fixture.Choose("plain").obstacle == dispatch_obstacle::kAllLimited));
+}
+
 BOOST_AUTO_TEST_CASE(the_obstacle_tells_whether_all_upstreams_are_limited_and_for_how_long) {
   selector_fixture fixture;
-  for (const char* id : {"a", "b"}) {
-    fixture.AddUpstream(id, "north", "plain");
-    fixture.selector.SetRateLimit(UpstreamHash(id), 0.5, fixture.now);
-  }
+  for (const char* id : {"a", "b"}) fixture.AddUpstream(id, "north", "plain");
+  fixture.selector.SetRateLimits({{UpstreamHash("a"), 0.5}, {UpstreamHash("b"), 0.5}}, fixture.now);
   const dispatch_choice limited = fixture.Choose("plain");
   BOOST_TEST((limited.obstacle == dispatch_obstacle::kAllLimited));
   BOOST_TEST((limited.limited_for.value() == std::chrono::seconds(2)));
