Say in the answer, the log and the state why a request is refused for crashes

Cause: the refusal of a request that crashes upstreams had no text, and neither the log nor /state showed what is suspected.

Change: a line of text in the answer; crash_suspects in the log whenever the suspects change, and in /state.

Test: gateway_crash_test checks the text of the refusal.

--- a/src/process/gateway/admission_gate.h
+++ b/src/process/gateway/admission_gate.h
@@ -16,6 +16,7 @@
   unsigned status = 503;
   std::string_view reason;  // for logs and metrics; not sent to the caller
   std::optional<duration> retry_after;
+  std::string_view body;
 };
 
 /// Result of the admission check: a route and an account, or a refusal.
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -20,6 +20,8 @@
 constexpr duration kTickInterval = milliseconds(20);
 constexpr duration kHeartbeatInterval = milliseconds(250);
 constexpr duration kPeriodicCheckInterval = milliseconds(200);
+// Characters of a state in the log; all of it is in /state.
+constexpr std::size_t kMaxLoggedState = 400;
 // Gateways that a crash digest without news goes to.
 constexpr std::size_t kDigestTargets = 2;
 // Callers use an address answer for up to three times its lifetime.
@@ -166,6 +168,9 @@
 void gateway::EndRefusedRequests(time_point now) {
   if (crashes_.Revision() == crashes_revision_) return;
   crashes_revision_ = crashes_.Revision();
+  logger::Event(log_level::kWarning, "fleet", "crash_suspects",
+                {{"observations", std::to_string(crashes_.ObservationCount())},
+                 {"suspects", crashes_.State(now).dump().substr(0, kMaxLoggedState)}});
   for (const auto& request : OpenRequests()) request->EndIfRefused(now);
 }
 
--- a/src/process/gateway/gateway_information.cc
+++ b/src/process/gateway/gateway_information.cc
@@ -58,6 +58,7 @@
       {"open_requests", requests_.size()},
       {"members", members},
       {"upstreams", selector_.State(now)},
+      {"crash_suspects", crashes_.State(now)},
       {"metrics", metrics_.Json()}};
   return state.dump();
 }
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -42,7 +42,8 @@
          {"age_ms", routing_view_ ? MillisecondsText(ConfigurationAge(now)) : "unknown"}});
     sink.SendAnswer(
         {.status = refusal.status,
-         .fields = platform_.exchange.RefusalFields(facts.attempt_id, refusal.retry_after)});
+         .fields = platform_.exchange.RefusalFields(facts.attempt_id, refusal.retry_after),
+         .body = std::string(refusal.body)});
     return nullptr;
   };
   if (decision.refusal) return refuse(*decision.refusal);
@@ -74,7 +75,8 @@
                          facts.shared_parts.end());
   const crash_verdict verdict = crashes_.Check(admitted.traits, IsTrialOwner(), now);
   if (verdict.permission == crash_permission::kRefused) {
-    return refuse({.status = kCrashRefusalStatus, .reason = "crashes_upstreams"});
+    return refuse(
+        {.status = kCrashRefusalStatus, .reason = "crashes_upstreams", .body = kCrashRefusalBody});
   }
   admitted.head = std::move(head);
   admitted.body = std::move(body);
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -481,7 +481,8 @@
     std::exchange(sink_, nullptr)
         ->SendAnswer(
             {.status = status,
-             .fields = context_.dialect.RefusalFields(request_.facts.attempt_id, retry_after)});
+             .fields = context_.dialect.RefusalFields(request_.facts.attempt_id, retry_after),
+             .body = status == kCrashRefusalStatus ? kCrashRefusalBody : ""});
   }
   Finish(reason, status);
 }
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -41,6 +41,9 @@
 
 /// Status of requests that crash upstreams. Callers do not repeat them after this status.
 inline constexpr unsigned kCrashRefusalStatus = 400;
+inline constexpr const char* kCrashRefusalBody =
+    "Upstreams crash when they answer this request or others with the same prompt part. "
+    "It is refused until a later trial succeeds.\n";
 
 /// Latest time of dispatch at which the request is expected to meet its latency objective.
 time_point LatestOnTimeDispatch(const admitted_request& request);
--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -61,6 +61,7 @@
   for (int i = 20; i < 26; ++i) {
     const std::string answer = gateway.SendAndReceive(MakeDraft(i, "b1:40,dead:9,2:9"));
     BOOST_TEST(Contains(answer, "HTTP/1.1 400"), "draft " << i << " got " << answer);
+    BOOST_TEST(Contains(answer, "prompt part"));
   }
   BOOST_TEST(CountDeadly(first) + CountDeadly(second) == 1);
   BOOST_TEST(Contains(gateway.SendAndReceive(MakeDraft(30, "b1:40,3:9")), "data: a"));
