--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -182,6 +182,7 @@
 /// Names of `count` other entries.
 std::vector<std::string> OtherEntries(int count) {
   std::vector<std::string> names;
+  names.reserve(count);
   for (int i = 0; i < count; ++i) names.push_back("entry-" + std::to_string(i));
   return names;
 }
--- a/tests/request/routing/fleet_share_test.cc
+++ b/tests/request/routing/fleet_share_test.cc
@@ -18,6 +18,7 @@
 
 std::vector<std::string> Names(std::size_t count) {
   std::vector<std::string> names;
+  names.reserve(count);
   for (std::size_t i = 0; i < count; ++i) names.push_back("entry-" + std::to_string(i));
   return names;
 }
