Take the ports of gateway tests from below the outgoing range

The fixture picked a free port, released it, and another test's outgoing connection got it before the gateway listened.

Change: the fixture takes ports from 12000 to 19999, which the system does not give to outgoing connections, and tries the next one if a port is in use.

Result: gateway_test and gateway_crash_test pass; the failure itself was seen once and not again in ten parallel runs of the two cases, which did not reproduce it.

--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -1,5 +1,7 @@
 #include "platform/gateway_fixture.h"
 
+#include <unistd.h>
+
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
@@ -14,10 +16,21 @@
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
+/// A free port below the range from which the system gives ports to outgoing connections, so that
+/// no other test takes it before the gateway listens.
 std::string FreeLoopbackAddress() {
-  boost::asio::io_context context;
-  tcp::acceptor acceptor(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
-  return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  constexpr unsigned kFirstPort = 12000;
+  constexpr unsigned kPorts = 8000;
+  static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 16};
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context);
+    boost::system::error_code error;
+    acceptor.open(tcp::v4(), error);
+    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error) return "127.0.0.1:" + std::to_string(port);
+  }
 }
 
 tcp::endpoint MakeEndpoint(const std::string& address) {
