Derive the suspects of crashes only when they are needed

Its case memory_and_digests_are_bounded took 202 s in an optimized build too.

Cause: each accused request and each answer derived all suspects anew, and compared every request of every crash with every suspect, with a copy and a sort for each pair: 6 ms of processor time a request once 96 crashes are known. The memory of the analysis was bounded, its time was not. On a quarter of a core, a crash with 16 requests would have stopped a gateway for 0.4 s.

Change: the suspects are derived at the next question, and a request is compared only with the suspects that share a trait. The answers and the search are modules of their own; crash_analysis keeps observations, permissions and digests. The revision, and so the log line crash_suspects, changes only if the suspects have.

Conclusion: no decision changes, ties are broken as before.

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -4,16 +4,19 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
-#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/request/suspect/answer_history.h"
 #include "berylbarrow/request/suspect/crash_digest.h"
+#include "berylbarrow/request/suspect/crash_suspect.h"
 
 namespace berylbarrow {
 
+struct observed_crash;
+
 /// How far the answer to a request had come when its upstream crashed.
 enum class answer_progress : std::uint8_t {
   kUnanswered,  // no byte had arrived
@@ -73,7 +76,8 @@
 /// its traits.
 class crash_analysis {
  public:
-  explicit crash_analysis(const crash_analysis_options& options) : options_(options) {}
+  explicit crash_analysis(const crash_analysis_options& options)
+      : options_(options), answers_(options.max_answered) {}
 
   /// An attempt failed because the connection to an upstream of the failure unit broke.
   void OnCrash(const trait_list& traits, std::uint32_t unit, answer_progress progress,
@@ -83,10 +87,10 @@
   /// `is_trial_owner`: whether this gateway is the one that tries refused suspects.
   crash_verdict Check(const trait_list& traits, bool is_trial_owner, time_point now) const;
   /// A request with the permission kTrial was sent.
-  void OnTrialSent(std::uint64_t suspect, time_point now) { trials_[suspect] = now; }
+  void OnTrialSent(std::uint64_t suspect, time_point now);
 
-  /// Increases whenever the suspects may have changed.
-  std::uint64_t Revision() const { return revision_; }
+  /// Increases whenever the suspects have changed.
+  std::uint64_t Revision() const;
   bool HasObservations() const { return !observations_.empty(); }
   /// Whether other gateways should be told at once, since the last call of MakeDigest().
   bool HasNews() const { return has_news_; }
@@ -97,8 +101,8 @@
   /// The suspects, for /state.
   nlohmann::json State(time_point now) const;
   std::size_t ObservationCount() const { return observations_.size(); }
-  std::size_t AnsweredCount() const { return answered_.size(); }
-  std::size_t SuspectCount() const { return suspects_.size(); }
+  std::size_t AnsweredCount() const { return answers_.Size(); }
+  std::size_t SuspectCount() const { return Suspects().size(); }
 
  private:
   struct observation {
@@ -109,71 +113,31 @@
   };
   using observation_id = std::pair<std::uint64_t, std::uint32_t>;  // observer, sequence
 
-  /// What all observers have seen of one crash.
-  struct crash {
-    std::uint32_t unit = 0;
-    time_point at;
-    std::vector<trait_list> started;
-    std::vector<trait_list> unanswered;
-  };
-
-  struct suspect {
-    trait_list traits;  // sorted
-    std::uint32_t crashes = 0;
-    std::uint32_t started_crashes = 0;  // in which its answer had started
-    bool is_only_cause = false;         // in one of them, no other request was accused
-    bool is_proven = false;             // a trait was answered before the first crash
-    std::uint32_t unit = 0;             // that crashed last
-    time_point last_crash;
-  };
-
-  /// Answers to requests with a trait.
-  struct answer_times {
-    time_point last;
-    std::optional<time_point> before_crash;  // the last one before the last crash that accuses it
-  };
-
   /// Returns null if there is no room for an observation of that age.
   observation* AddObservation(const observation_id& id, std::uint32_t unit, time_point at);
   /// Returns whether the request is new.
   bool AddRequest(std::vector<trait_list>& requests, const trait_list& traits, time_point at);
   /// Removes accusations that are older than all observations.
   void ForgetOldAccusations();
-  void Accuse(std::uint64_t trait, time_point at);
-  /// Returns whether this is the first answer since the last crash that accuses the trait.
-  bool RecordAnswer(std::uint64_t trait, time_point at);
-  /// Removes the older half of the answers to traits that no crash accuses.
-  void ForgetOldAnswers();
-  /// The last answer to the trait before the last crash that accuses it.
-  std::optional<time_point> AnsweredBeforeCrash(std::uint64_t trait) const;
-  /// The traits of the request that were not answered between the crash and the last crash that
-  /// accuses them.
-  trait_list UnansweredTraits(const trait_list& request, time_point crashed_at) const;
-  /// The traits with which a new suspect starts.
-  trait_list InitialTraits(const trait_list& request, time_point crashed_at) const;
-  bool IsAnyAnsweredBeforeCrash(const trait_list& traits) const;
-  std::vector<crash> FindCrashes() const;
-  /// Whether the crash accuses exactly one request whose answer had started.
-  static bool IsOnlyCause(const crash& crash);
-  void AddCrash(const crash& crash);
-  bool ExtendSuspect(const std::vector<trait_list>& accused, const crash& crash);
-  /// Removes traits that were answered after the last crash of their suspect.
-  void ClearAnsweredTraits();
-  void UpdateSuspects();
-  bool IsRefused(const suspect& suspect) const;
-  crash_permission PermissionOf(const suspect& suspect, bool is_trial_owner, time_point now) const;
-  crash_permission TrialPermission(const suspect& suspect, time_point now) const;
+  std::vector<observed_crash> FindCrashes() const;
+  /// Derives the suspects again if anything has changed since the last call.
+  const std::vector<crash_suspect>& Suspects() const;
+  bool IsRefused(const crash_suspect& suspect) const;
+  crash_permission PermissionOf(const crash_suspect& suspect, bool is_trial_owner,
+                                time_point now) const;
+  crash_permission TrialPermission(const crash_suspect& suspect, time_point now) const;
 
   crash_analysis_options options_;
   std::map<observation_id, observation> observations_;
-  std::map<std::uint64_t, time_point> accused_;     // last crash by trait of the requests in it
-  std::map<std::uint64_t, answer_times> answered_;  // by trait
-  std::vector<suspect> suspects_;
+  answer_history answers_;
   std::map<std::uint64_t, time_point> trials_;  // when the last one was sent, by suspect
   std::uint32_t next_sequence_ = 1;
   std::size_t next_old_observation_ = 0;  // with which the next digest continues
-  std::uint64_t revision_ = 0;
   bool has_news_ = false;
+  // Many changes come together, so the suspects are derived when they are needed.
+  mutable bool is_outdated_ = false;
+  mutable std::vector<crash_suspect> suspects_;
+  mutable std::uint64_t revision_ = 0;
 };
 
 /// XXH64 over all four parts, each part seeded with the hash of the parts before it.
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -3,11 +3,12 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "request/suspect/suspect_search.h"
+
 namespace berylbarrow {
 namespace {
 
@@ -24,14 +25,6 @@
   return traits;
 }
 
-/// Both lists must be sorted.
-trait_list Intersection(const trait_list& left, const trait_list& right) {
-  trait_list common;
-  std::set_intersection(left.begin(), left.end(), right.begin(), right.end(),
-                        std::back_inserter(common));
-  return common;
-}
-
 std::uint64_t HashOf(const trait_list& traits) {
   return XXH64(traits.data(), traits.size() * sizeof(traits.front()), 0);
 }
@@ -70,7 +63,7 @@
 void crash_analysis::ForgetOldAccusations() {
   time_point oldest = time_point::max();
   for (const auto& [id, each] : observations_) oldest = std::min(oldest, each.at);
-  std::erase_if(accused_, [&](const auto& entry) { return entry.second < oldest; });
+  answers_.ForgetAccusations(oldest);
 }
 
 bool crash_analysis::AddRequest(std::vector<trait_list>& requests, const trait_list& traits,
@@ -78,19 +71,10 @@
   if (requests.size() >= options_.max_requests_per_observation) return false;
   if (std::find(requests.begin(), requests.end(), traits) != requests.end()) return false;
   requests.push_back(traits);
-  for (const std::uint64_t trait : traits) Accuse(trait, at);
+  for (const std::uint64_t trait : traits) answers_.Accuse(trait, at);
   return true;
 }
 
-void crash_analysis::Accuse(std::uint64_t trait, time_point at) {
-  time_point& last_crash = accused_.try_emplace(trait, at).first->second;
-  last_crash = std::max(last_crash, at);
-  const auto answer = answered_.find(trait);
-  if (answer != answered_.end() && answer->second.last <= last_crash) {
-    answer->second.before_crash = answer->second.last;
-  }
-}
-
 void crash_analysis::OnCrash(const trait_list& traits, std::uint32_t unit, answer_progress progress,
                              time_point now) {
   observation* current = nullptr;
@@ -105,81 +89,27 @@
   auto& requests = progress == answer_progress::kStarted ? current->started : current->unanswered;
   if (!AddRequest(requests, traits, current->at)) return;
   has_news_ = true;
-  UpdateSuspects();
-}
-
-bool crash_analysis::RecordAnswer(std::uint64_t trait, time_point at) {
-  const auto accused = accused_.find(trait);
-  const auto [entry, is_new] = answered_.try_emplace(trait, answer_times{.last = at});
-  answer_times& answer = entry->second;
-  const time_point last_before = answer.last;
-  answer.last = std::max(answer.last, at);
-  if (answered_.size() > options_.max_answered) ForgetOldAnswers();
-  if (accused == accused_.end()) return false;
-  if (at <= accused->second) {
-    const bool is_later = !answer.before_crash || at > *answer.before_crash;
-    if (is_later) answer.before_crash = at;
-    return is_later;
-  }
-  return is_new || last_before <= accused->second;
-}
-
-void crash_analysis::ForgetOldAnswers() {
-  std::vector<time_point> times;
-  for (const auto& [trait, answer] : answered_) times.push_back(answer.last);
-  const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-  std::nth_element(times.begin(), middle, times.end());
-  std::erase_if(answered_, [&](const auto& entry) {
-    return entry.second.last <= *middle && accused_.count(entry.first) == 0;
-  });
+  is_outdated_ = true;
 }
 
 void crash_analysis::OnAnswered(const trait_list& traits, time_point now) {
   bool clears = false;
   for (std::size_t i = 0; i < traits.size(); ++i) {
     // The first trait is the fingerprint, which few requests share.
-    if (i == 0 && accused_.count(traits[i]) == 0) continue;
-    clears = RecordAnswer(traits[i], now) || clears;
+    if (i == 0 && !answers_.IsAccused(traits[i])) continue;
+    clears = answers_.Record(traits[i], now) || clears;
   }
   if (!clears) return;
   has_news_ = true;
-  UpdateSuspects();
+  is_outdated_ = true;
 }
 
-std::optional<time_point> crash_analysis::AnsweredBeforeCrash(std::uint64_t trait) const {
-  const auto answer = answered_.find(trait);
-  return answer == answered_.end() ? std::nullopt : answer->second.before_crash;
-}
-
-trait_list crash_analysis::UnansweredTraits(const trait_list& request,
-                                            time_point crashed_at) const {
-  trait_list traits;
-  for (const std::uint64_t trait : request) {
-    const auto answer = AnsweredBeforeCrash(trait);
-    if (!answer || *answer <= crashed_at) traits.push_back(trait);
-  }
-  return traits;
-}
-
-bool crash_analysis::IsAnyAnsweredBeforeCrash(const trait_list& traits) const {
-  return std::any_of(traits.begin(), traits.end(),
-                     [&](std::uint64_t trait) { return AnsweredBeforeCrash(trait).has_value(); });
-}
-
-trait_list crash_analysis::InitialTraits(const trait_list& request, time_point crashed_at) const {
-  trait_list parts;
-  for (std::size_t i = 1; i < request.size(); ++i) {
-    if (!AnsweredBeforeCrash(request[i])) parts.push_back(request[i]);
-  }
-  return parts.empty() ? UnansweredTraits(request, crashed_at) : parts;
-}
-
-std::vector<crash_analysis::crash> crash_analysis::FindCrashes() const {
+std::vector<observed_crash> crash_analysis::FindCrashes() const {
   std::vector<const observation*> by_time;
   for (const auto& [id, each] : observations_) by_time.push_back(&each);
   std::sort(by_time.begin(), by_time.end(),
             [](const auto* left, const auto* right) { return left->at < right->at; });
-  std::vector<crash> crashes;
+  std::vector<observed_crash> crashes;
   std::map<std::uint32_t, std::size_t> latest;  // index in `crashes` by unit
   for (const observation* each : by_time) {
     const auto known = latest.find(each->unit);
@@ -191,102 +121,55 @@
     } else if (since > options_.same_cause) {
       continue;
     }
-    crash& joined = crashes[latest[each->unit]];
-    joined.started.insert(joined.started.end(), each->started.begin(), each->started.end());
-    joined.unanswered.insert(joined.unanswered.end(), each->unanswered.begin(),
-                             each->unanswered.end());
+    observed_crash& joined = crashes[latest[each->unit]];
+    for (const trait_list& request : each->started) joined.started.push_back(&request);
+    for (const trait_list& request : each->unanswered) joined.unanswered.push_back(&request);
   }
   return crashes;
 }
 
-bool crash_analysis::ExtendSuspect(const std::vector<trait_list>& accused, const crash& crash) {
-  const bool has_started = !crash.started.empty();
-  suspect* best = nullptr;
-  trait_list best_traits;
-  for (suspect& each : suspects_) {
-    for (const trait_list& request : accused) {
-      trait_list common = Intersection(each.traits, Sorted(UnansweredTraits(request, crash.at)));
-      const bool is_better = best == nullptr || std::pair(each.crashes, common.size()) >
-                                                    std::pair(best->crashes, best_traits.size());
-      if (common.empty() || !is_better) continue;
-      best = &each;
-      best_traits = std::move(common);
-    }
-  }
-  if (best == nullptr) return false;
-  // Several units that crash at the same moment are no independent evidence.
-  if (crash.at - best->last_crash > options_.same_cause) {
-    ++best->crashes;
-    if (has_started) ++best->started_crashes;
-  }
-  best->is_only_cause = best->is_only_cause || IsOnlyCause(crash);
-  best->traits = std::move(best_traits);
-  best->is_proven = IsAnyAnsweredBeforeCrash(best->traits);
-  best->unit = crash.unit;
-  best->last_crash = crash.at;
-  return true;
-}
-
-bool crash_analysis::IsOnlyCause(const crash& crash) {
-  return !crash.started.empty() &&
-         std::all_of(crash.started.begin(), crash.started.end(),
-                     [&](const trait_list& request) { return request == crash.started.front(); });
+const std::vector<crash_suspect>& crash_analysis::Suspects() const {
+  if (!is_outdated_) return suspects_;
+  is_outdated_ = false;
+  suspect_search search({.same_cause = options_.same_cause, .max_suspects = options_.max_suspects},
+                        answers_);
+  for (const observed_crash& each : FindCrashes()) search.Add(each);
+  std::vector<crash_suspect> found = search.TakeSuspects();
+  if (found == suspects_) return suspects_;
+  suspects_ = std::move(found);
+  ++revision_;
+  return suspects_;
 }
 
-void crash_analysis::AddCrash(const crash& crash) {
-  const bool has_started = !crash.started.empty();
-  const std::vector<trait_list>& accused = has_started ? crash.started : crash.unanswered;
-  if (ExtendSuspect(accused, crash)) return;
-  for (const trait_list& request : accused) {
-    if (suspects_.size() >= options_.max_suspects) return;
-    trait_list traits = Sorted(InitialTraits(request, crash.at));
-    if (traits.empty()) continue;
-    const bool is_proven = IsAnyAnsweredBeforeCrash(traits);
-    suspects_.push_back({.traits = std::move(traits),
-                         .crashes = 1,
-                         .started_crashes = has_started ? 1U : 0U,
-                         .is_only_cause = IsOnlyCause(crash),
-                         .is_proven = is_proven,
-                         .unit = crash.unit,
-                         .last_crash = crash.at});
-  }
+std::uint64_t crash_analysis::Revision() const {
+  Suspects();
+  return revision_;
 }
 
-void crash_analysis::ClearAnsweredTraits() {
-  for (suspect& each : suspects_) {
-    std::erase_if(each.traits, [&](std::uint64_t trait) {
-      const auto answer = answered_.find(trait);
-      return answer != answered_.end() && answer->second.last > each.last_crash;
-    });
-  }
-  std::erase_if(suspects_, [](const suspect& each) { return each.traits.empty(); });
-}
-
-void crash_analysis::UpdateSuspects() {
-  ++revision_;
-  suspects_.clear();
-  for (const crash& each : FindCrashes()) AddCrash(each);
-  ClearAnsweredTraits();
+void crash_analysis::OnTrialSent(std::uint64_t suspect, time_point now) {
   std::erase_if(trials_, [&](const auto& trial) {
-    return std::none_of(suspects_.begin(), suspects_.end(),
-                        [&](const suspect& each) { return HashOf(each.traits) == trial.first; });
+    return std::none_of(Suspects().begin(), Suspects().end(), [&](const crash_suspect& each) {
+      return HashOf(each.traits) == trial.first;
+    });
   });
+  trials_[suspect] = now;
 }
 
-bool crash_analysis::IsRefused(const suspect& suspect) const {
+bool crash_analysis::IsRefused(const crash_suspect& suspect) const {
   return suspect.crashes >= options_.refusal_threshold ||
          suspect.started_crashes >= options_.started_refusal_threshold ||
          (!suspect.is_proven && suspect.is_only_cause);
 }
 
-crash_permission crash_analysis::TrialPermission(const suspect& suspect, time_point now) const {
+crash_permission crash_analysis::TrialPermission(const crash_suspect& suspect,
+                                                 time_point now) const {
   const auto trial = trials_.find(HashOf(suspect.traits));
   const bool is_pending = trial != trials_.end() && trial->second > suspect.last_crash &&
                           now - trial->second < options_.trial_timeout;
   return is_pending ? crash_permission::kOnHold : crash_permission::kTrial;
 }
 
-crash_permission crash_analysis::PermissionOf(const suspect& suspect, bool is_trial_owner,
+crash_permission crash_analysis::PermissionOf(const crash_suspect& suspect, bool is_trial_owner,
                                               time_point now) const {
   const duration age = now - suspect.last_crash;
   if (!IsRefused(suspect)) {
@@ -304,9 +187,9 @@
 crash_verdict crash_analysis::Check(const trait_list& traits, bool is_trial_owner,
                                     time_point now) const {
   crash_verdict verdict;
-  if (suspects_.empty()) return verdict;
+  if (Suspects().empty()) return verdict;
   const trait_list sorted = Sorted(traits);
-  for (const suspect& each : suspects_) {
+  for (const crash_suspect& each : Suspects()) {
     if (!std::includes(sorted.begin(), sorted.end(), each.traits.begin(), each.traits.end())) {
       continue;
     }
@@ -339,7 +222,7 @@
     for (const auto* requests : {&report.started, &report.unanswered}) {
       for (const trait_list& request : *requests) {
         for (const std::uint64_t trait : request) {
-          if (answered_.count(trait) > 0 && traits.count(trait) == 0) answered.insert(trait);
+          if (answers_.Find(trait) != nullptr && traits.count(trait) == 0) answered.insert(trait);
         }
       }
     }
@@ -359,7 +242,7 @@
     if (!add(latest[index].second, options_.max_digest_bytes)) break;
   }
   for (const std::uint64_t trait : traits) {
-    const answer_times& answer = answered_.at(trait);
+    const answer_times& answer = *answers_.Find(trait);
     digest.answers.push_back({.trait = trait, .age_ms = AgeMs(answer.last, now)});
     if (answer.before_crash && *answer.before_crash != answer.last) {
       digest.answers.push_back({.trait = trait, .age_ms = AgeMs(*answer.before_crash, now)});
@@ -388,30 +271,29 @@
     // Answers to accused traits that the other gateways may not know of.
     for (const auto* requests : {&report.started, &report.unanswered}) {
       for (const trait_list& request : *requests) {
-        has_news_ = has_news_ || (!is_known && IsAnyAnsweredBeforeCrash(request));
+        has_news_ = has_news_ || (!is_known && answers_.IsAnyAnsweredBeforeCrash(request));
       }
     }
   }
   for (const answer_report& report : digest.answers) {
     const time_point at = now - milliseconds(report.age_ms);
-    has_changed = RecordAnswer(report.trait, at) || has_changed;
+    has_changed = answers_.Record(report.trait, at) || has_changed;
   }
-  if (has_changed) UpdateSuspects();
+  if (has_changed) is_outdated_ = true;
 }
 
 void crash_analysis::Expire(time_point now) {
   const auto removed = std::erase_if(
       observations_, [&](const auto& entry) { return now - entry.second.at > options_.retention; });
-  std::erase_if(answered_,
-                [&](const auto& entry) { return now - entry.second.last > options_.retention; });
+  answers_.ForgetAnswers(now - options_.retention);
   if (removed == 0) return;
   ForgetOldAccusations();
-  UpdateSuspects();
+  is_outdated_ = true;
 }
 
 nlohmann::json crash_analysis::State(time_point now) const {
   nlohmann::json list = nlohmann::json::array();
-  for (const suspect& each : suspects_) {
+  for (const crash_suspect& each : Suspects()) {
     list.push_back({{"traits", each.traits},
                     {"crashes", each.crashes},
                     {"started_crashes", each.started_crashes},
