Count a lost proof of sound parts in the random histories of crashes

Cause, traced: the only gateway that had answered the sound parts was restarted before the first crash. The first two deadly requests shared the middle part 201, which no running gateway had ever seen answered, so {201, 500} was the smallest set that explains both crashes, and {100, 500} does not match it. Refusing it would refuse requests on a single shared part, a wide refusal. The case is allowed: the rule of the users counts from the fifth crash.

Change: the fleet of the test follows which sound parts the running gateways have seen answered, and allows one run more only if a deadly request had a part that none of them had. The bounds of 2 and 4 hold otherwise, as before.

--- a/tests/request/crash_history_test.cc
+++ b/tests/request/crash_history_test.cc
@@ -2,9 +2,11 @@
 // crash their upstreams.
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "berylbarrow/request/suspect/crash_analysis.h"
 
@@ -32,6 +34,7 @@
 
   void Restart(std::size_t gateway) {
     analyses_[gateway] = crash_analysis({.observer = ++incarnations_});
+    answered_parts_[gateway].clear();
   }
 
   /// Every sound part is answered once.
@@ -61,6 +64,9 @@
       return verdict.permission;
     }
     ++deadly_runs_;
+    has_unproven_run_ = has_unproven_run_ ||
+                        !std::all_of(parts.begin(), parts.end(),
+                                     [&](auto part) { return part == kDeadly || IsProven(part); });
     analyses_[gateway].OnCrash(
         request, unit,
         style_ == crash_style::kStarted ? answer_progress::kStarted : answer_progress::kUnanswered,
@@ -135,6 +141,8 @@
   void Advance(duration time) { now_ += time; }
   void Mend() { is_mended_ = true; }
   int DeadlyRuns() const { return deadly_runs_; }
+  /// Whether a deadly request had a sound part that no running gateway had seen answered.
+  bool HasUnprovenRun() const { return has_unproven_run_; }
   const crash_analysis& Analysis(std::size_t gateway) const { return analyses_[gateway]; }
   time_point Now() const { return now_; }
   bool IsDown(std::uint32_t unit) const { return now_ < down_until_[unit]; }
@@ -146,6 +154,11 @@
   }
   void Answer(std::size_t gateway, const trait_list& request) {
     analyses_[gateway].OnAnswered(request, now_);
+    answered_parts_[gateway].insert(request.begin() + 1, request.end());
+  }
+  bool IsProven(std::uint64_t part) const {
+    return std::any_of(answered_parts_.begin(), answered_parts_.end(),
+                       [&](const auto& parts) { return parts.count(part) > 0; });
   }
 
   crash_style style_;
@@ -155,7 +168,9 @@
   time_point now_{std::chrono::hours(1)};
   std::uint64_t requests_ = 0;
   std::uint64_t incarnations_ = 0;
+  std::array<std::set<std::uint64_t>, kGateways> answered_parts_;  // since the last start
   int deadly_runs_ = 0;
+  bool has_unproven_run_ = false;
   bool is_mended_ = false;
 };
 
@@ -196,7 +211,10 @@
       fleet.Advance(milliseconds(*rc::gen::inRange(50, 200)));
     }
     // The history lasts less than the first refusal, so no trial of a refused suspect is due.
-    RC_ASSERT(fleet.DeadlyRuns() <= (style == crash_style::kStarted ? 2 : 4));
+    const int allowed = style == crash_style::kStarted ? 2 : 4;
+    // Until it is answered, a sound part that the deadly requests share cannot be told from the
+    // deadly one.
+    RC_ASSERT(fleet.DeadlyRuns() <= allowed + (fleet.HasUnprovenRun() ? 1 : 0));
   }));
 }
 
