Look for suspects of crashes among all accused requests

Cause: the search dropped suspects beyond the 64th as it met them. A crash of one upstream accuses up to 16 requests for each gateway that had sent to it, so in a fleet of some ten gateways a single crash fills the places with requests that merely ran beside it, and the request that caused it is never found.

A trait that a suspect has lost no longer leads to it.

Evidence: a_deadly_part_is_found_among_the_requests_of_many_gateways (eleven gateways, 81 requests on each crashed upstream) fails without the change and passes with it.

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -122,6 +122,8 @@
   std::vector<observed_crash> FindCrashes() const;
   /// Derives the suspects again if anything has changed since the last call.
   const std::vector<crash_suspect>& Suspects() const;
+  /// Removes suspects beyond the limit.
+  void KeepGravest(std::vector<crash_suspect>& suspects) const;
   bool IsRefused(const crash_suspect& suspect) const;
   crash_permission PermissionOf(const crash_suspect& suspect, bool is_trial_owner,
                                 time_point now) const;
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -6,6 +6,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <tuple>
 
 #include "request/suspect/suspect_search.h"
 
@@ -131,16 +132,28 @@
 const std::vector<crash_suspect>& crash_analysis::Suspects() const {
   if (!is_outdated_) return suspects_;
   is_outdated_ = false;
-  suspect_search search({.same_cause = options_.same_cause, .max_suspects = options_.max_suspects},
-                        answers_);
+  suspect_search search(options_.same_cause, answers_);
   for (const observed_crash& each : FindCrashes()) search.Add(each);
   std::vector<crash_suspect> found = search.TakeSuspects();
+  KeepGravest(found);
   if (found == suspects_) return suspects_;
   suspects_ = std::move(found);
   ++revision_;
   return suspects_;
 }
 
+void crash_analysis::KeepGravest(std::vector<crash_suspect>& suspects) const {
+  if (suspects.size() <= options_.max_suspects) return;
+  const auto gravity = [&](const crash_suspect& each) {
+    return std::tuple(IsRefused(each), each.started_crashes, each.crashes, each.last_crash);
+  };
+  std::stable_sort(suspects.begin(), suspects.end(),
+                   [&](const crash_suspect& left, const crash_suspect& right) {
+                     return gravity(left) > gravity(right);
+                   });
+  suspects.resize(options_.max_suspects);
+}
+
 std::uint64_t crash_analysis::Revision() const {
   Suspects();
   return revision_;
--- a/src/request/suspect/suspect_search.cc
+++ b/src/request/suspect/suspect_search.cc
@@ -1,23 +1,16 @@
 #include "request/suspect/suspect_search.h"
 
 #include <algorithm>
-#include <iterator>
 #include <tuple>
 #include <utility>
 
 namespace berylbarrow {
 namespace {
 
-/// Both lists must be sorted.
-trait_list Intersection(const trait_list& left, const trait_list& right) {
-  trait_list common;
-  std::set_intersection(left.begin(), left.end(), right.begin(), right.end(),
-                        std::back_inserter(common));
-  return common;
-}
-
-trait_list Sorted(trait_list traits) {
+/// Sorted, each trait once.
+trait_list Normalized(trait_list traits) {
   std::sort(traits.begin(), traits.end());
+  traits.erase(std::unique(traits.begin(), traits.end()), traits.end());
   return traits;
 }
 
@@ -36,7 +29,7 @@
     const auto answer = answers_.LastBeforeCrash(trait);
     if (!answer || *answer <= crashed_at) traits.push_back(trait);
   }
-  return Sorted(std::move(traits));
+  return Normalized(std::move(traits));
 }
 
 trait_list suspect_search::InitialTraits(const trait_list& request, time_point crashed_at) const {
@@ -44,29 +37,30 @@
   for (std::size_t i = 1; i < request.size(); ++i) {
     if (!answers_.LastBeforeCrash(request[i])) parts.push_back(request[i]);
   }
-  return parts.empty() ? UnansweredTraits(request, crashed_at) : Sorted(std::move(parts));
+  return parts.empty() ? UnansweredTraits(request, crashed_at) : Normalized(std::move(parts));
 }
 
-void suspect_search::FindExtension(const trait_list& traits, extension& best) const {
-  for (const std::uint64_t trait : traits) {
-    const auto candidates = by_trait_.find(trait);
-    if (candidates == by_trait_.end()) continue;
-    for (const std::size_t index : candidates->second) {
-      const std::uint32_t crashes = suspects_[index].crashes;
-      const bool is_first = best.traits.empty();
-      if (!is_first && crashes < suspects_[best.suspect].crashes) continue;
-      trait_list common = Intersection(suspects_[index].traits, traits);
-      if (common.empty()) continue;
-      const auto rank = [&](std::size_t suspect, std::size_t shared) {
-        return std::tuple(suspects_[suspect].crashes, shared,
-                          -static_cast<std::ptrdiff_t>(suspect));
-      };
-      if (!is_first && rank(index, common.size()) <= rank(best.suspect, best.traits.size())) {
-        continue;
-      }
-      best = {.suspect = index, .traits = std::move(common)};
+void suspect_search::FindExtension(trait_list&& request, extension& best) {
+  std::vector<std::size_t> candidates;
+  for (const std::uint64_t trait : request) {
+    const auto known = by_trait_.find(trait);
+    if (known == by_trait_.end()) continue;
+    for (const std::size_t index : known->second) {
+      if (shared_[index]++ == 0) candidates.push_back(index);
     }
   }
+  const auto rank = [&](std::size_t index, std::size_t shared) {
+    return std::tuple(suspects_[index].crashes, shared, -static_cast<std::ptrdiff_t>(index));
+  };
+  bool is_better = false;
+  for (const std::size_t index : candidates) {
+    const std::size_t shared = std::exchange(shared_[index], 0);
+    if (best.shared > 0 && rank(index, shared) <= rank(best.suspect, best.shared)) continue;
+    best.suspect = index;
+    best.shared = shared;
+    is_better = true;
+  }
+  if (is_better) best.request = std::move(request);
 }
 
 bool suspect_search::ExtendSuspect(const std::vector<const trait_list*>& accused,
@@ -75,25 +69,33 @@
   for (const trait_list* request : accused) {
     FindExtension(UnansweredTraits(*request, crash.at), best);
   }
-  if (best.traits.empty()) return false;
+  if (best.shared == 0) return false;
+  ReduceSuspect(best.suspect, best.request);
   crash_suspect& extended = suspects_[best.suspect];
   // Several units that crash at the same moment are no independent evidence.
-  if (crash.at - extended.last_crash > options_.same_cause) {
+  if (crash.at - extended.last_crash > same_cause_) {
     ++extended.crashes;
     if (!crash.started.empty()) ++extended.started_crashes;
   }
   extended.is_only_cause = extended.is_only_cause || IsOnlyCause(crash);
-  extended.traits = std::move(best.traits);
   extended.is_proven = answers_.IsAnyAnsweredBeforeCrash(extended.traits);
   extended.unit = crash.unit;
   extended.last_crash = crash.at;
   return true;
 }
 
+void suspect_search::ReduceSuspect(std::size_t index, const trait_list& kept) {
+  std::erase_if(suspects_[index].traits, [&](std::uint64_t trait) {
+    if (std::binary_search(kept.begin(), kept.end(), trait)) return false;
+    std::erase(by_trait_[trait], index);
+    return true;
+  });
+}
+
 void suspect_search::AddSuspect(crash_suspect&& added) {
-  if (suspects_.size() >= options_.max_suspects) return;
   for (const std::uint64_t trait : added.traits) by_trait_[trait].push_back(suspects_.size());
   suspects_.push_back(std::move(added));
+  shared_.push_back(0);
 }
 
 void suspect_search::Add(const observed_crash& crash) {
@@ -123,6 +125,7 @@
   }
   std::erase_if(suspects_, [](const crash_suspect& each) { return each.traits.empty(); });
   by_trait_.clear();
+  shared_.clear();
   return std::exchange(suspects_, {});
 }
 
--- a/src/request/suspect/suspect_search.h
+++ b/src/request/suspect/suspect_search.h
@@ -20,27 +20,24 @@
   std::vector<const trait_list*> unanswered;
 };
 
-struct suspect_search_options {
-  /// Crashes within this time of each other are no independent evidence.
-  duration same_cause;
-  std::size_t max_suspects;
-};
-
-/// Derives the suspects from crashes, given one by one in the order of their times.
+/// Derives the suspects from crashes, given one by one in the order of their times. There are at
+/// most as many as accused requests.
 class suspect_search {
  public:
-  suspect_search(const suspect_search_options& options, const answer_history& answers)
-      : options_(options), answers_(answers) {}
+  /// Crashes within `same_cause` of each other are no independent evidence.
+  suspect_search(duration same_cause, const answer_history& answers)
+      : same_cause_(same_cause), answers_(answers) {}
 
   void Add(const observed_crash& crash);
   /// The suspects that no answer has cleared since their last crash.
   std::vector<crash_suspect> TakeSuspects();
 
  private:
-  /// A suspect that an accused request extends, with the traits that they share.
+  /// The suspect that an accused request extends.
   struct extension {
     std::size_t suspect = 0;  // index
-    trait_list traits;
+    std::size_t shared = 0;   // traits that it has in common with the request; 0: there is none
+    trait_list request;
   };
 
   /// The traits of the request that were not answered between the crash and the last crash that
@@ -50,15 +47,17 @@
   trait_list InitialTraits(const trait_list& request, time_point crashed_at) const;
   /// Replaces `best` by the extension through a request with these traits if that explains more
   /// crashes or, for as many, shares more traits.
-  void FindExtension(const trait_list& traits, extension& best) const;
+  void FindExtension(trait_list&& request, extension& best);
   bool ExtendSuspect(const std::vector<const trait_list*>& accused, const observed_crash& crash);
   void AddSuspect(crash_suspect&& added);
+  /// Removes the traits that are not in `kept`.
+  void ReduceSuspect(std::size_t index, const trait_list& kept);
 
-  suspect_search_options options_;
+  duration same_cause_;
   const answer_history& answers_;
   std::vector<crash_suspect> suspects_;
-  // Indices of the suspects that had the trait when they were added, in ascending order.
-  std::unordered_map<std::uint64_t, std::vector<std::size_t>> by_trait_;
+  std::unordered_map<std::uint64_t, std::vector<std::size_t>> by_trait_;  // indices of suspects
+  std::vector<std::size_t> shared_;  // traits shared with the current request, by suspect
 };
 
 }  // namespace berylbarrow
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -214,6 +214,42 @@
   BOOST_TEST(second.State(kStart + seconds(9)).front()["crashes"] == 1);
 }
 
+// Guards against counting only the crashes that one gateway has observed itself.
+BOOST_AUTO_TEST_CASE(a_request_is_refused_after_three_crashes_over_all_observers) {
+  const trait_list request = Request({});
+  crash_analysis analysis({.observer = 1});
+  analysis.OnCrash(request, 1, answer_progress::kUnanswered, kStart);
+  for (std::uint32_t observer : {7U, 8U}) {
+    BOOST_TEST(!IsRefused(analysis, request, kStart + seconds(observer)));
+    crash_analysis other({.observer = observer});
+    other.OnCrash(request, observer, answer_progress::kUnanswered, kStart + seconds(observer));
+    analysis.Merge(other.MakeDigest(kStart + seconds(observer)), kStart + seconds(observer));
+  }
+  BOOST_TEST(IsRefused(analysis, request, kStart + seconds(8)));
+}
+
+// Guards against a deadly part that goes unseen because more requests were on the upstream than
+// there are places for suspects.
+BOOST_AUTO_TEST_CASE(a_deadly_part_is_found_among_the_requests_of_many_gateways) {
+  crash_analysis analysis({.observer = 10'000});
+  for (std::uint64_t crash = 0; crash < 3; ++crash) {
+    const time_point at = kStart + seconds(4 * crash);
+    std::vector<trait_list> beside;
+    for (std::uint64_t observer = 2; observer < 12; ++observer) {
+      crash_analysis other({.observer = 100 * crash + observer});
+      for (std::uint64_t i = 0; i < 8; ++i) {
+        beside.push_back(Request({1000 * crash + 10 * observer + i}));
+        other.OnCrash(beside.back(), kUnit, answer_progress::kUnanswered, at);
+      }
+      analysis.Merge(other.MakeDigest(at), at);
+    }
+    analysis.OnCrash(Request({kDeadly}), kUnit, answer_progress::kUnanswered, at);
+    for (const trait_list& request : beside) analysis.OnAnswered(request, at + seconds(2));
+  }
+  BOOST_TEST(IsRefused(analysis, Request({kDeadly}), kStart + seconds(12)));
+  BOOST_TEST(analysis.SuspectCount() <= 64U);
+}
+
 // Guards against growth without bound, and against digests that do not fit a datagram.
 BOOST_AUTO_TEST_CASE(memory_and_digests_are_bounded) {
   crash_analysis analysis({.observer = 1});
