Pass on the crashes that still accuse a request before all others

Cause: a digest carried the latest crashes and went round the older ones in the rest of its space. Crashes that accuse nobody any more, because all their requests were answered since, took the same space as the one that tells of a deadly part. A gateway that started after a few such crashes was told of the part only when its turn came, and sent a request with it. One observation of many long prompts fitted no digest at all, and none behind it went out either.

Change: observations are ranked: those that accuse a request which matches a refused suspect first, then those with a request that has not been answered since, each the latest first; others are not passed on. A digest begins with the latest of them, goes round the ranked ones in a quarter of its space, and carries of one observation as many requests as fit a third of it. Where a crash accuses requests whose answer had started, the others are left out.

Of the new cases of crash_analysis_test, one_digest_tells_of_a_deadly_part_before_many_other_ crashes and an_observation_of_many_long_prompts_fits_a_digest_in_part fail without the change.

Conclusion: a gateway that starts later knows after one digest.

--- a/include/berylbarrow/request/suspect/answer_history.h
+++ b/include/berylbarrow/request/suspect/answer_history.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_REQUEST_SUSPECT_ANSWER_HISTORY_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
 
@@ -36,6 +37,8 @@
   bool IsAnyAnsweredBeforeCrash(const trait_list& traits) const;
   /// Whether requests with each of the traits were answered after that time.
   bool AreAllAnsweredAfter(const trait_list& traits, time_point at) const;
+  /// Some accused traits whose answers became known last, the latest first.
+  const std::deque<std::uint64_t>& Recent() const { return recent_; }
   std::size_t Size() const { return answers_.size(); }
 
   /// Removes accusations that are older than the time.
@@ -47,9 +50,14 @@
   /// Removes the older half of the answers to traits that no crash accuses.
   void ForgetOlderHalf();
 
+  void AddRecent(std::uint64_t trait);
+
+  static constexpr std::size_t kMaxRecent = 64;
+
   std::size_t max_answers_;
   std::unordered_map<std::uint64_t, time_point> accused_;  // last crash by trait
   std::unordered_map<std::uint64_t, answer_times> answers_;
+  std::deque<std::uint64_t> recent_;
 };
 
 }  // namespace berylbarrow
--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -15,8 +15,6 @@
 
 namespace berylbarrow {
 
-struct observed_crash;
-
 /// How far the answer to a request had come when its upstream crashed.
 enum class answer_progress : std::uint8_t {
   kUnanswered,  // no byte had arrived
@@ -94,7 +92,8 @@
   bool HasObservations() const { return !observations_.empty(); }
   /// Whether other gateways should be told at once, since the last call of MakeDigest().
   bool HasNews() const { return has_news_; }
-  /// The latest observations of this gateway and others, as many as fit, and some of the older.
+  /// The latest observation of this gateway and others, then those that refused suspects rest on,
+  /// then others by turns, as many as fit, and answers.
   crash_digest MakeDigest(time_point now);
   void Merge(const crash_digest& digest, time_point now);
   void Expire(time_point now);
@@ -112,6 +111,29 @@
     std::vector<trait_list> unanswered;
   };
   using observation_id = std::pair<std::uint64_t, std::uint32_t>;  // observer, sequence
+  using observation_entry = std::pair<const observation_id, observation>;
+
+  /// The observations of one crash by all observers.
+  struct crash_group {
+    std::uint32_t unit = 0;
+    time_point at;
+    bool has_started = false;  // accuses requests whose answer had started, so no others
+    std::vector<const observation_entry*> observations;
+  };
+
+  /// What an observation contributes to the suspects.
+  enum class relevance : std::uint8_t {
+    kNone,
+    kOpen,      // accuses a request that has not been answered since
+    kEvidence,  // accuses a request that matches a refused suspect
+  };
+
+  struct ranked_observation {
+    relevance rank = relevance::kNone;
+    time_point at;
+    observation_id id;
+    auto operator<=>(const ranked_observation&) const = default;
+  };
 
   /// Returns null if there is no room for an observation of that age.
   observation* AddObservation(const observation_id& id, std::uint32_t unit, time_point at);
@@ -119,11 +141,23 @@
   bool AddRequest(std::vector<trait_list>& requests, const trait_list& traits, time_point at);
   /// Removes accusations that are older than all observations.
   void ForgetOldAccusations();
-  std::vector<observed_crash> FindCrashes() const;
-  /// Derives the suspects again if anything has changed since the last call.
+  /// In the order of their times. Leaves out what other ranks of a group caused after the crash.
+  std::vector<crash_group> GroupObservations() const;
+  bool IsOpen(const trait_list& request, const crash_group& group) const;
   const std::vector<crash_suspect>& Suspects() const;
+  /// Derives the suspects and ranks the observations if anything has changed since the last call.
+  void Update() const;
+  std::vector<crash_suspect> FindSuspects(const std::vector<crash_group>& groups) const;
   /// Removes suspects beyond the limit.
   void KeepGravest(std::vector<crash_suspect>& suspects) const;
+  relevance RelevanceOf(const observation& observed, const crash_group& group,
+                        const std::vector<const crash_suspect*>& refused) const;
+  void RankObservations(const std::vector<crash_group>& groups) const;
+  /// What other gateways need of the observation, as much as a digest should carry of one.
+  crash_report MakeReport(const observation_id& id, time_point now) const;
+  /// Adds answers to the accused traits: first those of the requests in the digest, then the
+  /// latest.
+  void AddAnswers(crash_digest& digest, std::size_t bytes, time_point now) const;
   bool IsRefused(const crash_suspect& suspect) const;
   crash_permission PermissionOf(const crash_suspect& suspect, bool is_trial_owner,
                                 time_point now) const;
@@ -134,11 +168,12 @@
   answer_history answers_;
   std::map<std::uint64_t, time_point> trials_;  // when the last one was sent, by suspect
   std::uint32_t next_sequence_ = 1;
-  std::size_t next_old_observation_ = 0;  // with which the next digest continues
+  std::size_t next_observation_ = 0;  // with which the next digest continues
   bool has_news_ = false;
   // Many changes come together, so the suspects are derived when they are needed.
   mutable bool is_outdated_ = false;
   mutable std::vector<crash_suspect> suspects_;
+  mutable std::vector<ranked_observation> ranked_;  // the most relevant first, then the latest
   mutable std::uint64_t revision_ = 0;
 };
 
--- a/src/request/suspect/answer_history.cc
+++ b/src/request/suspect/answer_history.cc
@@ -25,9 +25,12 @@
   if (at <= accused->second) {
     const bool is_later = !answer.before_crash || at > *answer.before_crash;
     if (is_later) answer.before_crash = at;
+    if (is_later) AddRecent(trait);
     return is_later;
   }
-  return is_new || last_before <= accused->second;
+  const bool is_first = is_new || last_before <= accused->second;
+  if (is_first) AddRecent(trait);
+  return is_first;
 }
 
 const answer_times* answer_history::Find(std::uint64_t trait) const {
@@ -52,12 +55,19 @@
   });
 }
 
+void answer_history::AddRecent(std::uint64_t trait) {
+  std::erase(recent_, trait);
+  recent_.push_front(trait);
+  if (recent_.size() > kMaxRecent) recent_.pop_back();
+}
+
 void answer_history::ForgetAccusations(time_point oldest) {
   std::erase_if(accused_, [&](const auto& entry) { return entry.second < oldest; });
 }
 
 void answer_history::ForgetAnswers(time_point oldest) {
   std::erase_if(answers_, [&](const auto& entry) { return entry.second.last < oldest; });
+  std::erase_if(recent_, [&](std::uint64_t trait) { return Find(trait) == nullptr; });
 }
 
 void answer_history::ForgetOlderHalf() {
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -26,17 +26,27 @@
   return traits;
 }
 
+/// Both lists must be sorted.
+bool IsSubset(const trait_list& part, const trait_list& whole) {
+  return std::includes(whole.begin(), whole.end(), part.begin(), part.end());
+}
+
 std::uint64_t HashOf(const trait_list& traits) {
   return XXH64(traits.data(), traits.size() * sizeof(traits.front()), 0);
 }
 
 constexpr std::size_t kAnswerBytes = 12;
+constexpr std::size_t kReportBytes = 36;  // without requests
+
+/// Encoded size.
+std::size_t EncodedBytes(const trait_list& request) {
+  return sizeof(std::uint64_t) * (1 + request.size());
+}
 
-/// Encoded size, without the few bytes of the digest itself.
 std::size_t EncodedBytes(const crash_report& report) {
-  std::size_t bytes = 36;
+  std::size_t bytes = kReportBytes;
   for (const auto* requests : {&report.started, &report.unanswered}) {
-    for (const trait_list& traits : *requests) bytes += 8 + 8 * traits.size();
+    for (const trait_list& request : *requests) bytes += EncodedBytes(request);
   }
   return bytes;
 }
@@ -58,6 +68,7 @@
     observations_.erase(oldest);
     ForgetOldAccusations();
   }
+  is_outdated_ = true;
   return &observations_.try_emplace(id, observation{.unit = unit, .at = at}).first->second;
 }
 
@@ -105,41 +116,68 @@
   is_outdated_ = true;
 }
 
-std::vector<observed_crash> crash_analysis::FindCrashes() const {
-  std::vector<const observation*> by_time;
-  for (const auto& [id, each] : observations_) by_time.push_back(&each);
+std::vector<crash_analysis::crash_group> crash_analysis::GroupObservations() const {
+  std::vector<const observation_entry*> by_time;
+  for (const observation_entry& each : observations_) by_time.push_back(&each);
   std::sort(by_time.begin(), by_time.end(),
-            [](const auto* left, const auto* right) { return left->at < right->at; });
-  std::vector<observed_crash> crashes;
-  std::map<std::uint32_t, std::size_t> latest;  // index in `crashes` by unit
-  for (const observation* each : by_time) {
-    const auto known = latest.find(each->unit);
+            [](const auto* left, const auto* right) { return left->second.at < right->second.at; });
+  std::vector<crash_group> groups;
+  std::map<std::uint32_t, std::size_t> latest;  // index in `groups` by unit
+  for (const observation_entry* each : by_time) {
+    const observation& observed = each->second;
+    const auto known = latest.find(observed.unit);
     const duration since =
-        known == latest.end() ? duration::max() : each->at - crashes[known->second].at;
+        known == latest.end() ? duration::max() : observed.at - groups[known->second].at;
     if (since > options_.aftermath) {
-      latest[each->unit] = crashes.size();
-      crashes.push_back({.unit = each->unit, .at = each->at});
+      latest[observed.unit] = groups.size();
+      groups.push_back({.unit = observed.unit, .at = observed.at});
     } else if (since > options_.same_cause) {
       continue;
     }
-    observed_crash& joined = crashes[latest[each->unit]];
-    for (const trait_list& request : each->started) joined.started.push_back(&request);
-    for (const trait_list& request : each->unanswered) joined.unanswered.push_back(&request);
+    crash_group& group = groups[latest[observed.unit]];
+    group.observations.push_back(each);
+    group.has_started = group.has_started || !observed.started.empty();
   }
-  return crashes;
+  return groups;
+}
+
+bool crash_analysis::IsOpen(const trait_list& request, const crash_group& group) const {
+  return !answers_.AreAllAnsweredAfter(request, group.at);
 }
 
 const std::vector<crash_suspect>& crash_analysis::Suspects() const {
-  if (!is_outdated_) return suspects_;
+  Update();
+  return suspects_;
+}
+
+void crash_analysis::Update() const {
+  if (!is_outdated_) return;
   is_outdated_ = false;
+  const std::vector<crash_group> groups = GroupObservations();
+  std::vector<crash_suspect> found = FindSuspects(groups);
+  if (found != suspects_) {
+    suspects_ = std::move(found);
+    ++revision_;
+  }
+  RankObservations(groups);
+}
+
+std::vector<crash_suspect> crash_analysis::FindSuspects(
+    const std::vector<crash_group>& groups) const {
   suspect_search search(options_.same_cause, answers_);
-  for (const observed_crash& each : FindCrashes()) search.Add(each);
+  for (const crash_group& group : groups) {
+    observed_crash crash{.unit = group.unit, .at = group.at};
+    for (const observation_entry* each : group.observations) {
+      for (const trait_list& request : each->second.started) crash.started.push_back(&request);
+      for (const trait_list& request : each->second.unanswered) {
+        if (IsOpen(request, group)) crash.unanswered.push_back(&request);
+      }
+    }
+    search.Add(crash);
+  }
   std::vector<crash_suspect> found = search.TakeSuspects();
   KeepGravest(found);
-  if (found == suspects_) return suspects_;
-  suspects_ = std::move(found);
-  ++revision_;
-  return suspects_;
+  return found;
 }
 
 void crash_analysis::KeepGravest(std::vector<crash_suspect>& suspects) const {
@@ -154,8 +192,44 @@
   suspects.resize(options_.max_suspects);
 }
 
+crash_analysis::relevance crash_analysis::RelevanceOf(
+    const observation& observed, const crash_group& group,
+    const std::vector<const crash_suspect*>& refused) const {
+  relevance rank = relevance::kNone;
+  for (const trait_list& request : group.has_started ? observed.started : observed.unanswered) {
+    if (rank == relevance::kNone && IsOpen(request, group)) rank = relevance::kOpen;
+    if (refused.empty()) continue;
+    const trait_list sorted = Sorted(request);
+    for (const crash_suspect* each : refused) {
+      if (IsSubset(each->traits, sorted)) return relevance::kEvidence;
+    }
+  }
+  return rank;
+}
+
+void crash_analysis::RankObservations(const std::vector<crash_group>& groups) const {
+  std::vector<const crash_suspect*> refused;
+  for (const crash_suspect& each : suspects_) {
+    if (IsRefused(each)) refused.push_back(&each);
+  }
+  std::map<observation_id, relevance> ranks;
+  for (const crash_group& group : groups) {
+    for (const observation_entry* each : group.observations) {
+      ranks[each->first] = RelevanceOf(each->second, group, refused);
+    }
+  }
+  ranked_.clear();
+  for (const auto& [id, observed] : observations_) {
+    const auto rank = ranks.find(id);
+    ranked_.push_back({.rank = rank == ranks.end() ? relevance::kNone : rank->second,
+                       .at = observed.at,
+                       .id = id});
+  }
+  std::sort(ranked_.rbegin(), ranked_.rend());
+}
+
 std::uint64_t crash_analysis::Revision() const {
-  Suspects();
+  Update();
   return revision_;
 }
 
@@ -203,9 +277,7 @@
   if (Suspects().empty()) return verdict;
   const trait_list sorted = Sorted(traits);
   for (const crash_suspect& each : Suspects()) {
-    if (!std::includes(sorted.begin(), sorted.end(), each.traits.begin(), each.traits.end())) {
-      continue;
-    }
+    if (!IsSubset(each.traits, sorted)) continue;
     const crash_permission permission = PermissionOf(each, is_trial_owner, now);
     if (permission <= verdict.permission) continue;
     verdict = {.permission = permission, .unit = each.unit, .suspect = HashOf(each.traits)};
@@ -213,54 +285,78 @@
   return verdict;
 }
 
+crash_report crash_analysis::MakeReport(const observation_id& id, time_point now) const {
+  const observation& observed = observations_.at(id);
+  crash_report report{.observer = id.first,
+                      .sequence = id.second,
+                      .unit = observed.unit,
+                      .age_ms = AgeMs(observed.at, now)};
+  const bool has_started = !observed.started.empty();
+  auto& reported = has_started ? report.started : report.unanswered;
+  std::size_t bytes = kReportBytes;
+  for (const trait_list& request : has_started ? observed.started : observed.unanswered) {
+    if (!has_started && answers_.AreAllAnsweredAfter(request, observed.at)) continue;
+    bytes += EncodedBytes(request);
+    if (!reported.empty() && bytes > options_.max_digest_bytes / 3) break;
+    reported.push_back(request);
+  }
+  return report;
+}
+
+void crash_analysis::AddAnswers(crash_digest& digest, std::size_t bytes, time_point now) const {
+  std::set<std::uint64_t> traits;
+  for (const crash_report& report : digest.crashes) {
+    for (const auto* requests : {&report.started, &report.unanswered}) {
+      for (const trait_list& request : *requests) traits.insert(request.begin(), request.end());
+    }
+  }
+  const auto add = [&](std::uint64_t trait, time_point at) {
+    if (bytes < kAnswerBytes) return;
+    bytes -= kAnswerBytes;
+    digest.answers.push_back({.trait = trait, .age_ms = AgeMs(at, now)});
+  };
+  for (const std::uint64_t trait : traits) {
+    const answer_times* const answer = answers_.Find(trait);
+    if (answer == nullptr) continue;
+    add(trait, answer->last);
+    if (answer->before_crash && *answer->before_crash != answer->last) {
+      add(trait, *answer->before_crash);
+    }
+  }
+  for (const std::uint64_t trait : answers_.Recent()) {
+    const answer_times* const answer = answers_.Find(trait);
+    if (answer != nullptr && traits.count(trait) == 0) add(trait, answer->last);
+  }
+}
+
 crash_digest crash_analysis::MakeDigest(time_point now) {
   has_news_ = false;
   crash_digest digest;
-  std::vector<std::pair<time_point, observation_id>> latest;
-  for (const auto& [id, each] : observations_) latest.emplace_back(each.at, id);
-  std::sort(latest.rbegin(), latest.rend());
-  // The older half of the space goes round the observations that do not fit.
   std::size_t bytes = 0;
-  std::size_t count = 0;
-  std::set<std::uint64_t> traits;
+  std::set<observation_id> added;
   const auto add = [&](const observation_id& id, std::size_t limit) {
-    const observation& each = observations_.at(id);
-    const crash_report report{.observer = id.first,
-                              .sequence = id.second,
-                              .unit = each.unit,
-                              .age_ms = AgeMs(each.at, now),
-                              .started = each.started,
-                              .unanswered = each.unanswered};
-    std::set<std::uint64_t> answered;
-    for (const auto* requests : {&report.started, &report.unanswered}) {
-      for (const trait_list& request : *requests) {
-        for (const std::uint64_t trait : request) {
-          if (answers_.Find(trait) != nullptr && traits.count(trait) == 0) answered.insert(trait);
-        }
-      }
-    }
-    const std::size_t size = EncodedBytes(report) + 2 * kAnswerBytes * answered.size();
-    if (bytes + size > limit) return false;
-    bytes += size;
-    digest.crashes.push_back(report);
-    traits.insert(answered.begin(), answered.end());
-    return true;
+    if (added.count(id) > 0) return;
+    crash_report report = MakeReport(id, now);
+    if (bytes + EncodedBytes(report) > limit) return;
+    bytes += EncodedBytes(report);
+    added.insert(id);
+    digest.crashes.push_back(std::move(report));
   };
-  while (count < latest.size() && add(latest[count].second, options_.max_digest_bytes * 2 / 3)) {
-    ++count;
+  Update();
+  std::vector<ranked_observation> ranked = ranked_;
+  std::erase_if(ranked, [](const auto& each) { return each.rank == relevance::kNone; });
+  if (const auto newest =
+          std::max_element(ranked.begin(), ranked.end(),
+                           [](const auto& left, const auto& right) { return left.at < right.at; });
+      newest != ranked.end()) {
+    add(newest->id, options_.max_digest_bytes);
   }
-  const std::size_t left = latest.size() - count;
-  for (std::size_t i = 0; i < left; ++i) {
-    const std::size_t index = count + next_old_observation_++ % left;
-    if (!add(latest[index].second, options_.max_digest_bytes)) break;
-  }
-  for (const std::uint64_t trait : traits) {
-    const answer_times& answer = *answers_.Find(trait);
-    digest.answers.push_back({.trait = trait, .age_ms = AgeMs(answer.last, now)});
-    if (answer.before_crash && *answer.before_crash != answer.last) {
-      digest.answers.push_back({.trait = trait, .age_ms = AgeMs(*answer.before_crash, now)});
-    }
+  // A quarter of the space goes round the observations that do not fit.
+  for (const ranked_observation& each : ranked) add(each.id, options_.max_digest_bytes / 2);
+  for (std::size_t i = 0; i < ranked.size(); ++i) {
+    add(ranked[next_observation_++ % ranked.size()].id, options_.max_digest_bytes * 3 / 4);
   }
+  AddAnswers(digest, options_.max_digest_bytes - bytes, now);
   return digest;
 }
 
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -228,6 +228,46 @@
   BOOST_TEST(IsRefused(analysis, request, kStart + seconds(8)));
 }
 
+// Guards against news that wait for their turn.
+BOOST_AUTO_TEST_CASE(digests_are_bounded_and_begin_with_the_latest_crash) {
+  crash_analysis analysis({.observer = 1});
+  for (std::uint32_t i = 0; i < 200; ++i) {
+    analysis.OnCrash(Request({}), i, answer_progress::kUnanswered, kStart + seconds(i));
+  }
+  const crash_digest digest = analysis.MakeDigest(kStart + seconds(200));
+  BOOST_TEST_REQUIRE(!digest.crashes.empty());
+  BOOST_TEST(digest.crashes.front().age_ms == 1000U);
+  BOOST_TEST(EncodeCrashDigest(digest).size() <= 1400U);
+}
+
+/// Many crashes, each with requests that merely ran beside it and were answered later.
+void CrashWithOthers(crash_analysis& analysis, int crashes, time_point from) {
+  for (int i = 0; i < crashes; ++i) {
+    const time_point at = from + seconds(4 * i);
+    std::vector<trait_list> beside;
+    for (std::uint64_t j = 0; j < 16; ++j) beside.push_back(Request({kBeginning, 1000 + j, 2000}));
+    for (const trait_list& request : beside) {
+      analysis.OnCrash(request, kOtherUnit, answer_progress::kUnanswered, at);
+    }
+    for (const trait_list& request : beside) analysis.OnAnswered(request, at + seconds(1));
+  }
+}
+
+// Guards against a fleet that forgets a deadly part when its gateways are restarted one after the
+// other, because the digests are full of crashes that accuse nobody any more.
+BOOST_AUTO_TEST_CASE(one_digest_tells_of_a_deadly_part_before_many_other_crashes) {
+  crash_analysis analysis({.observer = 1});
+  analysis.OnAnswered(Request({kBeginning}), kStart);
+  analysis.OnCrash(Request({kBeginning, kDeadly}), kUnit, answer_progress::kStarted,
+                   kStart + seconds(1));
+  CrashWithOthers(analysis, 40, kStart + seconds(5));
+  const time_point now = kStart + seconds(200);
+  crash_analysis late({.observer = 2});
+  late.Merge(analysis.MakeDigest(now), now);
+  BOOST_TEST(IsRefused(late, Request({kOtherBeginning, kDeadly}), now));
+  BOOST_TEST(!IsRefused(late, Request({kBeginning}), now));
+}
+
 // Guards against a deadly part that goes unseen because more requests were on the upstream than
 // there are places for suspects.
 BOOST_AUTO_TEST_CASE(a_deadly_part_is_found_among_the_requests_of_many_gateways) {
@@ -250,6 +290,21 @@
   BOOST_TEST(analysis.SuspectCount() <= 64U);
 }
 
+// Guards against a large observation that keeps all others out of the digests.
+BOOST_AUTO_TEST_CASE(an_observation_of_many_long_prompts_fits_a_digest_in_part) {
+  crash_analysis analysis({.observer = 1});
+  std::uint64_t part = 1000;
+  for (int i = 0; i < 16; ++i) {
+    std::vector<std::uint64_t> parts;
+    for (int j = 0; j < 32; ++j) parts.push_back(++part);
+    analysis.OnCrash(Request(parts), kUnit, answer_progress::kUnanswered, kStart);
+  }
+  const crash_digest digest = analysis.MakeDigest(kStart);
+  BOOST_TEST_REQUIRE(digest.crashes.size() == 1U);
+  BOOST_TEST(!digest.crashes.front().unanswered.empty());
+  BOOST_TEST(EncodeCrashDigest(digest).size() <= 1400U);
+}
+
 // Guards against growth without bound, and against digests that do not fit a datagram.
 BOOST_AUTO_TEST_CASE(memory_and_digests_are_bounded) {
   crash_analysis analysis({.observer = 1});
