Keep the observations on which refusals rest when others arrive

Cause: when the 96 places for observations were taken, the oldest one made room. Each gateway that had a request on a crashed upstream adds one, so in a fleet of 340 gateways a single other crash removed all that was known of a deadly part, and the part was sent again.

Change: the observation that contributes least makes room: first those that accuse nobody any more, then the oldest that do; those on which a refusal rests keep up to half of the places, so that a second deadly part finds room beside the first.

Conclusion: the bound of memory stays as it was.

--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -61,11 +61,12 @@
     return &known->second;
   }
   if (observations_.size() >= options_.max_observations) {
-    const auto oldest = std::min_element(
-        observations_.begin(), observations_.end(),
-        [](const auto& left, const auto& right) { return left.second.at < right.second.at; });
-    if (oldest->second.at >= at) return nullptr;
-    observations_.erase(oldest);
+    Update();
+    const ranked_observation least = ranked_.back();
+    if (std::pair(least.rank, observations_.at(least.id).at) >= std::pair(relevance::kOpen, at)) {
+      return nullptr;
+    }
+    observations_.erase(least.id);
     ForgetOldAccusations();
   }
   is_outdated_ = true;
@@ -226,6 +227,11 @@
                        .id = id});
   }
   std::sort(ranked_.rbegin(), ranked_.rend());
+  // Keeps room for other observations.
+  for (std::size_t i = options_.max_observations / 2; i < ranked_.size(); ++i) {
+    ranked_[i].rank = std::min(ranked_[i].rank, relevance::kOpen);
+  }
+  std::sort(ranked_.rbegin(), ranked_.rend());
 }
 
 std::uint64_t crash_analysis::Revision() const {
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -268,6 +268,33 @@
   BOOST_TEST(!IsRefused(late, Request({kBeginning}), now));
 }
 
+// Guards against losing what is known of a deadly part to the many observations that a large fleet
+// makes of each other crash.
+BOOST_AUTO_TEST_CASE(a_deadly_part_outlasts_the_observations_of_many_gateways) {
+  crash_analysis analysis({.observer = 1});
+  analysis.OnCrash(Request({kDeadly}), kUnit, answer_progress::kStarted, kStart);
+  for (std::uint64_t observer = 2; observer < 340; ++observer) {
+    crash_analysis other({.observer = observer});
+    const time_point at = kStart + seconds(10) + milliseconds(observer / 4);
+    other.OnCrash(Request({kBeginning}), kOtherUnit, answer_progress::kUnanswered, at);
+    analysis.Merge(other.MakeDigest(at), at);
+  }
+  BOOST_TEST(IsRefused(analysis, Request({kDeadly}), kStart + seconds(11)));
+  BOOST_TEST(analysis.ObservationCount() <= 96U);
+}
+
+// Guards against observations of a second deadly part that find no room beside those of the first.
+BOOST_AUTO_TEST_CASE(a_second_deadly_part_is_found_after_many_crashes_of_the_first) {
+  crash_analysis analysis({.observer = 1});
+  for (int i = 0; i < 120; ++i) {
+    analysis.OnCrash(Request({kDeadly}), kUnit, answer_progress::kStarted, kStart + seconds(4 * i));
+  }
+  const time_point later = kStart + seconds(500);
+  analysis.OnCrash(Request({kDeadly + 1}), kUnit, answer_progress::kStarted, later);
+  BOOST_TEST(IsRefused(analysis, Request({kDeadly}), later));
+  BOOST_TEST(IsRefused(analysis, Request({kDeadly + 1}), later));
+}
+
 // Guards against a deadly part that goes unseen because more requests were on the upstream than
 // there are places for suspects.
 BOOST_AUTO_TEST_CASE(a_deadly_part_is_found_among_the_requests_of_many_gateways) {
