Blame what all started requests of a crash share at once

Cause: one crash is enough to refuse a part only if a single request had started its answer without an event.

Change: if all requests that had started share traits that were never answered, these form the suspect, and one of them is the cause.

Conclusion: the same evidence as that of a single request, as the requests of one upstream share a part that nobody has seen answered.

--- a/src/request/suspect/suspect_search.cc
+++ b/src/request/suspect/suspect_search.cc
@@ -40,6 +40,17 @@
   return parts.empty() ? UnansweredTraits(request, crashed_at) : Normalized(std::move(parts));
 }
 
+trait_list suspect_search::CommonTraits(const observed_crash& crash) const {
+  trait_list common = InitialTraits(*crash.started.front(), crash.at);
+  for (const trait_list* request : crash.started) {
+    const trait_list traits = InitialTraits(*request, crash.at);
+    std::erase_if(common, [&](std::uint64_t trait) {
+      return !std::binary_search(traits.begin(), traits.end(), trait);
+    });
+  }
+  return common;
+}
+
 void suspect_search::FindExtension(trait_list&& request, extension& best) {
   std::vector<std::size_t> candidates;
   for (const std::uint64_t trait : request) {
@@ -102,14 +113,21 @@
   const bool has_started = !crash.started.empty();
   const auto& accused = has_started ? crash.started : crash.unanswered;
   if (ExtendSuspect(accused, crash)) return;
-  for (const trait_list* request : accused) {
-    trait_list traits = InitialTraits(*request, crash.at);
+  trait_list common = has_started ? CommonTraits(crash) : trait_list();
+  const bool is_only_cause = !common.empty();
+  std::vector<trait_list> found;
+  if (is_only_cause) {
+    found.push_back(std::move(common));
+  } else {
+    for (const trait_list* request : accused) found.push_back(InitialTraits(*request, crash.at));
+  }
+  for (trait_list& traits : found) {
     if (traits.empty()) continue;
     const bool is_proven = answers_.IsAnyAnsweredBeforeCrash(traits);
     AddSuspect({.traits = std::move(traits),
                 .crashes = 1,
                 .started_crashes = has_started ? 1U : 0U,
-                .is_only_cause = IsOnlyCause(crash),
+                .is_only_cause = is_only_cause,
                 .is_proven = is_proven,
                 .unit = crash.unit,
                 .last_crash = crash.at});
--- a/src/request/suspect/suspect_search.h
+++ b/src/request/suspect/suspect_search.h
@@ -45,6 +45,9 @@
   trait_list UnansweredTraits(const trait_list& request, time_point crashed_at) const;
   /// The traits with which a new suspect starts, sorted.
   trait_list InitialTraits(const trait_list& request, time_point crashed_at) const;
+  /// The traits with which a new suspect starts that all requests whose answer had started share,
+  /// so that one of these traits is the cause.
+  trait_list CommonTraits(const observed_crash& crash) const;
   /// Replaces `best` by the extension through a request with these traits if that explains more
   /// crashes or, for as many, shares more traits.
   void FindExtension(trait_list&& request, extension& best);
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -56,6 +56,18 @@
       (Permission(analysis, Request({kBeginning}), crash) == crash_permission::kUnrestricted));
 }
 
+// Guards against a second crash when two requests with a deadly part were on the same upstream.
+BOOST_AUTO_TEST_CASE(a_part_that_all_started_requests_share_is_refused_after_one_crash) {
+  crash_analysis analysis({});
+  analysis.OnAnswered(Request({kBeginning}), kStart);
+  const time_point crash = kStart + seconds(1);
+  for (std::uint64_t beginning : {kBeginning, kOtherBeginning}) {
+    analysis.OnCrash(Request({beginning, kDeadly}), kUnit, answer_progress::kStarted, crash);
+  }
+  BOOST_TEST(IsRefused(analysis, Request({103, kDeadly}), crash));
+  BOOST_TEST(!IsRefused(analysis, Request({kOtherBeginning}), crash));
+}
+
 // Guards against blaming a beginning that has no answer yet: only requests with all the parts of
 // the suspect are refused until a second crash tells the parts apart.
 BOOST_AUTO_TEST_CASE(the_next_crash_separates_the_deadly_part_from_an_unknown_beginning) {
