Send requests with the same unproven prompt part to one group

Cause: the evidence comes 250 ms after a deadly request was sent. Requests with the same part that arrive in that time went to any upstream, and one in the other group is enough to lose the model service. Ending them when the first crash is known comes too late: the upstream crashed 31 ms after the gateway had closed the connection.

Change: a request with a shared prompt part of which no answer is known prefers one failure unit, found by rendezvous hashing of the part over the units that can take requests, so that all gateways choose the same one. It is a preference: a unit without capacity is passed over. An answer ends it.

Conclusion: a part that nobody has answered is an unknown risk, and an unknown risk is kept in one place.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -52,9 +52,11 @@
   std::string domain;                 // failure domain of the entry
   std::set<std::string> excluded;     // upstreams that the request was already sent to
   std::optional<std::uint32_t> unit;  // only upstreams of this failure unit are allowed
-  std::uint32_t tokens = 0;           // expected number in prompt and response
-  bool late = false;                  // the request can no longer meet its latency target
-  double tie_break = 0;               // random, uniform in [0, 1)
+  /// Queries with the same value prefer the same failure unit.
+  std::optional<std::uint64_t> affinity;
+  std::uint32_t tokens = 0;  // expected number in prompt and response
+  bool late = false;         // the request can no longer meet its latency target
+  double tie_break = 0;      // random, uniform in [0, 1)
 };
 
 /// Why no upstream could be chosen. The values are compared in this order and logged as numbers.
@@ -85,6 +87,8 @@
   std::uint32_t engine_queue_limit = 1;
   /// Extra load, in slots, with which an upstream in another failure domain is scored.
   double remote_domain_penalty_slots = 0.06;
+  /// Extra load, in slots, with which an upstream outside the preferred failure unit is scored.
+  double affinity_penalty_slots = 0.5;
   /// Age up to which an engine report is used.
   duration report_lifetime = std::chrono::milliseconds(1500);
   duration failure_half_life = std::chrono::seconds(3);
@@ -195,12 +199,17 @@
   /// False if a recent report says that the group is waiting for a rank.
   bool IsGroupOpen(const upstream_state& state, time_point now) const;
   bool IsWithinRate(const upstream_state& state, time_point now) const;
+  /// True if the upstream failed recently or its group is waiting for a rank.
+  bool IsBlocked(const upstream_state& state, time_point now) const;
   /// Sets the part of the rate of a cold or limited upstream that this entry may use.
   void UpdateRate(upstream_state& state, time_point now) const;
   double DecayedFailures(const upstream_state& state, time_point now) const;
   /// Expected cost of sending a request to the upstream; the lowest score is chosen.
   double Score(const upstream_state& state, const dispatch_query& query, const group_models& groups,
                time_point now) const;
+  /// The failure unit that the query prefers among those that can take requests; nothing if it has
+  /// no preference.
+  std::optional<std::string> PreferredUnit(const dispatch_query& query, time_point now) const;
   group_models BuildGroupModels(const std::string& service, time_point now) const;
   void AddToTotalPeerLoad(const load_by_upstream& in_flight);
   double Pace(const upstream_state& state) const;
--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -84,6 +85,9 @@
   void OnAnswered(const trait_list& traits, time_point now);
   /// `is_trial_owner`: whether this gateway is the one that tries refused suspects.
   crash_verdict Check(const trait_list& traits, bool is_trial_owner, time_point now) const;
+  /// The last of the shared parts of a request (all traits but the first) of which no answer is
+  /// known, so that it may crash upstreams. Nothing if there is none.
+  std::optional<std::uint64_t> UnprovenPart(const trait_list& traits) const;
   /// A request with the permission kTrial was sent.
   void OnTrialSent(std::uint64_t suspect, time_point now);
 
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -75,6 +75,7 @@
                                    .domain = context_.settings.domain,
                                    .excluded = tried_upstreams_,
                                    .unit = unit,
+                                   .affinity = context_.crashes.UnprovenPart(request_.traits),
                                    .tokens = ExpectedTokens(),
                                    .late = IsLate(now),
                                    .tie_break = context_.UniformRandom()},
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -141,6 +141,10 @@
   return !fresh || state.report->open;
 }
 
+bool upstream_selector::IsBlocked(const upstream_state& state, time_point now) const {
+  return now < state.blocked_until || !IsGroupOpen(state, now);
+}
+
 void upstream_selector::UpdateRate(upstream_state& state, time_point now) const {
   const auto limit = rate_limits_.find(state.id_hash);
   state.rate_limit = limit == rate_limits_.end() ? std::nullopt : std::optional(limit->second);
@@ -219,8 +223,25 @@
   return score;
 }
 
+std::optional<std::string> upstream_selector::PreferredUnit(const dispatch_query& query,
+                                                            time_point now) const {
+  if (!query.affinity) return std::nullopt;
+  std::optional<std::string> preferred;
+  std::uint64_t highest = 0;
+  for (const auto& [id, state] : upstreams_) {
+    if (!IsUsable(state, query) || IsBlocked(state, now)) continue;
+    const std::string& unit = GroupKey(state);
+    const std::uint64_t weight = XXH64(unit.data(), unit.size(), *query.affinity);
+    if (preferred && weight <= highest) continue;
+    preferred = unit;
+    highest = weight;
+  }
+  return preferred;
+}
+
 dispatch_choice upstream_selector::Choose(const dispatch_query& query, time_point now) const {
   const group_models groups = BuildGroupModels(query.service, now);
+  const std::optional<std::string> preferred_unit = PreferredUnit(query, now);
   dispatch_choice choice;
   const upstream_state* best = nullptr;
   const upstream_state* least_blocked = nullptr;
@@ -239,7 +260,7 @@
       if (state.rate_limit) AddLimited(*state.rate, now, choice);
       continue;
     }
-    if (now < state.blocked_until || !IsGroupOpen(state, now)) {
+    if (IsBlocked(state, now)) {
       if (least_blocked == nullptr || state.blocked_until < least_blocked->blocked_until) {
         least_blocked = &state;
       }
@@ -248,7 +269,10 @@
     // A low-discrepancy sequence breaks ties, so that entries that see the same loads do not all
     // choose the same upstream.
     tie_break_sequence = std::fmod(tie_break_sequence + 0.6180339887, 1.0);
-    const double score = Score(state, query, groups, now) + 0.02 * tie_break_sequence;
+    double score = Score(state, query, groups, now) + 0.02 * tie_break_sequence;
+    if (preferred_unit && GroupKey(state) != *preferred_unit) {
+      score += options_.affinity_penalty_slots;
+    }
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -291,6 +291,13 @@
   return verdict;
 }
 
+std::optional<std::uint64_t> crash_analysis::UnprovenPart(const trait_list& traits) const {
+  for (std::size_t i = traits.size(); i > 1; --i) {
+    if (answers_.Find(traits[i - 1]) == nullptr) return traits[i - 1];
+  }
+  return std::nullopt;
+}
+
 crash_report crash_analysis::MakeReport(const observation_id& id, time_point now) const {
   const observation& observed = observations_.at(id);
   crash_report report{.observer = id.first,
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -68,6 +68,17 @@
   BOOST_TEST(!IsRefused(analysis, Request({kOtherBeginning}), crash));
 }
 
+// Guards against requests that spread over the fleet before it is known that they crash upstreams.
+BOOST_AUTO_TEST_CASE(the_last_shared_part_without_an_answer_is_unproven) {
+  crash_analysis analysis({});
+  BOOST_TEST((analysis.UnprovenPart(Request({})) == std::nullopt));
+  BOOST_TEST((analysis.UnprovenPart(Request({kBeginning, kDeadly})) == kDeadly));
+  analysis.OnAnswered(Request({kDeadly}), kStart);
+  BOOST_TEST((analysis.UnprovenPart(Request({kBeginning, kDeadly})) == kBeginning));
+  analysis.OnAnswered(Request({kBeginning}), kStart);
+  BOOST_TEST((analysis.UnprovenPart(Request({kBeginning, kDeadly})) == std::nullopt));
+}
+
 // Guards against blaming a beginning that has no answer yet: only requests with all the parts of
 // the suspect are refused until a second crash tells the parts apart.
 BOOST_AUTO_TEST_CASE(the_next_crash_separates_the_deadly_part_from_an_unknown_beginning) {
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <random>
+#include <set>
 
 namespace berylbarrow {
 namespace {
@@ -131,6 +132,46 @@
   BOOST_TEST(late_sent + on_time_sent == 26);
 }
 
+// Guards against the loss of several groups at once to requests with a deadly prompt part that
+// were sent before the first crash.
+BOOST_AUTO_TEST_CASE(requests_with_the_same_affinity_go_to_one_group_while_it_has_capacity) {
+  selector_fixture fixture;
+  for (const char* id : {"a", "b", "c", "d"}) fixture.AddUpstream(id, "north");
+  for (const char* id : {"a", "b"}) fixture.ReportEngine(id, "g1");
+  for (const char* id : {"c", "d"}) fixture.ReportEngine(id, "g2");
+  const auto unit_of = [&](std::uint64_t affinity) {
+    const dispatch_choice choice = fixture.selector.Choose(
+        {.service = "model", .domain = "north", .affinity = affinity}, fixture.now);
+    if (choice.upstream_id.empty()) return std::uint32_t{0};
+    fixture.selector.OnSent(choice.upstream_id, 900, fixture.now);
+    return fixture.selector.FailureUnit(choice.upstream_id);
+  };
+  std::set<std::uint32_t> units;
+  for (std::uint64_t affinity = 1; affinity < 9; ++affinity) units.insert(unit_of(affinity));
+  BOOST_TEST(units.size() == 2U);
+  const std::uint32_t preferred = unit_of(7);
+  for (int i = 0; i < 8; ++i) BOOST_TEST(unit_of(7) == preferred);
+  int sent = 0;
+  while (unit_of(7) != 0) ++sent;
+  BOOST_TEST(sent == 4 * 13 - 17);
+}
+
+// Guards against waiting for a group that has failed.
+BOOST_AUTO_TEST_CASE(the_affinity_passes_over_groups_that_wait_for_a_rank) {
+  selector_fixture fixture;
+  for (const char* id : {"a", "b"}) fixture.AddUpstream(id, "north");
+  for (std::uint64_t affinity = 1; affinity < 9; ++affinity) {
+    for (const char* closed : {"a", "b"}) {
+      fixture.ReportEngine("a", "g1", 1, closed != std::string("a"));
+      fixture.ReportEngine("b", "g2", 1, closed != std::string("b"));
+      const dispatch_choice choice = fixture.selector.Choose(
+          {.service = "model", .domain = "north", .affinity = affinity}, fixture.now);
+      BOOST_TEST(choice.upstream_id != closed);
+      BOOST_TEST(!choice.upstream_id.empty());
+    }
+  }
+}
+
 // A slow replica slows down its whole group.
 BOOST_AUTO_TEST_CASE(a_group_with_a_slow_rank_gets_fewer_requests) {
   selector_fixture fixture;
