--- a/src/request/suspect/suspect_search.cc
+++ b/src/request/suspect/suspect_search.cc
@@ -116,6 +116,7 @@
   trait_list common = has_started ? CommonTraits(crash) : trait_list();
   const bool is_only_cause = !common.empty();
   std::vector<trait_list> found;
+  found.reserve(accused.size());
   if (is_only_cause) {
     found.push_back(std::move(common));
   } else {
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -345,8 +345,8 @@
   crash_analysis analysis({.observer = 1});
   std::uint64_t part = 1000;
   for (int i = 0; i < 16; ++i) {
-    std::vector<std::uint64_t> parts;
-    for (int j = 0; j < 32; ++j) parts.push_back(++part);
+    std::vector<std::uint64_t> parts(32);
+    for (std::uint64_t& each : parts) each = ++part;
     analysis.OnCrash(Request(parts), kUnit, answer_progress::kUnanswered, kStart);
   }
   const crash_digest digest = analysis.MakeDigest(kStart);
