Keep what is known of crashes in companions while gateways restart

Cause: only gateways held the observations, so what is known ends with the last of them. A gateway that starts later knows only if another one is still running.

Change: gateways send their crash digest to two companions, at once when it has news and each second otherwise. Companions merge it into an analysis of their own, with the same bounds, and return it to a gateway that asks with an empty digest; a gateway asks the first eight companions that it meets while it knows of no crash. Nothing is sent if there was no crash, but for these questions.

The new cases companions_keep_the_crashes_for_gateways_that_start and a_companion_returns_the_crashes_that_gateways_have_told_it pass; without the change both would wait for a digest until their time limit (not run).

Conclusion: companions run where upstreams run, so they are lost at other moments than gateways are.

--- a/include/berylbarrow/process/membership/fleet_members.h
+++ b/include/berylbarrow/process/membership/fleet_members.h
@@ -50,6 +50,8 @@
   std::vector<std::string> GatewayNames(time_point now) const;
   /// Peers addresses of the live gateways without this one.
   std::vector<std::string> GatewayAddresses(time_point now) const;
+  /// Peers addresses of the live companions without this one.
+  std::vector<std::string> CompanionAddresses(time_point now) const;
   /// Callers' addresses of the ready gateways, this one included if it is one: first those of
   /// `domain`, as long as there are `enough` of them, otherwise all.
   std::vector<std::string> ReadyAddresses(const std::string& domain, std::size_t enough,
@@ -67,6 +69,8 @@
   };
 
   void Learn(const member_hint& hint, time_point now);
+  /// Peers addresses of the live members of the role without this one.
+  std::vector<std::string> AddressesOf(member_role role, time_point now) const;
 
   fleet_members_options options_;
   fleet_member self_;
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -62,6 +62,7 @@
       random_(std::random_device{}()),
       members_({.seeds = settings.seeds}, MakeSelf(settings, random_())),
       switch_({}, members_.Self().incarnation),
+      crashes_({.observer = members_.Self().incarnation}),
       engine_caller_(context_, settings.upstream_address, kCallTimeout, clock),
       order_caller_(context_, settings.upstream_address, kOrderTimeout, clock),
       store_caller_(context_, settings.store_address, std::chrono::seconds(1), clock),
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -17,6 +17,7 @@
 #include "berylbarrow/process/companion/companion.h"
 #include "berylbarrow/process/membership/fleet_members.h"
 #include "berylbarrow/process/telemetry/metrics.h"
+#include "berylbarrow/request/suspect/crash_analysis.h"
 #include "berylbarrow/version/expert/layout_chooser.h"
 #include "berylbarrow/version/expert/layout_spread.h"
 #include "berylbarrow/version/expert/map_switch.h"
@@ -77,6 +78,9 @@
   void FetchProfile(time_point now);
   void SendDueOrders(time_point now);
   void OnDatagram(std::string_view datagram, const endpoint& from);
+  /// Keeps what the gateways know of crashes, and answers an empty digest, with which a gateway
+  /// asks for it.
+  void OnCrashDigest(const crash_digest& digest, const endpoint& from);
   void OnRankMessage(const rank_message& message, const endpoint& from);
   /// Adds the layers of `part` to the lists of `peer`, and discards those of another version.
   void MergeExpertLists(peer_rank& peer, const layout_part& part);
@@ -107,6 +111,7 @@
   metrics metrics_;
   fleet_members members_;
   map_switch switch_;
+  crash_analysis crashes_;  // for gateways that start while no other one runs
   std::shared_ptr<heartbeat_socket> socket_;
   http_caller engine_caller_;
   http_caller order_caller_;
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -29,10 +29,21 @@
     OnRankMessage(*message, from);
     return;
   }
+  if (const auto digest = DecodeCrashDigest(datagram)) {
+    OnCrashDigest(*digest, from);
+    return;
+  }
   const auto heartbeat = DecodeBeat(datagram);
   if (heartbeat) members_.OnBeat(*heartbeat, clock_.Now());
 }
 
+void companion::OnCrashDigest(const crash_digest& digest, const endpoint& from) {
+  const time_point now = clock_.Now();
+  const bool is_question = digest.crashes.empty() && digest.answers.empty();
+  if (!is_question) return crashes_.Merge(digest, now);
+  if (crashes_.HasObservations()) Send(EncodeCrashDigest(crashes_.MakeDigest(now)), from);
+}
+
 void companion::OnRankMessage(const rank_message& message, const endpoint& from) {
   if (!status_) return;
   const time_point now = clock_.Now();
@@ -181,6 +192,7 @@
 
 void companion::SendHeartbeat(time_point now) {
   next_heartbeat_ = now + kHeartbeatInterval;
+  crashes_.Expire(now);
   fleet_beat heartbeat{.self = members_.Self(), .sequence = ++heartbeat_sequence_};
   if (status_) {
     heartbeat.reports.push_back({.address = settings_.upstream_address,
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -22,8 +22,11 @@
 constexpr duration kPeriodicCheckInterval = milliseconds(200);
 // Characters of a state in the log; all of it is in /state.
 constexpr std::size_t kMaxLoggedState = 400;
-// Gateways that a crash digest without news goes to.
+// Gateways that a crash digest without news goes to, and companions that any goes to.
 constexpr std::size_t kDigestTargets = 2;
+constexpr duration kCompanionDigestInterval = std::chrono::seconds(1);
+// Companions that a gateway asks after its start for what they know of crashes.
+constexpr int kMaxAskedCompanions = 8;
 // Callers use an address answer for up to three times its lifetime.
 constexpr int kAddressLifetimesInUse = 3;
 // Part of the shutdown grace that is reserved for the last answers and the exit of the process.
@@ -174,13 +177,16 @@
   for (const auto& request : OpenRequests()) request->EndIfRefused(now);
 }
 
+void gateway::SendToSome(const std::string& datagram, const std::vector<std::string>& targets) {
+  std::vector<std::string> some;
+  std::sample(targets.begin(), targets.end(), std::back_inserter(some), kDigestTargets, random_);
+  for (const std::string& target : some)
+    heartbeat_socket_->Send(datagram, ParseUdpEndpoint(target));
+}
+
 void gateway::SendToGateways(const std::string& datagram, bool to_all, time_point now) {
-  std::vector<std::string> targets = members_.GatewayAddresses(now);
-  if (!to_all) {
-    std::vector<std::string> few;
-    std::sample(targets.begin(), targets.end(), std::back_inserter(few), kDigestTargets, random_);
-    targets = std::move(few);
-  }
+  const std::vector<std::string> targets = members_.GatewayAddresses(now);
+  if (!to_all) return SendToSome(datagram, targets);
   for (const std::string& target : targets) {
     heartbeat_socket_->Send(datagram, ParseUdpEndpoint(target));
   }
@@ -191,7 +197,12 @@
   if (!crashes_.HasObservations()) return;
   const bool has_news = crashes_.HasNews();
   const bool was_news = std::exchange(repeat_crash_news_, has_news);
-  SendToGateways(EncodeCrashDigest(crashes_.MakeDigest(now)), has_news || was_news, now);
+  const bool to_all = has_news || was_news;
+  const std::string datagram = EncodeCrashDigest(crashes_.MakeDigest(now));
+  SendToGateways(datagram, to_all, now);
+  if (!to_all && now < next_companion_digest_) return;
+  next_companion_digest_ = now + kCompanionDigestInterval;
+  SendToSome(datagram, members_.CompanionAddresses(now));
 }
 
 void gateway::SendLimitDigest(time_point now) {
@@ -239,6 +250,11 @@
     if (is_gateway && crashes_.HasObservations()) {
       heartbeat_socket_->Send(EncodeCrashDigest(crashes_.MakeDigest(now)), address);
     }
+    // Companions know of crashes before the start if no other gateway does.
+    if (!is_gateway && !crashes_.HasObservations() && asked_companions_ < kMaxAskedCompanions) {
+      ++asked_companions_;
+      heartbeat_socket_->Send(EncodeCrashDigest({}), address);
+    }
     if (is_gateway && !limits_.IsEmpty()) {
       heartbeat_socket_->Send(EncodeLimitDigest(limits_.MakeDigest(now)), address);
     }
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -73,6 +73,8 @@
   /// Tells other gateways of the limits that upstreams name, like SendCrashDigest().
   void SendLimitDigest(time_point now);
   /// Sends a datagram to all live gateways, or to a few random ones.
+  /// Sends it to a few of the targets.
+  void SendToSome(const std::string& datagram, const std::vector<std::string>& targets);
   void SendToGateways(const std::string& datagram, bool to_all, time_point now);
   void ApplyLimit(std::uint32_t upstream, time_point now);
   /// Recomputes this gateway's shares after the live gateways may have changed.
@@ -142,6 +144,8 @@
   std::uint64_t selector_revision_ = 0;  // of the registry, as last passed to the selector
   std::uint64_t heartbeat_sequence_ = 0;
   time_point next_heartbeat_ = time_point::min();
+  time_point next_companion_digest_ = time_point::min();
+  int asked_companions_ = 0;  // for what they know of crashes
   time_point next_crash_digest_ = time_point::min();
   time_point next_limit_digest_ = time_point::min();
   // The next digest goes to all gateways once more, in case one was lost.
--- a/src/process/membership/fleet_members.cc
+++ b/src/process/membership/fleet_members.cc
@@ -138,17 +138,23 @@
   return names;
 }
 
-std::vector<std::string> fleet_members::GatewayAddresses(time_point now) const {
+std::vector<std::string> fleet_members::AddressesOf(member_role role, time_point now) const {
   std::vector<std::string> addresses;
   for (const auto& [name, known] : members_) {
     const bool live = now - known.heard <= options_.lifetime;
-    if (live && known.member.role == member_role::kGateway) {
-      addresses.push_back(known.member.peers_address);
-    }
+    if (live && known.member.role == role) addresses.push_back(known.member.peers_address);
   }
   return addresses;
 }
 
+std::vector<std::string> fleet_members::GatewayAddresses(time_point now) const {
+  return AddressesOf(member_role::kGateway, now);
+}
+
+std::vector<std::string> fleet_members::CompanionAddresses(time_point now) const {
+  return AddressesOf(member_role::kCompanion, now);
+}
+
 std::vector<std::string> fleet_members::ReadyAddresses(const std::string& domain,
                                                        std::size_t enough, time_point now) const {
   std::vector<std::string> near;
--- /dev/null
+++ b/tests/platform/companion_crash_test.cc
@@ -0,0 +1,90 @@
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <string>
+#include <thread>
+
+#include "berylbarrow/process/companion/companion.h"
+#include "berylbarrow/process/membership/fleet_beat.h"
+#include "berylbarrow/request/suspect/crash_analysis.h"
+#include "platform/engine_api.h"
+#include "platform/gateway_fixture.h"
+
+namespace berylbarrow {
+namespace {
+
+using boost::asio::ip::udp;
+
+constexpr time_point kStart{std::chrono::hours(1)};
+
+udp::endpoint MakeUdpEndpoint(const std::string& address) {
+  const auto colon = address.rfind(':');
+  return {boost::asio::ip::make_address(address.substr(0, colon)),
+          static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+}
+
+/// A companion whose engine and store do not answer, and a gateway's socket that it knows as seed.
+class companion_fixture {
+ public:
+  companion_fixture()
+      : settings_{.name = "side-a",
+                  .peers_address = FreeLoopbackAddress(),
+                  .upstream_address = FreeLoopbackAddress(),
+                  .service = "app",
+                  .store_address = FreeLoopbackAddress(),
+                  .seeds = {"127.0.0.1:" + std::to_string(gateway_.local_endpoint().port())}},
+        thread_([this] { RunCompanion(settings_, dialect_, clock_); }) {
+    while (!DecodeBeat(Receive())) continue;
+  }
+  ~companion_fixture() {
+    std::raise(SIGTERM);
+    thread_.join();
+  }
+
+  void Send(const crash_digest& digest) {
+    gateway_.send_to(boost::asio::buffer(EncodeCrashDigest(digest)),
+                     MakeUdpEndpoint(settings_.peers_address));
+  }
+  crash_digest ReceiveDigest() {
+    while (true) {
+      if (auto digest = DecodeCrashDigest(Receive())) return *digest;
+    }
+  }
+
+ private:
+  std::string Receive() {
+    std::array<char, 1400> bytes{};
+    const std::size_t size = gateway_.receive(boost::asio::buffer(bytes));
+    return {bytes.data(), size};
+  }
+
+  boost::asio::io_context context_;
+  udp::socket gateway_{context_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  system_clock clock_;
+  platform::engine_api dialect_;
+  companion_settings settings_;
+  std::thread thread_;
+};
+
+// Guards against a fleet that forgets a deadly part when all gateways are restarted at once.
+BOOST_AUTO_TEST_CASE(a_companion_returns_the_crashes_that_gateways_have_told_it) {
+  companion_fixture companion;
+  const trait_list deadly{1, 100, 500};
+  crash_analysis before({.observer = 1});
+  before.OnAnswered({2, 100}, kStart);
+  before.OnCrash(deadly, 1, answer_progress::kStarted, kStart);
+  companion.Send(before.MakeDigest(kStart));
+  companion.Send({});
+  crash_analysis after({.observer = 2});
+  after.Merge(companion.ReceiveDigest(), kStart + std::chrono::seconds(1));
+  const auto permission = [&](const trait_list& traits) {
+    return after.Check(traits, false, kStart + std::chrono::seconds(1)).permission;
+  };
+  BOOST_TEST((permission({3, 101, 500}) == crash_permission::kRefused));
+  BOOST_TEST((permission({4, 100}) == crash_permission::kUnrestricted));
+}
+
+}  // namespace
+}  // namespace berylbarrow
--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -129,5 +129,48 @@
   BOOST_TEST(CountDeadly(crashing) == deadly_before);
 }
 
+/// A companion of the fleet, as far as its datagrams show.
+class fake_companion {
+ public:
+  void SendHeartbeat(const gateway_fixture& gateway) {
+    const fleet_member member{
+        .name = "side-a",
+        .role = member_role::kCompanion,
+        .incarnation = 8,
+        .peers_address = "127.0.0.1:" + std::to_string(socket_.local_endpoint().port())};
+    socket_.send_to(boost::asio::buffer(EncodeBeat({.self = member, .sequence = ++sequence_})),
+                    gateway.PeersEndpoint());
+  }
+  /// The next crash digest among the datagrams that arrive.
+  crash_digest ReceiveDigest() {
+    while (true) {
+      std::array<char, 1400> bytes{};
+      const std::size_t size = socket_.receive(boost::asio::buffer(bytes));
+      if (auto digest = DecodeCrashDigest({bytes.data(), size})) return *digest;
+    }
+  }
+
+ private:
+  boost::asio::io_context context_;
+  udp::socket socket_{context_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
+  std::uint64_t sequence_ = 0;
+};
+
+// Guards against a fleet that forgets a deadly part when all gateways are restarted at once.
+BOOST_AUTO_TEST_CASE(companions_keep_the_crashes_for_gateways_that_start) {
+  const scripted_upstream crashing = CrashingUpstream();
+  fake_companion companion;
+  crash_digest kept;
+  {
+    const gateway_fixture gateway({&crashing});
+    SendSoundDrafts(gateway);
+    companion.SendHeartbeat(gateway);
+    BOOST_TEST(companion.ReceiveDigest().crashes.empty());  // asks for what is known
+    gateway.SendAndReceive(MakeDraft(20, "b1:40,dead:9,2:9"));
+    kept = companion.ReceiveDigest();
+  }
+  BOOST_TEST(kept.crashes.size() == 1U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -16,23 +16,6 @@
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
-/// A free port below the range from which the system gives ports to outgoing connections, so that
-/// no other test takes it before the gateway listens.
-std::string FreeLoopbackAddress() {
-  constexpr unsigned kFirstPort = 12000;
-  constexpr unsigned kPorts = 8000;
-  static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 16};
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
-    boost::asio::io_context context;
-    tcp::acceptor acceptor(context);
-    boost::system::error_code error;
-    acceptor.open(tcp::v4(), error);
-    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
-    if (!error) return "127.0.0.1:" + std::to_string(port);
-  }
-}
-
 tcp::endpoint MakeEndpoint(const std::string& address) {
   const auto colon = address.rfind(':');
   return {boost::asio::ip::make_address(address.substr(0, colon)),
@@ -93,6 +76,21 @@
 
 }  // namespace
 
+std::string FreeLoopbackAddress() {
+  constexpr unsigned kFirstPort = 12000;
+  constexpr unsigned kPorts = 8000;
+  static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 16};
+  while (true) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    boost::asio::io_context context;
+    tcp::acceptor acceptor(context);
+    boost::system::error_code error;
+    acceptor.open(tcp::v4(), error);
+    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+    if (!error) return "127.0.0.1:" + std::to_string(port);
+  }
+}
+
 scripted_upstream::scripted_upstream(request_handler handler)
     : handler_(std::move(handler)),
       acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -111,6 +111,9 @@
   std::thread thread_;
 };
 
+/// An address with a free port below the range from which the system gives ports to outgoing
+/// connections, so that no other test takes it before a process under test uses it.
+std::string FreeLoopbackAddress();
 /// Builds a request to one of the routes of the fixture: "pay" (non-idempotent), "read"
 /// (idempotent) or "draft" (resumable stream).
 std::string MakeRequest(const std::string& route, const std::string& id,
