Ask companions for crashes also after the first crash is known

Cause: a gateway asked only as long as it knew of no crash itself. One that saw an unrelated crash before it met the first companion never learned what the fleet knew before all gateways were killed. Besides, no log line showed that a companion had answered, and the comment of SendToGateways stood at another function.

Change: a gateway asks the first eight companions that it meets, whatever it knows; crash_digest_returned is logged by the companion; the suspects kept beyond the limit are called the most severe.

Conclusion: eight datagrams at the start of a gateway are the whole price."

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -153,7 +153,7 @@
   void Update() const;
   std::vector<crash_suspect> FindSuspects(const std::vector<crash_group>& groups) const;
   /// Removes suspects beyond the limit.
-  void KeepGravest(std::vector<crash_suspect>& suspects) const;
+  void KeepMostSevere(std::vector<crash_suspect>& suspects) const;
   relevance RelevanceOf(const observation& observed, const crash_group& group,
                         const std::vector<const crash_suspect*>& refused) const;
   void RankObservations(const std::vector<crash_group>& groups) const;
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -41,7 +41,12 @@
   const time_point now = clock_.Now();
   const bool is_question = digest.crashes.empty() && digest.answers.empty();
   if (!is_question) return crashes_.Merge(digest, now);
-  if (crashes_.HasObservations()) Send(EncodeCrashDigest(crashes_.MakeDigest(now)), from);
+  if (!crashes_.HasObservations()) return;
+  Send(EncodeCrashDigest(crashes_.MakeDigest(now)), from);
+  logger::Event(log_level::kInfo, "fleet", "crash_digest_returned",
+                {{"observations", std::to_string(crashes_.ObservationCount())},
+                 {"suspects", std::to_string(crashes_.SuspectCount())},
+                 {"to", from.address().to_string() + ":" + std::to_string(from.port())}});
 }
 
 void companion::OnRankMessage(const rank_message& message, const endpoint& from) {
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -25,7 +25,7 @@
 // Gateways that a crash digest without news goes to, and companions that any goes to.
 constexpr std::size_t kDigestTargets = 2;
 constexpr duration kCompanionDigestInterval = std::chrono::seconds(1);
-// Companions that a gateway asks after its start for what they know of crashes.
+// Companions that a gateway asks for what they know of crashes, the first that it meets.
 constexpr int kMaxAskedCompanions = 8;
 // Callers use an address answer for up to three times its lifetime.
 constexpr int kAddressLifetimesInUse = 3;
@@ -180,8 +180,9 @@
 void gateway::SendToSome(const std::string& datagram, const std::vector<std::string>& targets) {
   std::vector<std::string> some;
   std::sample(targets.begin(), targets.end(), std::back_inserter(some), kDigestTargets, random_);
-  for (const std::string& target : some)
+  for (const std::string& target : some) {
     heartbeat_socket_->Send(datagram, ParseUdpEndpoint(target));
+  }
 }
 
 void gateway::SendToGateways(const std::string& datagram, bool to_all, time_point now) {
@@ -250,8 +251,8 @@
     if (is_gateway && crashes_.HasObservations()) {
       heartbeat_socket_->Send(EncodeCrashDigest(crashes_.MakeDigest(now)), address);
     }
-    // Companions know of crashes before the start if no other gateway does.
-    if (!is_gateway && !crashes_.HasObservations() && asked_companions_ < kMaxAskedCompanions) {
+    if (!is_gateway && asked_companions_ < kMaxAskedCompanions) {
+      // It may know of crashes that no gateway knows of any more.
       ++asked_companions_;
       heartbeat_socket_->Send(EncodeCrashDigest({}), address);
     }
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -72,9 +72,9 @@
   void OnHeartbeat(const fleet_beat& heartbeat, time_point now);
   /// Tells other gateways of the limits that upstreams name, like SendCrashDigest().
   void SendLimitDigest(time_point now);
-  /// Sends a datagram to all live gateways, or to a few random ones.
-  /// Sends it to a few of the targets.
+  /// Sends a datagram to a few random ones of the targets.
   void SendToSome(const std::string& datagram, const std::vector<std::string>& targets);
+  /// Sends a datagram to all live gateways, or to a few random ones.
   void SendToGateways(const std::string& datagram, bool to_all, time_point now);
   void ApplyLimit(std::uint32_t upstream, time_point now);
   /// Recomputes this gateway's shares after the live gateways may have changed.
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -177,18 +177,18 @@
     search.Add(crash);
   }
   std::vector<crash_suspect> found = search.TakeSuspects();
-  KeepGravest(found);
+  KeepMostSevere(found);
   return found;
 }
 
-void crash_analysis::KeepGravest(std::vector<crash_suspect>& suspects) const {
+void crash_analysis::KeepMostSevere(std::vector<crash_suspect>& suspects) const {
   if (suspects.size() <= options_.max_suspects) return;
-  const auto gravity = [&](const crash_suspect& each) {
+  const auto severity = [&](const crash_suspect& each) {
     return std::tuple(IsRefused(each), each.started_crashes, each.crashes, each.last_crash);
   };
   std::stable_sort(suspects.begin(), suspects.end(),
                    [&](const crash_suspect& left, const crash_suspect& right) {
-                     return gravity(left) > gravity(right);
+                     return severity(left) > severity(right);
                    });
   suspects.resize(options_.max_suspects);
 }
