Close a rank group as soon as one of its ranks is lost

Cause: only the report of an upstream itself could exclude it. The companion of the crashed engine sent no report any more, and the engines of the other ranks still called their group open.

A change between open and closed is reported at once.

Evidence: a_lost_rank_excludes_all_ranks_of_its_group, a_group_in_a_new_epoch_... and a_companion_reports_the_rank_of_an_engine_that_is_gone_as_lost fail without the change (the last one waits for ever) and pass with it.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -24,7 +24,7 @@
   std::string group;    // whose ranks run each pass together; empty: none
   std::uint64_t epoch = 0;
   std::uint32_t rank = 0;
-  bool open = true;           // false: the group is waiting for a rank
+  bool open = true;           // false: this rank is lost, or the group is waiting for one
   double pace = 1.0;          // slowdown factor: 1 is nominal, 2 is half the speed
   std::uint32_t running = 0;  // requests
   std::uint32_t waiting = 0;  // requests
@@ -185,6 +185,12 @@
     double deviation_ms = 0;  // mean absolute deviation
     time_point updated_at;
   };
+  /// Whether a rank group can run passes, by the reports of its latest epoch.
+  struct group_state {
+    std::uint64_t epoch = 0;
+    std::string closed_by;  // address of the rank that reported so last; empty: open
+    time_point closed_at = time_point::min();
+  };
   /// Predicted pass times by group key, valid for one choice.
   using group_models = std::map<std::string, pass_time_model>;
 
@@ -196,7 +202,7 @@
   /// The group of an upstream, or its id if it has none.
   std::string GroupKey(const upstream_state& state) const;
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
-  /// False if a recent report says that the group is waiting for a rank.
+  /// False if a recent report says that a rank of the group is lost: all of its ranks then stall.
   bool IsGroupOpen(const upstream_state& state, time_point now) const;
   bool IsWithinRate(const upstream_state& state, time_point now) const;
   /// True if the upstream failed recently or its group is waiting for a rank.
@@ -212,6 +218,7 @@
   std::optional<std::string> PreferredUnit(const dispatch_query& query, time_point now) const;
   group_models BuildGroupModels(const std::string& service, time_point now) const;
   void AddToTotalPeerLoad(const load_by_upstream& in_flight);
+  void UpdateGroup(const engine_report& report, time_point now);
   double Pace(const upstream_state& state) const;
   void Block(upstream_state& state, time_point now);
   void BlockGroup(const upstream_state& state, time_point now);
@@ -221,6 +228,7 @@
   std::map<std::string, load_by_upstream> peer_loads_;
   load_by_upstream total_peer_load_;                   // sum over all peers
   std::map<std::string, pass_time_stats> pass_times_;  // by group key
+  std::map<std::string, group_state> groups_;          // by name
   std::set<std::string> evacuated_domains_;
   std::map<std::uint32_t, double> rate_limits_;  // requests per second by hash of the id
   const fleet_share* share_ = nullptr;           // null: this is the only entry
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -37,6 +37,8 @@
 constexpr double kBusySlotUsage = 0.5;
 constexpr double kMinHorizonShare = 0.55;
 constexpr double kSlotUsageWeight = 0.2;  // of a new observation in the average
+// One failure may be that of a connection, so the next status is requested at once.
+constexpr std::uint32_t kFailuresOfLostRank = 2;
 constexpr duration kCallTimeout = milliseconds(300);
 constexpr duration kOrderTimeout = milliseconds(150);
 constexpr duration kMaxShutdownDelay = milliseconds(1500);
@@ -186,11 +188,9 @@
 
 void companion::OnStatus(const http_result& result, time_point requested_at) {
   auto status = result.status == 200 ? dialect_.ParseStatus(result.body) : std::nullopt;
-  if (!status) {
-    if (status_) logger::Event(log_level::kWarning, "engine", "engine_lost");
-    status_.reset();
-    return;
-  }
+  if (!status) return OnStatusFailure();
+  const bool was_open = status_ && status_->rank.open;
+  failed_statuses_ = 0;
   const bool new_epoch = !status_ || status_->rank.epoch != status->rank.epoch ||
                          status_->rank.group != status->rank.group;
   if (new_epoch) {
@@ -207,6 +207,7 @@
   }
   status_ = std::move(status);
   members_.Self().group = status_->rank.group;
+  if (status_->rank.open != was_open) SendHeartbeat(clock_.Now());
   switch_.OnStatus(status_->rank, requested_at);
   if (!switch_.IsActive()) return;
   const time_point now = clock_.Now();
@@ -215,6 +216,23 @@
   SendPlan(now);
 }
 
+void companion::OnStatusFailure() {
+  if (status_) {
+    logger::Event(log_level::kWarning, "engine", "engine_lost");
+    last_rank_ = status_->rank;
+    status_.reset();
+  }
+  const time_point now = clock_.Now();
+  if (++failed_statuses_ == kFailuresOfLostRank) SendHeartbeat(now);
+  if (failed_statuses_ >= kFailuresOfLostRank) return;
+  next_status_ = now;
+  PollEngine(now);
+}
+
+bool companion::IsRankLost() const {
+  return failed_statuses_ >= kFailuresOfLostRank && !last_rank_.group.empty();
+}
+
 void companion::OnExpertCounts(const http_result& result) {
   if (result.status != 200) return;
   const auto counts = dialect_.ParseExpertCounts(result.body);
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -69,6 +69,10 @@
   void PollEngine(time_point now);
   /// `requested_at`: time of the request, as the status may be older than its response.
   void OnStatus(const http_result& result, time_point requested_at);
+  /// The engine did not answer a request for its status.
+  void OnStatusFailure();
+  /// Whether the engine has crashed or cannot be reached, so that the ranks of its group stall.
+  bool IsRankLost() const;
   void OnExpertCounts(const http_result& result);
   void OnExpertLists(const http_result& result);
   /// Polls the engines of ranks whose companions are silent during a switch.
@@ -119,6 +123,8 @@
   information_handler metrics_handler_;
   std::unique_ptr<http_server> metrics_server_;
   std::optional<engine_status> status_;
+  rank_status last_rank_;              // of the last status, kept while the engine does not answer
+  std::uint32_t failed_statuses_ = 0;  // requests without an answer since the last status
   std::optional<engine_profile> profile_;
   std::optional<rank_expert_lists> own_lists_;
   rate_average expert_rates_;
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -208,6 +208,12 @@
                                  .pace = status_->pace,
                                  .running = status_->running,
                                  .waiting = status_->waiting});
+  } else if (IsRankLost()) {
+    heartbeat.reports.push_back({.address = settings_.upstream_address,
+                                 .group = last_rank_.group,
+                                 .epoch = last_rank_.epoch,
+                                 .rank = last_rank_.rank,
+                                 .open = false});
   }
   const std::string datagram = EncodeBeat(heartbeat);
   for (const std::string& target : members_.Targets(now)) Send(datagram, ParseUdpEndpoint(target));
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -62,6 +62,11 @@
     state.cold_requests_per_second = profile->cold_requests_per_second;
   }
   for (auto& [id, state] : upstreams_) UpdateRate(state, now);
+  std::erase_if(groups_, [&](const auto& group) {
+    return std::none_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+      return entry.second.report && entry.second.report->group == group.first;
+    });
+  });
 }
 
 void upstream_selector::SetEvacuatedDomains(const std::set<std::string>& domains, time_point now) {
@@ -138,7 +143,11 @@
 
 bool upstream_selector::IsGroupOpen(const upstream_state& state, time_point now) const {
   const bool fresh = state.report && now - state.report_received_at <= options_.report_lifetime;
-  return !fresh || state.report->open;
+  if (fresh && !state.report->open) return false;
+  if (!state.report) return true;
+  const auto group = groups_.find(state.report->group);
+  return group == groups_.end() || group->second.closed_by.empty() ||
+         now - group->second.closed_at > options_.report_lifetime;
 }
 
 bool upstream_selector::IsBlocked(const upstream_state& state, time_point now) const {
@@ -367,6 +376,21 @@
   if (found == upstreams_.end()) return;
   found->second.report = report;
   found->second.report_received_at = now;
+  if (!report.group.empty()) UpdateGroup(report, now);
+}
+
+void upstream_selector::UpdateGroup(const engine_report& report, time_point now) {
+  group_state& group = groups_[report.group];
+  // A rank that was lost for good is still reported with the epoch in which it was lost.
+  if (report.epoch < group.epoch) return;
+  const bool is_new_epoch = report.epoch > group.epoch;
+  group.epoch = report.epoch;
+  if (!report.open) {
+    group.closed_by = report.address;
+    group.closed_at = now;
+  } else if (is_new_epoch || group.closed_by == report.address) {
+    group.closed_by.clear();
+  }
 }
 
 void upstream_selector::OnEventGap(const std::string& id, duration gap, time_point now) {
--- a/tests/platform/companion_crash_test.cc
+++ b/tests/platform/companion_crash_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -25,13 +26,14 @@
           static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
 }
 
-/// A companion whose engine and store do not answer, and a gateway's socket that it knows as seed.
+/// A companion whose store does not answer, and a gateway's socket that it knows as seed.
 class companion_fixture {
  public:
-  companion_fixture()
+  /// By default the engine does not answer either.
+  explicit companion_fixture(const std::string& engine_address = FreeLoopbackAddress())
       : settings_{.name = "side-a",
                   .peers_address = FreeLoopbackAddress(),
-                  .upstream_address = FreeLoopbackAddress(),
+                  .upstream_address = engine_address,
                   .service = "app",
                   .store_address = FreeLoopbackAddress(),
                   .seeds = {"127.0.0.1:" + std::to_string(gateway_.local_endpoint().port())}},
@@ -52,6 +54,14 @@
       if (auto digest = DecodeCrashDigest(Receive())) return *digest;
     }
   }
+  /// The next report of the engine, whether it is open or not.
+  engine_report ReceiveReport(bool open) {
+    while (true) {
+      const auto heartbeat = DecodeBeat(Receive());
+      if (!heartbeat || heartbeat->reports.empty()) continue;
+      if (heartbeat->reports.front().open == open) return heartbeat->reports.front();
+    }
+  }
 
  private:
   std::string Receive() {
@@ -86,5 +96,26 @@
   BOOST_TEST((permission({4, 100}) == crash_permission::kUnrestricted));
 }
 
+// Guards against requests that are sent to the other ranks of a group while all of them stall for
+// the rank that crashed.
+BOOST_AUTO_TEST_CASE(a_companion_reports_the_rank_of_an_engine_that_is_gone_as_lost) {
+  auto engine = std::make_unique<scripted_upstream>([](const std::string& request) {
+    const bool is_status = request.rfind("GET /report ", 0) == 0;
+    const std::string body =
+        is_status ? R"({"group":{"name":"g","epoch":3,"rank":1,"state":"open"},"size":4})" : "";
+    return scripted_reply{.bytes = "HTTP/1.1 " + std::string(is_status ? "200" : "404") +
+                                   " x\r\nContent-Length: " + std::to_string(body.size()) +
+                                   "\r\n\r\n" + body};
+  });
+  companion_fixture companion(engine->Address());
+  const engine_report open = companion.ReceiveReport(true);
+  BOOST_TEST(open.group == "g");
+  engine.reset();
+  const engine_report lost = companion.ReceiveReport(false);
+  BOOST_TEST(lost.group == "g");
+  BOOST_TEST(lost.epoch == 3U);
+  BOOST_TEST(lost.address == open.address);
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -52,9 +52,10 @@
   }
 
   void ReportEngine(const std::string& id, const std::string& group, double pace = 1,
-                    bool open = true) {
+                    bool open = true, std::uint64_t epoch = 0) {
     selector.OnEngineReport({.address = registry.Upstreams().at(id).record.address,
                              .group = group,
+                             .epoch = epoch,
                              .open = open,
                              .pace = pace},
                             now);
@@ -206,6 +207,43 @@
   BOOST_TEST(fixture.Choose().upstream_id == "a");
 }
 
+// Guards against requests that are sent to the other ranks of a group while all of them stall for
+// the rank that crashed.
+BOOST_AUTO_TEST_CASE(a_lost_rank_excludes_all_ranks_of_its_group) {
+  selector_fixture fixture;
+  for (const char* id : {"a1", "a2", "a3", "b1"}) fixture.AddUpstream(id, "north");
+  for (const char* id : {"a1", "a2", "a3"}) fixture.ReportEngine(id, "a");
+  fixture.ReportEngine("b1", "b");
+  fixture.ReportEngine("a1", "a", 1, false);
+  fixture.ReportEngine("a2", "a");
+  for (int i = 0; i < 10; ++i) BOOST_TEST(fixture.Choose().upstream_id == "b1");
+  BOOST_TEST(fixture.Choose("model", {"b1"}).upstream_id.empty());
+
+  fixture.ReportEngine("a1", "a");
+  BOOST_TEST(!fixture.Choose("model", {"b1"}).upstream_id.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_group_in_a_new_epoch_is_open_although_a_rank_of_the_old_one_stays_lost) {
+  selector_fixture fixture;
+  for (const char* id : {"a1", "a2"}) fixture.AddUpstream(id, "north");
+  fixture.ReportEngine("a2", "a");
+  fixture.ReportEngine("a1", "a", 1, false);
+  BOOST_TEST(fixture.Choose().upstream_id.empty());
+  fixture.ReportEngine("a2", "a", 1, true, 1);
+  fixture.ReportEngine("a1", "a", 1, false);
+  for (int i = 0; i < 10; ++i) BOOST_TEST(fixture.Choose().upstream_id == "a2");
+}
+
+BOOST_AUTO_TEST_CASE(the_report_of_a_lost_rank_expires) {
+  selector_fixture fixture;
+  for (const char* id : {"a1", "a2"}) fixture.AddUpstream(id, "north");
+  fixture.ReportEngine("a2", "a");
+  fixture.ReportEngine("a1", "a", 1, false);
+  fixture.AdvanceTime(std::chrono::seconds(2));
+  fixture.ReportEngine("a2", "a");
+  BOOST_TEST(!fixture.Choose("model", {"a1"}).upstream_id.empty());
+}
+
 // When most requests use the same few experts, passes take longer. More requests would then make
 // all of them late.
 BOOST_AUTO_TEST_CASE(long_event_gaps_limit_the_requests_of_an_engine) {
