Tell other gateways which prompt parts were answered

Cause: a gateway knew only its own answers, so it took parts that the rest of the fleet had answered for unknown risks. One crash was enough for such a gateway to accuse such a part.

Change: with each heartbeat a gateway tells all others of the parts that were answered for the first time as far as it knows, 12 bytes each, and once more with the next one; about four gateways tell one that starts of the 800 latest.

Conclusion: what is proven is a fact of the fleet, like what is accused.

--- a/include/berylbarrow/request/suspect/answer_history.h
+++ b/include/berylbarrow/request/suspect/answer_history.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/request/suspect/crash_digest.h"
@@ -40,6 +41,8 @@
   /// Some accused traits whose answers became known last, the latest first.
   const std::deque<std::uint64_t>& Recent() const { return recent_; }
   std::size_t Size() const { return answers_.size(); }
+  /// The traits with the latest answers, the latest first.
+  std::vector<std::uint64_t> Latest(std::size_t max_traits) const;
 
   /// Removes accusations that are older than the time.
   void ForgetAccusations(time_point oldest);
--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_REQUEST_SUSPECT_CRASH_ANALYSIS_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -62,6 +63,8 @@
   std::size_t max_suspects = 64;
   std::size_t max_answered = 4096;
   std::size_t max_digest_bytes = 1200;
+  /// Digests of the latest answers for a gateway that has started.
+  std::size_t max_answer_digests = 8;
 };
 
 /// Finds the requests that crash upstreams, from the attempts that failed with each crash and the
@@ -100,6 +103,12 @@
   /// then others by turns, as many as fit, and answers.
   crash_digest MakeDigest(time_point now);
   void Merge(const crash_digest& digest, time_point now);
+  /// The first answers to prompt parts that this gateway has seen since the last call, for all
+  /// other gateways. Those that do not fit follow with the next call.
+  answer_digest TakeFirstAnswers(time_point now);
+  /// The latest answers, for a gateway that has started.
+  std::vector<answer_digest> LatestAnswers(time_point now) const;
+  void Merge(const answer_digest& digest, time_point now);
   void Expire(time_point now);
   /// The suspects, for /state.
   nlohmann::json State(time_point now) const;
@@ -162,6 +171,8 @@
   /// Adds answers to the accused traits: first those of the requests in the digest, then the
   /// latest.
   void AddAnswers(crash_digest& digest, std::size_t bytes, time_point now) const;
+  /// Answers that other gateways have seen.
+  void MergeAnswers(const std::vector<answer_report>& answers, time_point now);
   bool IsRefused(const crash_suspect& suspect) const;
   crash_permission PermissionOf(const crash_suspect& suspect, bool is_trial_owner,
                                 time_point now) const;
@@ -170,6 +181,7 @@
   crash_analysis_options options_;
   std::map<observation_id, observation> observations_;
   answer_history answers_;
+  std::deque<std::uint64_t> first_answers_;     // of which no other gateway was told yet
   std::map<std::uint64_t, time_point> trials_;  // when the last one was sent, by suspect
   std::uint32_t next_sequence_ = 1;
   std::size_t next_observation_ = 0;  // with which the next digest continues
--- a/include/berylbarrow/request/suspect/crash_digest.h
+++ b/include/berylbarrow/request/suspect/crash_digest.h
@@ -28,7 +28,7 @@
   auto operator<=>(const crash_report&) const = default;
 };
 
-/// An answer to a request with a trait that a crash accuses.
+/// An answer to a request with a trait.
 struct answer_report {
   std::uint64_t trait = 0;
   std::uint32_t age_ms = 0;  // at the time of sending
@@ -51,6 +51,21 @@
   auto operator<=>(const crash_digest&) const = default;
 };
 
+/// Answers that a gateway has seen, which show that requests with these traits crash no upstream.
+/// Sent to the other gateways as a datagram.
+struct answer_digest {
+  std::vector<answer_report> answers;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(answers);
+  }
+  auto operator<=>(const answer_digest&) const = default;
+};
+
+/// Little-endian cereal portable binary.
+std::string EncodeAnswerDigest(const answer_digest& digest);
+/// Returns nothing if the bytes are not an answer digest.
+std::optional<answer_digest> DecodeAnswerDigest(std::string_view datagram);
 /// Little-endian cereal portable binary.
 std::string EncodeCrashDigest(const crash_digest& digest);
 /// Returns nothing if the bytes are not a crash digest.
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -25,6 +25,8 @@
 // Gateways that a crash digest without news goes to, and companions that any goes to.
 constexpr std::size_t kDigestTargets = 2;
 constexpr duration kCompanionDigestInterval = std::chrono::seconds(1);
+// Gateways of which a new one gets the latest answers, on average.
+constexpr double kLatestAnswerSenders = 4;
 // Companions that a gateway asks for what they know of crashes, the first that it meets.
 constexpr int kMaxAskedCompanions = 8;
 // Callers use an address answer for up to three times its lifetime.
@@ -166,6 +168,7 @@
   for (const std::string& target : members_.Targets(now)) {
     heartbeat_socket_->Send(datagram, ParseUdpEndpoint(target));
   }
+  SendFirstAnswers(now);
 }
 
 void gateway::EndRefusedRequests(time_point now) {
@@ -206,6 +209,28 @@
   SendToSome(datagram, members_.CompanionAddresses(now));
 }
 
+void gateway::SendFirstAnswers(time_point now) {
+  const answer_digest digest = crashes_.TakeFirstAnswers(now);
+  const std::string datagram = digest.answers.empty() ? "" : EncodeAnswerDigest(digest);
+  for (const std::string& each : {std::exchange(last_first_answers_, datagram), datagram}) {
+    if (!each.empty()) SendToGateways(each, true, now);
+  }
+}
+
+void gateway::SendKnowledge(const boost::asio::ip::udp::endpoint& to, time_point now) {
+  if (crashes_.HasObservations()) {
+    heartbeat_socket_->Send(EncodeCrashDigest(crashes_.MakeDigest(now)), to);
+  }
+  if (relay_context_.UniformRandom() * share_.GatewayCount() < kLatestAnswerSenders) {
+    for (const answer_digest& digest : crashes_.LatestAnswers(now)) {
+      heartbeat_socket_->Send(EncodeAnswerDigest(digest), to);
+    }
+  }
+  if (!limits_.IsEmpty()) {
+    heartbeat_socket_->Send(EncodeLimitDigest(limits_.MakeDigest(now)), to);
+  }
+}
+
 void gateway::SendLimitDigest(time_point now) {
   next_limit_digest_ = now + kHeartbeatInterval;
   if (limits_.IsEmpty()) return;
@@ -236,6 +261,8 @@
   } else if (const auto digest = DecodeCrashDigest(datagram)) {
     crashes_.Merge(*digest, now);
     EndRefusedRequests(now);
+  } else if (const auto answers = DecodeAnswerDigest(datagram)) {
+    crashes_.Merge(*answers, now);
   } else if (const auto limits = DecodeLimitDigest(datagram)) {
     for (const std::uint32_t upstream : limits_.Merge(*limits, now)) ApplyLimit(upstream, now);
   }
@@ -248,17 +275,12 @@
                   {{"name", heartbeat.self.name}, {"failure_domain", heartbeat.self.domain}});
     UpdateShares(now);
     const auto address = ParseUdpEndpoint(heartbeat.self.peers_address);
-    if (is_gateway && crashes_.HasObservations()) {
-      heartbeat_socket_->Send(EncodeCrashDigest(crashes_.MakeDigest(now)), address);
-    }
+    if (is_gateway) SendKnowledge(address, now);
     if (!is_gateway && asked_companions_ < kMaxAskedCompanions) {
       // It may know of crashes that no gateway knows of any more.
       ++asked_companions_;
       heartbeat_socket_->Send(EncodeCrashDigest({}), address);
     }
-    if (is_gateway && !limits_.IsEmpty()) {
-      heartbeat_socket_->Send(EncodeLimitDigest(limits_.MakeDigest(now)), address);
-    }
   }
   for (const engine_report& report : heartbeat.reports) selector_.OnEngineReport(report, now);
   if (!is_gateway) return;
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -70,6 +70,10 @@
   void SendCrashDigest(time_point now);
   void OnDatagram(std::string_view datagram);
   void OnHeartbeat(const fleet_beat& heartbeat, time_point now);
+  /// Tells all gateways which prompt parts were answered for the first time.
+  void SendFirstAnswers(time_point now);
+  /// Tells a gateway that has started what is known of crashes and limits.
+  void SendKnowledge(const boost::asio::ip::udp::endpoint& to, time_point now);
   /// Tells other gateways of the limits that upstreams name, like SendCrashDigest().
   void SendLimitDigest(time_point now);
   /// Sends a datagram to a few random ones of the targets.
@@ -150,6 +154,7 @@
   time_point next_limit_digest_ = time_point::min();
   // The next digest goes to all gateways once more, in case one was lost.
   bool repeat_crash_news_ = false;
+  std::string last_first_answers_;      // datagram that is sent once more
   std::uint64_t crashes_revision_ = 0;  // for which EndRefusedRequests() was done
   bool repeat_limit_news_ = false;
   time_point next_periodic_check_ = time_point::min();
--- a/src/request/suspect/answer_history.cc
+++ b/src/request/suspect/answer_history.cc
@@ -1,6 +1,9 @@
 #include "berylbarrow/request/suspect/answer_history.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
+#include <utility>
 #include <vector>
 
 namespace berylbarrow {
@@ -55,6 +58,20 @@
   });
 }
 
+std::vector<std::uint64_t> answer_history::Latest(std::size_t max_traits) const {
+  std::vector<std::pair<time_point, std::uint64_t>> by_time;
+  by_time.reserve(answers_.size());
+  for (const auto& [trait, answer] : answers_) by_time.emplace_back(answer.last, trait);
+  const std::size_t count = std::min(max_traits, by_time.size());
+  const auto end = by_time.begin() + static_cast<std::ptrdiff_t>(count);
+  std::partial_sort(by_time.begin(), end, by_time.end(), std::greater<>());
+  std::vector<std::uint64_t> latest;
+  latest.reserve(count);
+  std::transform(by_time.begin(), end, std::back_inserter(latest),
+                 [](const auto& entry) { return entry.second; });
+  return latest;
+}
+
 void answer_history::AddRecent(std::uint64_t trait) {
   std::erase(recent_, trait);
   recent_.push_front(trait);
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -110,6 +110,10 @@
   for (std::size_t i = 0; i < traits.size(); ++i) {
     // The first trait is the fingerprint, which few requests share.
     if (i == 0 && !answers_.IsAccused(traits[i])) continue;
+    const bool is_first = i > 0 && answers_.Find(traits[i]) == nullptr;
+    if (is_first && first_answers_.size() < options_.max_answered) {
+      first_answers_.push_back(traits[i]);
+    }
     clears = answers_.Record(traits[i], now) || clears;
   }
   if (!clears) return;
@@ -397,11 +401,46 @@
       }
     }
   }
-  for (const answer_report& report : digest.answers) {
+  if (has_changed) is_outdated_ = true;
+  MergeAnswers(digest.answers, now);
+}
+
+void crash_analysis::MergeAnswers(const std::vector<answer_report>& answers, time_point now) {
+  for (const answer_report& report : answers) {
     const time_point at = now - milliseconds(report.age_ms);
-    has_changed = answers_.Record(report.trait, at) || has_changed;
+    is_outdated_ = answers_.Record(report.trait, at) || is_outdated_;
   }
-  if (has_changed) is_outdated_ = true;
+}
+
+void crash_analysis::Merge(const answer_digest& digest, time_point now) {
+  MergeAnswers(digest.answers, now);
+}
+
+answer_digest crash_analysis::TakeFirstAnswers(time_point now) {
+  answer_digest digest;
+  while (!first_answers_.empty() &&
+         digest.answers.size() < options_.max_digest_bytes / kAnswerBytes) {
+    const std::uint64_t trait = first_answers_.front();
+    first_answers_.pop_front();
+    const answer_times* const answer = answers_.Find(trait);
+    if (answer == nullptr) continue;
+    digest.answers.push_back({.trait = trait, .age_ms = AgeMs(answer->last, now)});
+  }
+  return digest;
+}
+
+std::vector<answer_digest> crash_analysis::LatestAnswers(time_point now) const {
+  const std::size_t answers_per_digest = options_.max_digest_bytes / kAnswerBytes;
+  std::vector<answer_digest> digests;
+  for (const std::uint64_t trait :
+       answers_.Latest(answers_per_digest * options_.max_answer_digests)) {
+    if (digests.empty() || digests.back().answers.size() == answers_per_digest) {
+      digests.emplace_back();
+    }
+    digests.back().answers.push_back(
+        {.trait = trait, .age_ms = AgeMs(answers_.Find(trait)->last, now)});
+  }
+  return digests;
 }
 
 void crash_analysis::Expire(time_point now) {
--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -172,5 +172,29 @@
   BOOST_TEST(kept.crashes.size() == 1U);
 }
 
+// Guards against gateways that take the parts which others have answered for unknown risks.
+BOOST_AUTO_TEST_CASE(gateways_tell_each_other_which_parts_were_answered) {
+  const scripted_upstream upstream = CrashingUpstream();
+  const gateway_fixture gateway({&upstream});
+  boost::asio::io_context context;
+  udp::socket peer(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  const fleet_member member{
+      .name = "entry-b",
+      .role = member_role::kGateway,
+      .incarnation = 7,
+      .peers_address = "127.0.0.1:" + std::to_string(peer.local_endpoint().port())};
+  peer.send_to(boost::asio::buffer(EncodeBeat({.self = member, .sequence = 1})),
+               gateway.PeersEndpoint());
+  gateway.SendAndReceive(MakeDraft(0, "b1:40,1:9"));
+  std::optional<answer_digest> digest;
+  while (!digest) {
+    std::array<char, 1400> bytes{};
+    const std::size_t size = peer.receive(boost::asio::buffer(bytes));
+    digest = DecodeAnswerDigest({bytes.data(), size});
+  }
+  BOOST_TEST_REQUIRE(digest->answers.size() == 1U);
+  BOOST_TEST(digest->answers.front().trait == 0xb1U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace berylbarrow {
 namespace {
@@ -383,5 +384,57 @@
              RequestFingerprint("GET", "/a", "x", "b"));
 }
 
+// Guards against a gateway that takes the parts which others have answered for unknown risks.
+BOOST_AUTO_TEST_CASE(parts_that_another_gateway_has_answered_are_proven) {
+  crash_analysis first({.observer = 1});
+  crash_analysis second({.observer = 2});
+  first.OnAnswered(Request({kBeginning, kOtherBeginning}), kStart);
+  first.OnAnswered(Request({kBeginning}), kStart + seconds(1));
+  const answer_digest digest = first.TakeFirstAnswers(kStart + seconds(1));
+  BOOST_TEST(digest.answers.size() == 2U);
+  BOOST_TEST(first.TakeFirstAnswers(kStart + seconds(1)).answers.empty());
+  second.Merge(*DecodeAnswerDigest(EncodeAnswerDigest(digest)), kStart + seconds(1));
+  BOOST_TEST(!second.UnprovenPart(Request({kBeginning, kOtherBeginning})).has_value());
+  second.OnAnswered(Request({kBeginning}), kStart + seconds(2));
+  BOOST_TEST(second.TakeFirstAnswers(kStart + seconds(2)).answers.empty());
+}
+
+// A part that was answered before it was accused is not refused after a single crash.
+BOOST_AUTO_TEST_CASE(a_part_that_another_gateway_has_answered_is_not_refused_after_one_crash) {
+  crash_analysis first({.observer = 1});
+  crash_analysis second({.observer = 2});
+  first.OnAnswered(Request({kBeginning}), kStart);
+  second.Merge(first.TakeFirstAnswers(kStart + seconds(1)), kStart + seconds(1));
+  const time_point crash = kStart + seconds(2);
+  second.OnCrash(Request({kBeginning}), kUnit, answer_progress::kStarted, crash);
+  BOOST_TEST(!IsRefused(second, Request({kBeginning}), crash));
+}
+
+BOOST_AUTO_TEST_CASE(first_answers_that_do_not_fit_a_digest_follow_with_the_next) {
+  crash_analysis analysis({.max_digest_bytes = 120});
+  std::vector<std::uint64_t> parts(25);
+  std::iota(parts.begin(), parts.end(), kBeginning);
+  analysis.OnAnswered(Request(parts), kStart);
+  BOOST_TEST(analysis.TakeFirstAnswers(kStart).answers.size() == 10U);
+  BOOST_TEST(analysis.TakeFirstAnswers(kStart).answers.size() == 10U);
+  BOOST_TEST(analysis.TakeFirstAnswers(kStart).answers.size() == 5U);
+}
+
+// Guards against a gateway that starts later and takes all parts for unknown risks.
+BOOST_AUTO_TEST_CASE(the_latest_answers_tell_a_new_gateway_of_the_proven_parts) {
+  crash_analysis known({.observer = 1, .max_digest_bytes = 120, .max_answer_digests = 2});
+  for (std::uint64_t i = 0; i < 50; ++i) {
+    known.OnAnswered(Request({kBeginning + i}), kStart + milliseconds(i));
+  }
+  const time_point later = kStart + seconds(1);
+  const std::vector<answer_digest> digests = known.LatestAnswers(later);
+  BOOST_TEST(digests.size() == 2U);
+  crash_analysis started({.observer = 2});
+  for (const answer_digest& digest : digests) started.Merge(digest, later);
+  BOOST_TEST(started.AnsweredCount() == 20U);
+  BOOST_TEST(!started.UnprovenPart(Request({kBeginning + 49})).has_value());
+  BOOST_TEST(started.UnprovenPart(Request({kBeginning})).has_value());
+}
+
 }  // namespace
 }  // namespace berylbarrow
