--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -172,6 +172,18 @@
   BOOST_TEST(kept.crashes.size() == 1U);
 }
 
+// Guards against two deadly parts that crash a group each before the first crash is known.
+BOOST_AUTO_TEST_CASE(requests_with_different_unproven_parts_go_to_the_same_unit) {
+  const scripted_upstream first = CrashingUpstream();
+  const scripted_upstream second = CrashingUpstream();
+  const gateway_fixture gateway({&first, &second});
+  for (int i = 10; i < 20; ++i) {
+    const std::string part = "c" + std::to_string(i);
+    BOOST_TEST(Contains(gateway.SendAndReceive(MakeDraft(i, part + ":40,1:9")), "data: a"));
+  }
+  BOOST_TEST((first.Requests().empty() || second.Requests().empty()));
+}
+
 // Guards against gateways that take the parts which others have answered for unknown risks.
 BOOST_AUTO_TEST_CASE(gateways_tell_each_other_which_parts_were_answered) {
   const scripted_upstream upstream = CrashingUpstream();
