--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -54,6 +54,9 @@
   /// Then one gateway tries it.
   duration initial_refusal = std::chrono::seconds(30);
   duration max_refusal = std::chrono::minutes(16);
+  /// Share of requests with unproven parts up to which the other requests can even out the load
+  /// of the failure units.
+  double rare_unproven_share = 0.25;
   /// A trial without a result no longer keeps others waiting after this time.
   duration trial_timeout = std::chrono::seconds(2);
   /// An observation is forgotten after this time.
@@ -91,6 +94,13 @@
   /// The last of the shared parts of a request (all traits but the first) of which no answer is
   /// known, so that it may crash upstreams. Nothing if there is none.
   std::optional<std::uint64_t> UnprovenPart(const trait_list& traits) const;
+  /// Counts a new request, for the share of those with unproven parts.
+  void OnRequest(const trait_list& traits);
+  /// Requests with the same value should run on the same failure unit. While requests with unproven
+  /// parts are rare, all of them have the same value, otherwise those with the same part, so that
+  /// they do not overload one unit. Nothing if the request has no unproven part.
+  std::optional<std::uint64_t> RiskAffinity(const trait_list& traits) const;
+  bool AreUnprovenRare() const { return unproven_share_ <= options_.rare_unproven_share; }
   /// A request with the permission kTrial was sent.
   void OnTrialSent(std::uint64_t suspect, time_point now);
 
@@ -185,6 +195,7 @@
   std::map<std::uint64_t, time_point> trials_;  // when the last one was sent, by suspect
   std::uint32_t next_sequence_ = 1;
   std::size_t next_observation_ = 0;  // with which the next digest continues
+  double unproven_share_ = 1;         // moving average over the requests
   bool has_news_ = false;
   // Many changes come together, so the suspects are derived when they are needed.
   mutable bool is_outdated_ = false;
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -78,6 +78,7 @@
     return refuse(
         {.status = kCrashRefusalStatus, .reason = "crashes_upstreams", .body = kCrashRefusalBody});
   }
+  crashes_.OnRequest(admitted.traits);
   admitted.head = std::move(head);
   admitted.body = std::move(body);
   admitted.facts = std::move(facts);
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -28,8 +28,6 @@
 constexpr duration kUnreachableRetryAfter = milliseconds(300);
 // Retry-After of requests that wait for the result of a trial.
 constexpr duration kTrialRetryAfter = milliseconds(1500);
-// Unproven requests of all services and gateways prefer the same failure unit.
-constexpr std::uint64_t kUnprovenAffinity = 0;
 
 /// Hexadecimal ids, separated by commas.
 std::string PartsText(const std::vector<std::uint64_t>& parts) {
@@ -73,17 +71,15 @@
 
 dispatch_choice relayed_request::ChooseUpstream(std::optional<std::uint32_t> unit,
                                                 time_point now) const {
-  const bool is_unproven = context_.crashes.UnprovenPart(request_.traits).has_value();
-  return context_.selector.Choose(
-      {.service = request_.service,
-       .domain = context_.settings.domain,
-       .excluded = tried_upstreams_,
-       .unit = unit,
-       .affinity = is_unproven ? std::optional(kUnprovenAffinity) : std::nullopt,
-       .tokens = ExpectedTokens(),
-       .late = IsLate(now),
-       .tie_break = context_.UniformRandom()},
-      now);
+  return context_.selector.Choose({.service = request_.service,
+                                   .domain = context_.settings.domain,
+                                   .excluded = tried_upstreams_,
+                                   .unit = unit,
+                                   .affinity = context_.crashes.RiskAffinity(request_.traits),
+                                   .tokens = ExpectedTokens(),
+                                   .late = IsLate(now),
+                                   .tie_break = context_.UniformRandom()},
+                                  now);
 }
 
 dispatch_obstacle relayed_request::TryDispatch(time_point now) {
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -35,6 +35,10 @@
   return XXH64(traits.data(), traits.size() * sizeof(traits.front()), 0);
 }
 
+// Weight of the latest request in the share of those with unproven parts.
+constexpr double kUnprovenShareWeight = 1.0 / 16;
+// Of all requests with unproven parts.
+constexpr std::uint64_t kCommonAffinity = 0;
 constexpr std::size_t kAnswerBytes = 12;
 constexpr std::size_t kReportBytes = 36;  // without requests
 
@@ -302,6 +306,16 @@
   return std::nullopt;
 }
 
+void crash_analysis::OnRequest(const trait_list& traits) {
+  const double is_unproven = UnprovenPart(traits) ? 1 : 0;
+  unproven_share_ += kUnprovenShareWeight * (is_unproven - unproven_share_);
+}
+
+std::optional<std::uint64_t> crash_analysis::RiskAffinity(const trait_list& traits) const {
+  const auto part = UnprovenPart(traits);
+  return part && AreUnprovenRare() ? kCommonAffinity : part;
+}
+
 crash_report crash_analysis::MakeReport(const observation_id& id, time_point now) const {
   const observation& observed = observations_.at(id);
   crash_report report{.observer = id.first,
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -436,5 +436,19 @@
   BOOST_TEST(started.UnprovenPart(Request({kBeginning})).has_value());
 }
 
+// Guards against a group that is overloaded by unproven requests when all parts are new, and
+// against two deadly parts that crash a group each.
+BOOST_AUTO_TEST_CASE(requests_with_unproven_parts_share_a_unit_while_they_are_rare) {
+  crash_analysis analysis({});
+  const auto affinity = [&](std::uint64_t part) { return analysis.RiskAffinity(Request({part})); };
+  BOOST_TEST((affinity(kDeadly) != affinity(kBeginning)));
+  analysis.OnAnswered(Request({kOtherBeginning}), kStart);
+  for (int i = 0; i < 30; ++i) analysis.OnRequest(Request({kOtherBeginning}));
+  BOOST_TEST((affinity(kDeadly) == affinity(kBeginning)));
+  BOOST_TEST((affinity(kOtherBeginning) == std::nullopt));
+  for (int i = 0; i < 10; ++i) analysis.OnRequest(Request({kDeadly}));
+  BOOST_TEST((affinity(kDeadly) != affinity(kBeginning)));
+}
+
 }  // namespace
 }  // namespace berylbarrow
