Keep unproven prompt parts from the last group after a crash

Cause: an unproven request was a preference of place, never a reason to wait.

Proven requests go on.

Evidence: requests_with_unproven_parts_do_not_reach_the_last_unit_after_a_crash fails without the change (200 instead of 503); the_last_unit_is_the_one_that_ remains_when_others_fail, a_service_with_a_single_unit_has_no_last_unit, crashes_by_a_request_are_recent_for_a_while are new with the interface.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -151,6 +151,8 @@
   /// itself.
   std::uint32_t FailureUnit(const std::string& id) const;
   bool HasFailureUnit(std::uint32_t unit) const;
+  /// Whether only one failure unit of the service can take requests, because others have failed.
+  bool IsLastUnit(const std::string& service, time_point now) const;
   /// Returns the in-flight requests of this entry, by hash of the upstream id.
   std::map<std::uint32_t, std::uint32_t> LocalLoad() const;
   /// Returns the used share of a service's slots in [0, 1]; 1 if it has no slots.
--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -57,6 +57,8 @@
   /// Share of requests with unproven parts up to which the other requests can even out the load
   /// of the failure units.
   double rare_unproven_share = 0.25;
+  /// Time after a crash by a request in which others are likely.
+  duration recent_crash_period = std::chrono::seconds(5);
   /// A trial without a result no longer keeps others waiting after this time.
   duration trial_timeout = std::chrono::seconds(2);
   /// An observation is forgotten after this time.
@@ -101,6 +103,9 @@
   /// they do not overload one unit. Nothing if the request has no unproven part.
   std::optional<std::uint64_t> RiskAffinity(const trait_list& traits) const;
   bool AreUnprovenRare() const { return unproven_share_ <= options_.rare_unproven_share; }
+  /// Whether requests have crashed upstreams so recently that another one with an unproven part may
+  /// do the same.
+  bool AreCrashesRecent(time_point now) const;
   /// A request with the permission kTrial was sent.
   void OnTrialSent(std::uint64_t suspect, time_point now);
 
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -28,6 +28,9 @@
 constexpr duration kUnreachableRetryAfter = milliseconds(300);
 // Retry-After of requests that wait for the result of a trial.
 constexpr duration kTrialRetryAfter = milliseconds(1500);
+// Retry-After of requests that might crash the last failure unit: the time in which a group with a
+// crashed rank usually opens again.
+constexpr duration kEndangeredRetryAfter = milliseconds(2500);
 
 /// Hexadecimal ids, separated by commas.
 std::string PartsText(const std::vector<std::uint64_t>& parts) {
@@ -86,6 +89,12 @@
   if (state_ != state::kWaiting) return dispatch_obstacle::kNone;
   const crash_verdict verdict = CheckCrashes(now);
   if (EndIfSuspected(verdict)) return dispatch_obstacle::kNone;
+  if (EndangersLastUnit(now)) {
+    EndUnfinished(
+        {.status = 502, .reason = "endangers_last_unit", .retry_after = kEndangeredRetryAfter},
+        now);
+    return dispatch_obstacle::kNone;
+  }
   const bool is_trial = verdict.permission == crash_permission::kTrial;
   const bool is_limited = is_trial && context_.selector.HasFailureUnit(verdict.unit);
   const dispatch_choice choice =
@@ -123,6 +132,11 @@
   return true;
 }
 
+bool relayed_request::EndangersLastUnit(time_point now) const {
+  return context_.crashes.AreCrashesRecent(now) && context_.crashes.UnprovenPart(request_.traits) &&
+         context_.selector.IsLastUnit(request_.service, now);
+}
+
 void relayed_request::ReportCrash(time_point now) {
   const auto limit = context_.start_delays[request_.service].Limit();
   const bool has_started =
@@ -432,7 +446,7 @@
   if (request_.deadline - now < kMinTimeToRetry) return;
   const auto self = shared_from_this();
   const crash_verdict verdict = CheckCrashes(now);
-  if (verdict.permission != crash_permission::kUnrestricted) return;
+  if (verdict.permission != crash_permission::kUnrestricted || EndangersLastUnit(now)) return;
   const dispatch_choice choice = ChooseUpstream(std::nullopt, now);
   if (choice.upstream_id.empty() || !AcquireRetryBudget(now)) return;
   LogAttempt("attempt_abandoned", "silent");
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -107,6 +107,8 @@
   crash_verdict CheckCrashes(time_point now) const;
   /// Answers a request that the crash analysis does not let run now. Returns false if it may run.
   bool EndIfSuspected(const crash_verdict& verdict);
+  /// Whether the request might crash the last failure unit of the service while others are down.
+  bool EndangersLastUnit(time_point now) const;
   /// Tells the crash analysis that the attempt broke before an event was complete.
   void ReportCrash(time_point now);
   void OnFirstEvent(time_point now);
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -439,6 +439,17 @@
   });
 }
 
+bool upstream_selector::IsLastUnit(const std::string& service, time_point now) const {
+  std::set<std::string> units;
+  std::set<std::string> open_units;
+  for (const auto& [id, state] : upstreams_) {
+    if (!IsUsable(state, {.service = service})) continue;
+    units.insert(GroupKey(state));
+    if (!IsBlocked(state, now)) open_units.insert(GroupKey(state));
+  }
+  return open_units.size() == 1 && units.size() > 1;
+}
+
 std::map<std::uint32_t, std::uint32_t> upstream_selector::LocalLoad() const {
   std::map<std::uint32_t, std::uint32_t> load;
   for (const auto& [id, state] : upstreams_) {
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -316,6 +316,13 @@
   return part && AreUnprovenRare() ? kCommonAffinity : part;
 }
 
+bool crash_analysis::AreCrashesRecent(time_point now) const {
+  return std::any_of(observations_.begin(), observations_.end(), [&](const auto& entry) {
+    const observation& observed = entry.second;
+    return !observed.started.empty() && now - observed.at <= options_.recent_crash_period;
+  });
+}
+
 crash_report crash_analysis::MakeReport(const observation_id& id, time_point now) const {
   const observation& observed = observations_.at(id);
   crash_report report{.observer = id.first,
--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -141,14 +141,15 @@
 /// A companion of the fleet, as far as its datagrams show.
 class fake_companion {
  public:
-  void SendHeartbeat(const gateway_fixture& gateway) {
+  void SendHeartbeat(const gateway_fixture& gateway,
+                     const std::vector<engine_report>& reports = {}) {
     const fleet_member member{
         .name = "side-a",
         .role = member_role::kCompanion,
         .incarnation = 8,
         .peers_address = "127.0.0.1:" + std::to_string(socket_.local_endpoint().port())};
-    socket_.send_to(boost::asio::buffer(EncodeBeat({.self = member, .sequence = ++sequence_})),
-                    gateway.PeersEndpoint());
+    const fleet_beat heartbeat{.self = member, .sequence = ++sequence_, .reports = reports};
+    socket_.send_to(boost::asio::buffer(EncodeBeat(heartbeat)), gateway.PeersEndpoint());
   }
   /// The next crash digest among the datagrams that arrive.
   crash_digest ReceiveDigest() {
@@ -181,6 +182,31 @@
   BOOST_TEST(kept.crashes.size() == 1U);
 }
 
+// Guards against a service that loses its last group to a second deadly part while the first part
+// has crashed the other group.
+BOOST_AUTO_TEST_CASE(requests_with_unproven_parts_do_not_reach_the_last_unit_after_a_crash) {
+  const scripted_upstream first = CrashingUpstream();
+  const scripted_upstream second = CrashingUpstream();
+  const gateway_fixture gateway({&first, &second});
+  fake_companion companion;
+  companion.SendHeartbeat(gateway, {{.address = first.Address(), .group = "a"},
+                                    {.address = second.Address(), .group = "b"}});
+  SendQuickSoundDrafts(gateway, 30);
+  gateway.SendAndReceive(MakeDraft(20, "b1:40,dead:9,2:9"));
+  const bool is_first_lost = CountDeadly(first) > 0;
+  companion.SendHeartbeat(gateway,
+                          {{.address = first.Address(), .group = "a", .open = !is_first_lost},
+                           {.address = second.Address(), .group = "b", .open = is_first_lost}});
+  const std::string refusal = gateway.SendAndReceive(MakeDraft(30, "b1:40,c2:9,3:9"));
+  BOOST_TEST(Contains(refusal, "HTTP/1.1 503"), refusal);
+  BOOST_TEST(!HeaderValue(refusal, "Retry-After").empty());
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeDraft(31, "b1:40,4:9")), "data: a"));
+
+  companion.SendHeartbeat(gateway, {{.address = first.Address(), .group = "a", .epoch = 1},
+                                    {.address = second.Address(), .group = "b", .epoch = 1}});
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeDraft(32, "b1:40,c2:9,5:9")), "data: a"));
+}
+
 // Guards against two deadly parts that crash a group each before the first crash is known.
 BOOST_AUTO_TEST_CASE(requests_with_different_unproven_parts_go_to_the_same_unit) {
   const scripted_upstream first = CrashingUpstream();
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -450,5 +450,15 @@
   BOOST_TEST((affinity(kDeadly) != affinity(kBeginning)));
 }
 
+BOOST_AUTO_TEST_CASE(crashes_by_a_request_are_recent_for_a_while) {
+  crash_analysis analysis({});
+  BOOST_TEST(!analysis.AreCrashesRecent(kStart));
+  analysis.OnCrash(Request({kDeadly}), kUnit, answer_progress::kUnanswered, kStart);
+  BOOST_TEST(!analysis.AreCrashesRecent(kStart));
+  analysis.OnCrash(Request({kDeadly}), kOtherUnit, answer_progress::kStarted, kStart);
+  BOOST_TEST(analysis.AreCrashesRecent(kStart + seconds(4)));
+  BOOST_TEST(!analysis.AreCrashesRecent(kStart + seconds(6)));
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -234,6 +234,26 @@
   for (int i = 0; i < 10; ++i) BOOST_TEST(fixture.Choose().upstream_id == "a2");
 }
 
+BOOST_AUTO_TEST_CASE(the_last_unit_is_the_one_that_remains_when_others_fail) {
+  selector_fixture fixture;
+  for (const char* id : {"a1", "a2", "b1", "b2"}) fixture.AddUpstream(id, "north");
+  for (const char* id : {"a1", "a2"}) fixture.ReportEngine(id, "a");
+  BOOST_TEST(!fixture.selector.IsLastUnit("model", fixture.now));
+  for (const char* id : {"b1", "b2"}) fixture.ReportEngine(id, "b");
+  BOOST_TEST(!fixture.selector.IsLastUnit("model", fixture.now));
+  fixture.ReportEngine("a1", "a", 1, false);
+  BOOST_TEST(fixture.selector.IsLastUnit("model", fixture.now));
+  fixture.ReportEngine("b1", "b", 1, false);
+  BOOST_TEST(!fixture.selector.IsLastUnit("model", fixture.now));
+}
+
+BOOST_AUTO_TEST_CASE(a_service_with_a_single_unit_has_no_last_unit) {
+  selector_fixture fixture;
+  for (const char* id : {"a1", "a2"}) fixture.AddUpstream(id, "north");
+  for (const char* id : {"a1", "a2"}) fixture.ReportEngine(id, "a");
+  BOOST_TEST(!fixture.selector.IsLastUnit("model", fixture.now));
+}
+
 BOOST_AUTO_TEST_CASE(the_report_of_a_lost_rank_expires) {
   selector_fixture fixture;
   for (const char* id : {"a1", "a2"}) fixture.AddUpstream(id, "north");
