Call unproven parts rare up to two requests in five

Cause: at 5 s, when the first part crashes a group, the share of unproven requests was still above a quarter at some gateways, deadly ones included.

Change: the limit is 0.4; two groups can still be evened out by the other requests.

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -56,7 +56,7 @@
   duration max_refusal = std::chrono::minutes(16);
   /// Share of requests with unproven parts up to which the other requests can even out the load
   /// of the failure units.
-  double rare_unproven_share = 0.25;
+  double rare_unproven_share = 0.4;
   /// Time after a crash by a request in which others are likely.
   duration recent_crash_period = std::chrono::seconds(5);
   /// A trial without a result no longer keeps others waiting after this time.
