Send a request now and then to upstreams that name a limit of zero

Cause (by reading): only an answer tells that a limit has ended. An upstream that names 0 got no request from any gateway, so its limit stayed until it left the instance list.

Change: the rate of a limited upstream is at least 0.1 a second, of all gateways together.

Evidence: an_upstream_that_is_limited_to_zero_gets_a_request_now_and_then fails without the change and passes with it; gateway_limit_test passes. Conclusion: a limit that nobody checks never ends.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -114,6 +114,9 @@
   duration pass_time_lifetime = std::chrono::milliseconds(600);
   /// Share of the request rate limit of a cold upstream that all entries together use.
   double cold_rate_share = 0.8;
+  /// Lower limit of the request rate of a limited upstream, in requests per second from all
+  /// entries: only answers tell that a limit has ended.
+  double min_limited_rate = 0.1;
 };
 
 /// Tracks the load and health of the upstreams as seen by this entry, and chooses one for each
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -164,7 +164,9 @@
   }
   double fleet_rate = std::numeric_limits<double>::max();
   if (is_cold) fleet_rate = state.cold_requests_per_second * options_.cold_rate_share;
-  if (state.rate_limit) fleet_rate = std::min(fleet_rate, *state.rate_limit);
+  if (state.rate_limit) {
+    fleet_rate = std::min(fleet_rate, std::max(*state.rate_limit, options_.min_limited_rate));
+  }
   const double own_rate =
       share_ == nullptr ? fleet_rate : share_->RateOf(state.id_hash, fleet_rate, now);
   // Requests may have been sent to a limited upstream just before its limit became known.
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -453,5 +453,16 @@
   BOOST_TEST(mean < std::chrono::milliseconds(6));
 }
 
+// Guards against an upstream that gets no request any more after it named a limit of zero, so that
+// nothing tells when the limit ends.
+BOOST_AUTO_TEST_CASE(an_upstream_that_is_limited_to_zero_gets_a_request_now_and_then) {
+  selector_fixture fixture;
+  fixture.AddUpstream("a", "north");
+  fixture.selector.SetRateLimits({{UpstreamHash("a"), 0.0}}, fixture.now);
+  BOOST_TEST(fixture.Choose().upstream_id.empty());
+  fixture.AdvanceTime(std::chrono::seconds(11));
+  BOOST_TEST(fixture.SendRequests(5)["a"] == 1);
+}
+
 }  // namespace
 }  // namespace berylbarrow
