Log when a rank group closes and opens

Cause: gateways came to believe that a group is down without a line in the log. Change: group_closed and group_open with the epoch and the upstream that said so; OnEngineReport() tells whether the group has changed. Conclusion: a few lines for each crash of a rank.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -143,7 +143,8 @@
                   duration latency, time_point now);
   /// Records that the upstream reported the time for which it stays cold.
   void OnColdTimeLeft(const std::string& id, duration left, time_point now);
-  void OnEngineReport(const engine_report& report, time_point now);
+  /// Returns whether the report opens or closes its group.
+  bool OnEngineReport(const engine_report& report, time_point now);
   /// Records the time between two events of a stream, which measures a pass of the group.
   void OnEventGap(const std::string& id, duration gap, time_point now);
   /// Replaces the in-flight requests of another entry, by hash of the upstream id.
@@ -223,7 +224,8 @@
   std::optional<std::string> PreferredUnit(const dispatch_query& query, time_point now) const;
   group_models BuildGroupModels(const std::string& service, time_point now) const;
   void AddToTotalPeerLoad(const load_by_upstream& in_flight);
-  void UpdateGroup(const engine_report& report, time_point now);
+  /// Returns whether the report opens or closes the group.
+  bool UpdateGroup(const engine_report& report, time_point now);
   double Pace(const upstream_state& state) const;
   void Block(upstream_state& state, time_point now);
   void BlockGroup(const upstream_state& state, time_point now);
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -282,13 +282,22 @@
       heartbeat_socket_->Send(EncodeCrashDigest({}), address);
     }
   }
-  for (const engine_report& report : heartbeat.reports) selector_.OnEngineReport(report, now);
+  for (const engine_report& report : heartbeat.reports) OnEngineReport(report, now);
   if (!is_gateway) return;
   std::map<std::uint32_t, std::uint32_t> in_flight;
   for (const upstream_use& use : heartbeat.in_flight) in_flight[use.upstream] = use.in_flight;
   selector_.OnPeerLoad(heartbeat.self.name, in_flight);
 }
 
+void gateway::OnEngineReport(const engine_report& report, time_point now) {
+  if (!selector_.OnEngineReport(report, now)) return;
+  logger::Event(report.open ? log_level::kInfo : log_level::kWarning, "fleet",
+                report.open ? "group_open" : "group_closed",
+                {{"group", report.group},
+                 {"epoch", std::to_string(report.epoch)},
+                 {"reported_by", report.address}});
+}
+
 void gateway::HandleLostMembers(time_point now) {
   for (const std::string& name : members_.TakeLost(now)) {
     logger::Event(log_level::kWarning, "fleet", "member_lost", {{"name", name}});
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -70,6 +70,7 @@
   void SendCrashDigest(time_point now);
   void OnDatagram(std::string_view datagram);
   void OnHeartbeat(const fleet_beat& heartbeat, time_point now);
+  void OnEngineReport(const engine_report& report, time_point now);
   /// Tells all gateways which prompt parts were answered for the first time.
   void SendFirstAnswers(time_point now);
   /// Tells a gateway that has started what is known of crashes and limits.
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -371,20 +371,21 @@
   UpdateRate(found->second, now);
 }
 
-void upstream_selector::OnEngineReport(const engine_report& report, time_point now) {
+bool upstream_selector::OnEngineReport(const engine_report& report, time_point now) {
   const auto found = std::find_if(upstreams_.begin(), upstreams_.end(), [&](const auto& candidate) {
     return candidate.second.record.address == report.address;
   });
-  if (found == upstreams_.end()) return;
+  if (found == upstreams_.end()) return false;
   found->second.report = report;
   found->second.report_received_at = now;
-  if (!report.group.empty()) UpdateGroup(report, now);
+  return !report.group.empty() && UpdateGroup(report, now);
 }
 
-void upstream_selector::UpdateGroup(const engine_report& report, time_point now) {
+bool upstream_selector::UpdateGroup(const engine_report& report, time_point now) {
   group_state& group = groups_[report.group];
   // A rank that was lost for good is still reported with the epoch in which it was lost.
-  if (report.epoch < group.epoch) return;
+  if (report.epoch < group.epoch) return false;
+  const bool was_closed = !group.closed_by.empty();
   const bool is_new_epoch = report.epoch > group.epoch;
   group.epoch = report.epoch;
   if (!report.open) {
@@ -393,6 +394,7 @@
   } else if (is_new_epoch || group.closed_by == report.address) {
     group.closed_by.clear();
   }
+  return was_closed == group.closed_by.empty();
 }
 
 void upstream_selector::OnEventGap(const std::string& id, duration gap, time_point now) {
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -51,14 +51,15 @@
     selector.SetUpstreams(registry, &view, now);
   }
 
-  void ReportEngine(const std::string& id, const std::string& group, double pace = 1,
+  /// Returns whether the report opens or closes the group.
+  bool ReportEngine(const std::string& id, const std::string& group, double pace = 1,
                     bool open = true, std::uint64_t epoch = 0) {
-    selector.OnEngineReport({.address = registry.Upstreams().at(id).record.address,
-                             .group = group,
-                             .epoch = epoch,
-                             .open = open,
-                             .pace = pace},
-                            now);
+    return selector.OnEngineReport({.address = registry.Upstreams().at(id).record.address,
+                                    .group = group,
+                                    .epoch = epoch,
+                                    .open = open,
+                                    .pace = pace},
+                                   now);
   }
 
   dispatch_choice Choose(const std::string& service = "model",
@@ -214,12 +215,12 @@
   for (const char* id : {"a1", "a2", "a3", "b1"}) fixture.AddUpstream(id, "north");
   for (const char* id : {"a1", "a2", "a3"}) fixture.ReportEngine(id, "a");
   fixture.ReportEngine("b1", "b");
-  fixture.ReportEngine("a1", "a", 1, false);
-  fixture.ReportEngine("a2", "a");
+  BOOST_TEST(fixture.ReportEngine("a1", "a", 1, false));
+  BOOST_TEST(!fixture.ReportEngine("a2", "a"));
   for (int i = 0; i < 10; ++i) BOOST_TEST(fixture.Choose().upstream_id == "b1");
   BOOST_TEST(fixture.Choose("model", {"b1"}).upstream_id.empty());
 
-  fixture.ReportEngine("a1", "a");
+  BOOST_TEST(fixture.ReportEngine("a1", "a"));
   BOOST_TEST(!fixture.Choose("model", {"b1"}).upstream_id.empty());
 }
 
