Refuse unproven parts only while most requests are known to be sound

A gateway that knows few answers would refuse nearly all requests for 5 s after a crash.

Change: nothing is kept back while more than 0.7 of a gateway's requests have an unproven part (IsRisky() of the crash analysis).

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -57,6 +57,8 @@
   /// Share of requests with unproven parts up to which the other requests can even out the load
   /// of the failure units.
   double rare_unproven_share = 0.4;
+  /// Share of requests with unproven parts above which none of them is kept from upstreams.
+  double max_refusable_share = 0.7;
   /// Time after a crash by a request in which others are likely.
   duration recent_crash_period = std::chrono::seconds(5);
   /// A trial without a result no longer keeps others waiting after this time.
@@ -102,10 +104,9 @@
   /// parts are rare, all of them have the same value, otherwise those with the same part, so that
   /// they do not overload one unit. Nothing if the request has no unproven part.
   std::optional<std::uint64_t> RiskAffinity(const trait_list& traits) const;
-  bool AreUnprovenRare() const { return unproven_share_ <= options_.rare_unproven_share; }
-  /// Whether requests have crashed upstreams so recently that another one with an unproven part may
-  /// do the same.
-  bool AreCrashesRecent(time_point now) const;
+  /// Whether the request has an unproven part, others have crashed upstreams recently, and most
+  /// requests are known to be sound.
+  bool IsRisky(const trait_list& traits, time_point now) const;
   /// A request with the permission kTrial was sent.
   void OnTrialSent(std::uint64_t suspect, time_point now);
 
@@ -178,6 +179,8 @@
   std::vector<crash_suspect> FindSuspects(const std::vector<crash_group>& groups) const;
   /// Removes suspects beyond the limit.
   void KeepMostSevere(std::vector<crash_suspect>& suspects) const;
+  /// Whether a crash within the last `recent_crash_period` accuses requests that had started.
+  bool AreCrashesRecent(time_point now) const;
   relevance RelevanceOf(const observation& observed, const crash_group& group,
                         const std::vector<const crash_suspect*>& refused) const;
   void RankObservations(const std::vector<crash_group>& groups) const;
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -133,7 +133,7 @@
 }
 
 bool relayed_request::EndangersLastUnit(time_point now) const {
-  return context_.crashes.AreCrashesRecent(now) && context_.crashes.UnprovenPart(request_.traits) &&
+  return context_.crashes.IsRisky(request_.traits, now) &&
          context_.selector.IsLastUnit(request_.service, now);
 }
 
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -313,7 +313,13 @@
 
 std::optional<std::uint64_t> crash_analysis::RiskAffinity(const trait_list& traits) const {
   const auto part = UnprovenPart(traits);
-  return part && AreUnprovenRare() ? kCommonAffinity : part;
+  const bool are_rare = unproven_share_ <= options_.rare_unproven_share;
+  return part && are_rare ? kCommonAffinity : part;
+}
+
+bool crash_analysis::IsRisky(const trait_list& traits, time_point now) const {
+  return unproven_share_ <= options_.max_refusable_share && AreCrashesRecent(now) &&
+         UnprovenPart(traits);
 }
 
 bool crash_analysis::AreCrashesRecent(time_point now) const {
--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -207,6 +207,26 @@
   BOOST_TEST(Contains(gateway.SendAndReceive(MakeDraft(32, "b1:40,c2:9,5:9")), "data: a"));
 }
 
+// Guards against a gateway that has started and refuses most requests, as it knows few answers yet.
+BOOST_AUTO_TEST_CASE(unproven_parts_reach_the_last_unit_while_most_requests_have_one) {
+  const scripted_upstream first = CrashingUpstream();
+  const scripted_upstream second = CrashingUpstream();
+  const gateway_fixture gateway({&first, &second});
+  fake_companion companion;
+  companion.SendHeartbeat(gateway, {{.address = first.Address(), .group = "a"},
+                                    {.address = second.Address(), .group = "b"}});
+  for (int i = 0; i < 10; ++i) {
+    const std::string part = "c" + std::to_string(i);
+    gateway.SendAndReceive(MakeDraft(i, part + ":40,1:9"), milliseconds(60));
+  }
+  gateway.SendAndReceive(MakeDraft(20, "b1:40,dead:9,2:9"));
+  const bool is_first_lost = CountDeadly(first) > 0;
+  companion.SendHeartbeat(gateway,
+                          {{.address = first.Address(), .group = "a", .open = !is_first_lost},
+                           {.address = second.Address(), .group = "b", .open = is_first_lost}});
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeDraft(30, "b1:40,d2:9,3:9")), "data: a"));
+}
+
 // Guards against two deadly parts that crash a group each before the first crash is known.
 BOOST_AUTO_TEST_CASE(requests_with_different_unproven_parts_go_to_the_same_unit) {
   const scripted_upstream first = CrashingUpstream();
--- a/tests/request/crash_analysis_test.cc
+++ b/tests/request/crash_analysis_test.cc
@@ -450,14 +450,26 @@
   BOOST_TEST((affinity(kDeadly) != affinity(kBeginning)));
 }
 
-BOOST_AUTO_TEST_CASE(crashes_by_a_request_are_recent_for_a_while) {
+BOOST_AUTO_TEST_CASE(
+    unproven_requests_are_risky_for_a_while_after_a_request_has_crashed_its_upstream) {
   crash_analysis analysis({});
-  BOOST_TEST(!analysis.AreCrashesRecent(kStart));
+  analysis.OnAnswered(Request({kBeginning}), kStart);
+  for (int i = 0; i < 10; ++i) analysis.OnRequest(Request({kBeginning}));
+  const trait_list unproven = Request({kOtherBeginning});
+  BOOST_TEST(!analysis.IsRisky(unproven, kStart));
   analysis.OnCrash(Request({kDeadly}), kUnit, answer_progress::kUnanswered, kStart);
-  BOOST_TEST(!analysis.AreCrashesRecent(kStart));
+  BOOST_TEST(!analysis.IsRisky(unproven, kStart));
   analysis.OnCrash(Request({kDeadly}), kOtherUnit, answer_progress::kStarted, kStart);
-  BOOST_TEST(analysis.AreCrashesRecent(kStart + seconds(4)));
-  BOOST_TEST(!analysis.AreCrashesRecent(kStart + seconds(6)));
+  BOOST_TEST(analysis.IsRisky(unproven, kStart + seconds(4)));
+  BOOST_TEST(!analysis.IsRisky(Request({kBeginning}), kStart + seconds(4)));
+  BOOST_TEST(!analysis.IsRisky(unproven, kStart + seconds(6)));
+}
+
+// Guards against a gateway that has started and refuses most requests, as it knows few answers yet.
+BOOST_AUTO_TEST_CASE(no_request_is_risky_while_most_have_unproven_parts) {
+  crash_analysis analysis({});
+  analysis.OnCrash(Request({kDeadly}), kUnit, answer_progress::kStarted, kStart);
+  BOOST_TEST(!analysis.IsRisky(Request({kBeginning}), kStart));
 }
 
 }  // namespace
