Read fractional bounds from the platform's settings

Cause: the platform renders bounds as the numbers that its site files hold.

Change: slack and share of the retry budget are read as numbers with a fraction, durations may have one (1666.6666666666667ms). Values without sense (negative, nan, inf, quoted, beyond the range) are still refused with their place. The share is a ratio to the requests and may exceed 1.

--- a/include/berylbarrow/process/gateway/gateway_settings.h
+++ b/include/berylbarrow/process/gateway/gateway_settings.h
@@ -25,7 +25,7 @@
   /// Retries allowed per request, over all gateways.
   double retry_share = 0.2;
   /// Retries allowed in each `retry_window` beyond `retry_share`, over all gateways.
-  std::uint32_t retry_slack = 90;
+  double retry_slack = 90;
   /// Time to live that a directory answer states for its addresses.
   duration address_lifetime = std::chrono::seconds(2);
   auto operator<=>(const gateway_bounds&) const = default;
--- a/src/process/gateway/gateway_settings.cc
+++ b/src/process/gateway/gateway_settings.cc
@@ -69,8 +69,8 @@
   section.ReadFlag("strict_keys", bounds.strict_keys);
   section.ReadTime("retry_window", bounds.retry_window,
                    {milliseconds(100), std::chrono::minutes(10)});
-  section.ReadShare("retry_share", bounds.retry_share);
-  section.ReadCount("retry_slack", bounds.retry_slack, {0, 1'000'000});
+  section.ReadAmount("retry_share", bounds.retry_share, {0, 100});
+  section.ReadAmount("retry_slack", bounds.retry_slack, {0, 1'000'000});
   section.ReadTime("address_lifetime", bounds.address_lifetime,
                    {milliseconds(100), std::chrono::minutes(1)});
   section.RefuseOtherKeys();
--- a/src/process/runtime/map_reader.cc
+++ b/src/process/runtime/map_reader.cc
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <iterator>
+#include <optional>
+#include <sstream>
 #include <utility>
 
 #include "process/runtime/scalar_format.h"
@@ -17,6 +20,17 @@
          std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
+/// Nothing if the value is quoted or not a finite number.
+std::optional<double> ReadNumber(const yaml_node& node) {
+  double number = 0;
+  const char* const last = node.text.data() + node.text.size();
+  const auto [end, error] = std::from_chars(node.text.data(), last, number);
+  if (node.quoted || error != std::errc() || end != last || !std::isfinite(number)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 std::string Join(std::initializer_list<std::string_view> words) {
   std::string joined;
   for (const auto* word = words.begin(); word != words.end(); ++word) {
@@ -181,15 +195,28 @@
   if (node == nullptr) {
     return false;
   }
-  double number = 0;
-  const char* last = node->text.data() + node->text.size();
-  const auto [end, error] = std::from_chars(node->text.data(), last, number);
-  // The comparison is written so that it also refuses NaN.
-  if (node->quoted || error != std::errc() || end != last || !(number >= 0 && number <= 1)) {
+  const auto number = ReadNumber(*node);
+  if (!number || *number < 0 || *number > 1) {
     ReportValue(key, *node, "is not a number from 0 to 1");
     return false;
   }
-  value = number;
+  value = *number;
+  return true;
+}
+
+bool map_reader::ReadAmount(std::string_view key, double& value, const bounds<double>& allowed) {
+  const yaml_node* node = FindScalar(key, "a number", need::kOptional);
+  if (node == nullptr) {
+    return false;
+  }
+  const auto number = ReadNumber(*node);
+  if (!number || *number < allowed.lowest || *number > allowed.highest) {
+    std::ostringstream range;
+    range << "is not a number from " << allowed.lowest << " to " << allowed.highest;
+    ReportValue(key, *node, range.str());
+    return false;
+  }
+  value = *number;
   return true;
 }
 
--- a/src/process/runtime/map_reader.h
+++ b/src/process/runtime/map_reader.h
@@ -55,6 +55,8 @@
   bool ReadCount(std::string_view key, std::uint32_t& value, const bounds<std::uint32_t>& allowed,
                  need needed = need::kOptional);
   bool ReadShare(std::string_view key, double& value, need needed = need::kOptional);
+  /// A number, which may have a fraction.
+  bool ReadAmount(std::string_view key, double& value, const bounds<double>& allowed);
   bool ReadTime(std::string_view key, duration& value, const bounds<duration>& allowed);
   bool ReadUtc(std::string_view key, wall_time& value);
 
--- a/src/process/runtime/scalar_format.cc
+++ b/src/process/runtime/scalar_format.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/system/error_code.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <utility>
@@ -51,15 +52,19 @@
 }  // namespace
 
 std::optional<duration> ReadDuration(std::string_view text) {
-  const auto digits =
-      static_cast<std::size_t>(std::find_if_not(text.begin(), text.end(), IsDigit) - text.begin());
-  const auto count = ReadDigits<std::uint32_t>(text.substr(0, digits));
+  double count = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, count);
+  // from_chars also reads negative numbers, "inf" and "nan".
+  if (text.empty() || !IsDigit(text.front()) || error != std::errc()) {
+    return std::nullopt;
+  }
+  const std::string_view suffix = text.substr(static_cast<std::size_t>(end - text.data()));
   for (const time_unit& unit : kUnits) {
-    if (count && text.substr(digits) == unit.suffix) {
-      const std::chrono::milliseconds value = unit.length * std::int64_t{*count};
-      const auto longest = std::chrono::duration_cast<std::chrono::milliseconds>(duration::max());
-      return value <= longest ? std::optional<duration>(value) : std::nullopt;
-    }
+    if (suffix != unit.suffix) continue;
+    const double length = count * static_cast<double>(duration(unit.length).count());
+    const bool fits = length < static_cast<double>(duration::max().count());
+    return fits ? std::optional<duration>(std::llround(length)) : std::nullopt;
   }
   return std::nullopt;
 }
--- a/src/process/runtime/scalar_format.h
+++ b/src/process/runtime/scalar_format.h
@@ -9,7 +9,7 @@
 
 namespace berylbarrow {
 
-/// Reads a whole number followed by ms, s, m or h.
+/// Reads a number, which may have a fraction, followed by ms, s, m or h.
 std::optional<duration> ReadDuration(std::string_view text);
 
 /// Writes a duration of whole milliseconds in the largest unit that divides it.
