Switch the maps of groups of 96 ranks

The coordinator sent its plan to 95 ranks and received their states every 32 ms, got 3 KB of load from each rank, and sent each the whole layout of 6.4 KB: more than its link of 6 Mbit/s carries. Of 39 ranks in the log, 4 got the layout in 8 s; then the switch timed out and began again.

Change: in groups of more than 16 ranks, every tenth or so is a relay (near the square root of the size) that sums the loads of its ranks and passes the layout on. A layout travels as its difference from the one in use, with a digest of the result; a rank that does not report to have it gets all of it. Plans are repeated only to ranks whose answer is awaited. States do not change with each pass. The step of a switch lies further ahead in a larger group, so that no pass waits for the arming. At most four engines of silent ranks are asked at a time, loads pause during a switch, the planner runs less often for a large group, and the status of an engine is polled at 8 ms only while the group may be held. Companions learn from gateways who coordinates their group instead of asking all.

Tests: rank_tree (a layout reaches 96 ranks within 400 ms, over 1 s without relays), rank_message, large_group, and the history check of map_switch as before.

Conclusion: the messages of a switch, not the planning, were what bound.

--- a/include/berylbarrow/version/expert/layout_spread.h
+++ b/include/berylbarrow/version/expert/layout_spread.h
@@ -31,6 +31,10 @@
   /// rank is sent.
   std::vector<std::uint32_t> Next(const std::vector<std::uint32_t>& lacking, std::size_t bytes,
                                   time_point now);
+  /// Another process sends the layout to this rank and will have done so by `done`.
+  void MarkSent(std::uint32_t rank, time_point done) { sent_[rank] = done; }
+  /// Whether the layout was sent to the rank, by this process or another.
+  bool WasSent(std::uint32_t rank) const { return sent_.count(rank) > 0; }
 
  private:
   layout_spread_options options_;
--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -96,12 +96,18 @@
 
 struct map_switch_options {
   std::uint64_t lead_steps = 2;  // of the switch ahead of the last pass seen
+  /// Another step of lead for so many ranks: arming a larger group takes longer, and passes that
+  /// reach the step before all ranks are armed wait for the release.
+  std::uint32_t ranks_per_lead_step = 32;
   duration member_lifetime = std::chrono::milliseconds(700);
   duration resend_after = std::chrono::milliseconds(120);  // orders whose effect does not show
   duration prepare_resend = std::chrono::milliseconds(600);
   duration longest_prepare = std::chrono::seconds(8);
   /// A process that is silent for so long during a switch is stood in for.
   duration silence = std::chrono::milliseconds(250);
+  /// `silence` is so much longer by the factor of the group's size and this number, because the
+  /// messages of a larger group take longer.
+  std::uint32_t ranks_per_silence = 48;
   /// The members hear of a hold so much earlier than the engine, so that the deputy knows of it.
   duration announcement = std::chrono::milliseconds(6);
 };
@@ -135,6 +141,9 @@
   std::vector<std::uint32_t> SilentRanks(time_point now) const;
   /// Ranks that are to prepare the target of the switch and have not got its layout.
   std::vector<std::uint32_t> RanksWithoutLayout() const;
+  /// Ranks that have not yet reported the effect of a stage in which the group may be held. The
+  /// deputy is always among them, because it has to notice a silent coordinator.
+  std::vector<std::uint32_t> RanksAwaited() const;
   /// The layout of `version` has been received completely.
   void OnLayoutKnown(std::uint64_t version);
 
@@ -150,6 +159,8 @@
   std::vector<rank_order> Advance(time_point now);
   /// Whether something is under way, so that reports should be read often.
   bool IsActive() const;
+  /// Whether the group may be held, so that every millisecond counts.
+  bool MayBeHeld() const;
   switch_stage Stage() const { return stage_; }
   const std::optional<rank_status>& Status() const { return status_; }
   /// For the coordinator; nothing while the rank is in no group.
@@ -167,6 +178,7 @@
   };
 
   void Reset();
+  duration Silence() const;
   bool AllFresh(time_point now) const;
   template <typename Condition>
   bool AllMembers(time_point now, Condition condition) const;
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -15,11 +15,15 @@
 using std::chrono::milliseconds;
 
 constexpr duration kActiveTickInterval = milliseconds(8);
+constexpr duration kPreparingTickInterval = milliseconds(24);
 constexpr duration kIdleTickInterval = milliseconds(40);
 constexpr duration kStatusInterval = milliseconds(100);
 constexpr duration kCountsInterval = milliseconds(150);
 constexpr duration kListsInterval = milliseconds(500);
 constexpr duration kEvaluationInterval = milliseconds(150);
+// Planning takes longer for a larger group. It is done less often there, so that the instance of
+// the coordinator has time left for the messages of the group.
+constexpr std::uint32_t kRanksPerEvaluationInterval = 32;
 constexpr duration kProfileRetryInterval = milliseconds(500);
 constexpr duration kProfileInterval = std::chrono::seconds(30);
 constexpr duration kMaxLoadAge = std::chrono::seconds(2);
@@ -41,6 +45,9 @@
 constexpr std::uint32_t kFailuresOfLostRank = 2;
 constexpr duration kCallTimeout = milliseconds(300);
 constexpr duration kOrderTimeout = milliseconds(150);
+// Engines of silent ranks that are asked at a time. More would fill the link of this instance, and
+// with it the way of the messages that end the silence.
+constexpr std::ptrdiff_t kMaxSilentRankCalls = 4;
 constexpr duration kMaxShutdownDelay = milliseconds(1500);
 // Number of values of the random part of a version. Two coordinators that know the same highest
 // version thus choose different new ones.
@@ -128,6 +135,7 @@
   SendDueOrders(now);
   SendState(now);
   SendPlan(now);
+  RelayLayout(now);
   if (now >= next_heartbeat_) SendHeartbeat(now);
   const bool active = switch_.IsActive();
   // Finishes a switch in progress before it stops, because the rest of the group may be held until
@@ -136,7 +144,9 @@
     context_.stop();
     return;
   }
-  tick_timer_.expires_after(active ? kActiveTickInterval : kIdleTickInterval);
+  tick_timer_.expires_after(switch_.MayBeHeld() ? kActiveTickInterval
+                            : active            ? kPreparingTickInterval
+                                                : kIdleTickInterval);
   tick_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Tick();
   });
@@ -159,6 +169,7 @@
 void companion::PollEngine(time_point now) {
   if (!status_call_pending_ && now >= next_status_) {
     status_call_pending_ = true;
+    // While the group may be held, or copies experts, the next status is requested in each tick.
     next_status_ = now + (switch_.IsActive() ? duration::zero() : kStatusInterval);
     engine_caller_.Call(dialect_.StatusCall(), [this, now](const http_result& result) {
       status_call_pending_ = false;
@@ -200,7 +211,13 @@
                    {"rank", std::to_string(status->rank.rank)}});
     ranks_.clear();
     coordinator_address_.reset();
+    next_discovery_ = time_point::min();
+    relay_address_.reset();
+    layout_plan_.reset();
+    unrelayed_ranks_.clear();
     target_.reset();
+    in_use_.reset();
+    target_delta_.clear();
     own_lists_.reset();
     expert_rates_.Clear();
     long_term_load_.clear();
@@ -209,6 +226,8 @@
   members_.Self().group = status_->rank.group;
   members_.Self().coordinates = !status_->rank.group.empty() && status_->rank.rank == 0;
   if (status_->rank.open != was_open) SendHeartbeat(clock_.Now(), beat_reach::kAllGateways);
+  const bool is_target_in_use = target_ && target_->version == status_->rank.mapping;
+  if (is_target_in_use && (!in_use_ || in_use_->version != target_->version)) in_use_ = target_;
   switch_.OnStatus(status_->rank, requested_at);
   if (!switch_.IsActive()) return;
   const time_point now = clock_.Now();
@@ -256,6 +275,10 @@
   for (const std::uint32_t rank : switch_.SilentRanks(now)) {
     peer_rank& peer = ranks_[rank];
     if (peer.engine_call_pending || peer.engine_address.empty()) continue;
+    const auto pending = std::count_if(ranks_.begin(), ranks_.end(), [](const auto& entry) {
+      return entry.second.engine_call_pending;
+    });
+    if (pending >= kMaxSilentRankCalls) return;
     if (!peer.engine_caller) {
       peer.engine_caller =
           std::make_unique<http_caller>(context_, peer.engine_address, kOrderTimeout, clock_);
@@ -313,8 +336,8 @@
 
 std::optional<rank_layout> companion::CurrentLayout() const {
   const auto shape = Shape();
-  if (shape && target_ && target_->version == status_->rank.mapping && target_->IsComplete()) {
-    return target_->layout;
+  if (shape && in_use_ && in_use_->version == status_->rank.mapping && in_use_->IsComplete()) {
+    return in_use_->layout;
   }
   if (!shape || !own_lists_ || own_lists_->version != status_->rank.mapping) return std::nullopt;
   if (own_lists_->experts.size() != shape->layers) return std::nullopt;
@@ -337,8 +360,9 @@
   std::vector<double> pace(status_->rank.size, 1.0);
   pace[0] = std::max(1.0, status_->pace);
   for (const auto& [rank, peer] : ranks_) {
-    if (peer.load.size() != sum.size() || now - peer.load_time > kMaxLoadAge) return std::nullopt;
-    for (std::size_t i = 0; i < sum.size(); ++i) sum[i] += peer.load[i];
+    if (now - peer.load_time > kMaxLoadAge) return std::nullopt;
+    if (!peer.load.empty() && peer.load.size() != sum.size()) return std::nullopt;
+    for (std::size_t i = 0; i < peer.load.size(); ++i) sum[i] += peer.load[i];
     if (rank < pace.size()) pace[rank] = std::max(1.0, peer.pace);
   }
   const double total = std::accumulate(sum.begin(), sum.end(), 0.0);
@@ -367,7 +391,8 @@
 
 void companion::EvaluateLayout(time_point now) {
   if (shutting_down_ || now < next_evaluation_ || !switch_.CanBegin(now)) return;
-  next_evaluation_ = now + kEvaluationInterval;
+  next_evaluation_ =
+      now + kEvaluationInterval * std::max(1U, status_->rank.size / kRanksPerEvaluationInterval);
   const auto layout = CurrentLayout();
   const auto work = GroupWork(now);
   if (!layout || !work ||
@@ -394,11 +419,13 @@
        {"waiting", std::to_string(status_->waiting)},
        {"longest_copy", std::to_string(chosen->longest_copy)},
        {"copies", std::to_string(chosen->copies)}});
+  target_delta_ = SplitDelta(*layout, status_->rank.mapping, chosen->layout, version);
   target_ = versioned_layout{.version = version, .layout = chosen->layout};
   for (std::uint32_t i = 0; i < chosen->layout.Shape().layers; ++i) target_->layers.insert(i);
   switch_.OnLayoutKnown(version);
   switch_.Begin(version, now);
   spread_.Begin(now);
+  delta_ranks_.clear();
 }
 
 http_answer companion::AnswerMetrics(const http_head& head) {
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -21,6 +21,7 @@
 #include "berylbarrow/version/expert/layout_chooser.h"
 #include "berylbarrow/version/expert/layout_spread.h"
 #include "berylbarrow/version/expert/map_switch.h"
+#include "berylbarrow/version/expert/rank_tree.h"
 #include "connection/peer/heartbeat_socket.h"
 #include "process/companion/rank_message.h"
 #include "process/gateway/information_handler.h"
@@ -40,6 +41,9 @@
  private:
   using endpoint = boost::asio::ip::udp::endpoint;
 
+  /// What a link of 6 Mbit/s carries beside the other messages of a group.
+  static constexpr double kLayoutBytesPerSecond = 500'000;
+
   enum class beat_reach : std::uint8_t { kUsualTargets, kAllGateways };
 
   /// Last known state of another rank of the group.
@@ -52,8 +56,9 @@
     std::uint64_t lists_version = 0;
     std::optional<rank_layout> lists;  // of this rank only, as a layout of one rank
     std::set<std::uint32_t> layers;    // of `lists`, received so far
-    std::vector<double> load;          // tokens per second, [layer * experts + expert]
-    double pace = 1;                   // pass time divided by the normal pass time
+    std::vector<double> load;  // tokens per second, [layer * experts + expert]; empty: in the load
+                               // of a relay
+    double pace = 1;           // pass time divided by the normal pass time
     time_point load_time = time_point::min();
   };
   /// Layout of a map version.
@@ -88,12 +93,34 @@
   /// asks for it.
   void OnCrashDigest(const crash_digest& digest, const endpoint& from);
   void OnRankMessage(const rank_message& message, const endpoint& from);
+  void OnTargetLayout(const layout_part& part, time_point now);
+  void OnTargetDelta(const layout_delta& part, time_point now);
+  /// Ranks that this process passes a new target layout on to.
+  void BeginRelaying(time_point now);
   /// Adds the layers of `part` to the lists of `peer`, and discards those of another version.
   void MergeExpertLists(peer_rank& peer, const layout_part& part);
+  void OnPlan(const rank_message& message, const endpoint& from, time_point now);
+  void OnMemberState(const rank_message& message, const endpoint& from, time_point now);
+  /// Sends this rank's state to the processes that may coordinate its group.
+  void FindCoordinator(const rank_message& message, time_point now);
   void SendState(time_point now);
+  /// Sends the load of this rank, and of those that it is the relay of, towards the coordinator.
+  void SendLoad(rank_message&& message, time_point now);
+  /// Adds the recent loads of the ranks that this one is the relay of, and returns these ranks.
+  std::vector<covered_rank> AddCoveredLoads(std::vector<double>& load, time_point now) const;
+  duration StateInterval() const;
   void SendPlan(time_point now);
+  void SendPlanTo(const std::vector<std::uint32_t>& ranks, const rank_message& announcement,
+                  time_point now);
   /// Sends the target layout to ranks that are to prepare it and have not received it.
   void SendLayout(const switch_plan& plan, time_point now);
+  /// Passes the target layout on to the ranks that this one is the relay of.
+  void RelayLayout(time_point now);
+  std::vector<std::string> LayoutDatagrams(const switch_plan& plan, bool relayed) const;
+  /// The target layout as its difference from the one in use; all of it if that is not known.
+  std::vector<std::string> DeltaDatagrams(const switch_plan& plan, bool relayed) const;
+  /// Whether the rank takes part as a relay, as far as its recent messages show.
+  bool IsLiveRelay(std::uint32_t rank, time_point now) const;
   /// Begins a switch if a layout is found that is worth its copies. Coordinator only.
   void EvaluateLayout(time_point now);
   /// Updates the average slot usage and returns the time for which a new layout is expected to fit.
@@ -134,8 +161,14 @@
   expert_load long_term_load_;     // long-term average of the group's load
   std::map<std::uint32_t, peer_rank> ranks_;  // by rank, without this one
   std::optional<endpoint> coordinator_address_;
-  std::optional<versioned_layout> target_;  // of the current or the last switch
-  layout_spread spread_{{}};
+  std::optional<endpoint> relay_address_;       // takes the load of this rank
+  std::optional<switch_plan> layout_plan_;      // with which the target layout arrived
+  std::vector<std::uint32_t> unrelayed_ranks_;  // have still to be sent `target_` by this process
+  std::optional<versioned_layout> target_;      // of the current or the last switch
+  std::optional<versioned_layout> in_use_;      // the last target that came into use
+  std::vector<layout_delta> target_delta_;      // of `target_`, the parts known so far
+  std::set<std::uint32_t> delta_ranks_;  // were sent `target_delta_` and not all of the layout
+  layout_spread spread_{{.bytes_per_second = kLayoutBytesPerSecond}};
   std::optional<member_state> last_sent_state_;
   std::optional<switch_plan> last_sent_plan_;
   std::uint64_t heartbeat_sequence_ = 0;
@@ -155,6 +188,7 @@
   time_point next_discovery_ = time_point::min();
   time_point next_load_ = time_point::min();
   time_point next_plan_ = time_point::min();
+  time_point next_awaited_plan_ = time_point::min();
   time_point next_evaluation_ = time_point::min();
   switch_stage last_stage_ = switch_stage::kIdle;
 };
--- a/src/process/companion/rank_message.cc
+++ b/src/process/companion/rank_message.cc
@@ -1,5 +1,7 @@
 #include "process/companion/rank_message.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -8,8 +10,9 @@
 namespace berylbarrow {
 namespace {
 
-constexpr std::uint32_t kRankMessageMagic = 0x62620002;
+constexpr std::uint32_t kRankMessageMagic = 0x62620003;
 constexpr std::size_t kMaxPartBytes = 900;
+constexpr std::uint32_t kMaxByte = 255;
 
 std::string EncodeLayer(const rank_layout& layout, std::uint32_t layer) {
   std::string lists;
@@ -63,6 +66,70 @@
   return at == part.lists.size();
 }
 
+std::uint64_t LayoutDigest(const rank_layout& layout) {
+  std::string lists;
+  for (std::uint32_t layer = 0; layer < layout.Shape().layers; ++layer) {
+    lists += EncodeLayer(layout, layer);
+  }
+  return XXH64(lists.data(), lists.size(), 0);
+}
+
+rank_layout InitialLayout(const group_shape& shape) {
+  rank_layout layout(shape);
+  for (std::uint32_t rank = 0; rank < shape.ranks; ++rank) {
+    std::vector<expert_index> experts;
+    for (std::uint32_t expert = rank; expert < shape.experts; expert += shape.ranks) {
+      experts.push_back(static_cast<expert_index>(expert));
+    }
+    for (std::uint32_t layer = 0; layer < shape.layers; ++layer) layout.Set(layer, rank, experts);
+  }
+  return layout;
+}
+
+std::vector<layout_delta> SplitDelta(const rank_layout& from, std::uint64_t base,
+                                     const rank_layout& to, std::uint64_t version) {
+  const group_shape& shape = to.Shape();
+  if (shape.layers > kMaxByte || shape.ranks > kMaxByte) return {};
+  const layout_delta empty{.version = version, .base = base, .digest = LayoutDigest(to)};
+  std::vector<layout_delta> parts{empty};
+  for (std::uint32_t layer = 0; layer < shape.layers; ++layer) {
+    for (std::uint32_t rank = 0; rank < shape.ranks; ++rank) {
+      const auto& experts = to.At(layer, rank);
+      if (experts == from.At(layer, rank)) continue;
+      std::string entry{static_cast<char>(layer), static_cast<char>(rank),
+                        static_cast<char>(experts.size())};
+      for (const expert_index expert : experts) entry += static_cast<char>(expert);
+      if (parts.back().entries.size() + entry.size() > kMaxPartBytes) parts.push_back(empty);
+      parts.back().entries += entry;
+    }
+  }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].part = static_cast<std::uint32_t>(i);
+    parts[i].parts = static_cast<std::uint32_t>(parts.size());
+  }
+  return parts;
+}
+
+bool ApplyDelta(const std::vector<layout_delta>& parts, rank_layout& layout) {
+  const group_shape& shape = layout.Shape();
+  for (const layout_delta& part : parts) {
+    std::size_t at = 0;
+    const auto next = [&] { return static_cast<unsigned char>(part.entries[at++]); };
+    while (at + 3 <= part.entries.size()) {
+      const std::uint32_t layer = next();
+      const std::uint32_t rank = next();
+      const std::size_t length = next();
+      const bool is_sound = layer < shape.layers && rank < shape.ranks &&
+                            length <= shape.slots_per_rank && at + length <= part.entries.size();
+      if (!is_sound) return false;
+      std::vector<expert_index> experts;
+      for (std::size_t i = 0; i < length; ++i) experts.push_back(next());
+      layout.Set(layer, rank, std::move(experts));
+    }
+  }
+  return !parts.empty() && LayoutDigest(layout) == parts.front().digest;
+}
+
 std::vector<load_part> SplitLoad(const std::vector<double>& load) {
   std::vector<load_part> parts;
   const double max_load = load.empty() ? 0 : *std::max_element(load.begin(), load.end());
--- a/src/process/companion/rank_message.h
+++ b/src/process/companion/rank_message.h
@@ -26,12 +26,28 @@
   auto operator<=>(const layout_part&) const = default;
 };
 
+/// A part of the difference between two layouts. Each entry has one byte for the layer, the rank
+/// and the length of the rank's new list, and one byte for each expert of it.
+struct layout_delta {
+  std::uint64_t version = 0;
+  std::uint64_t base = 0;    // version of the layout that the entries change
+  std::uint64_t digest = 0;  // LayoutDigest() of the result
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
+  std::string entries;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, base, digest, part, parts, entries);
+  }
+  auto operator<=>(const layout_delta&) const = default;
+};
+
 /// Consecutive values of the load per expert of a rank. Each byte of `values` is 255 times the
 /// square root of the load divided by `max_load`; the square root keeps small loads precise.
 struct load_part {
   std::uint32_t offset = 0;  // index of the first value
   double max_load = 0;       // tokens per second, over all parts
-  double pace = 1;           // of the rank: pass time divided by the normal pass time
+  double pace = 1;           // of the sender's rank: pass time divided by the normal pass time
   std::string values;
   template <class Archive>
   void serialize(Archive& archive) {
@@ -40,17 +56,34 @@
   auto operator<=>(const load_part&) const = default;
 };
 
-/// One datagram between the companions of a rank group. Each list holds at most one item.
+/// A rank whose load a relay has added to its own.
+struct covered_rank {
+  std::uint32_t rank = 0;
+  double pace = 1;  // pass time divided by the normal pass time
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(rank, pace);
+  }
+  auto operator<=>(const covered_rank&) const = default;
+};
+
+/// One datagram between the companions of a rank group. Each list but `covered` holds at most one
+/// item.
 struct rank_message {
   std::vector<member_state> state;
   std::vector<switch_plan> plan;
   std::vector<layout_part> target_layout;  // of the plan's target
+  std::vector<layout_delta> target_delta;  // the same as a difference
   std::vector<layout_part> sender_lists;   // expert lists of the sender's rank in the map in use
-  std::vector<load_part> sender_load;      // load of the sender's rank
-  std::string engine_address;              // engine of the sender's rank; may be empty
+  std::vector<load_part> sender_load;      // load of the sender's rank and of `covered`
+  std::vector<covered_rank> covered;
+  std::string engine_address;  // engine of the sender's rank; may be empty
+  std::string relay_address;   // where the receiver is to send its load; empty: to the coordinator
+  bool relayed = false;        // sent by a relay in the place of the coordinator
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(state, plan, target_layout, sender_lists, sender_load, engine_address);
+    archive(state, plan, target_layout, target_delta, sender_lists, sender_load, covered,
+            engine_address, relay_address, relayed);
   }
   auto operator<=>(const rank_message&) const = default;
 };
@@ -65,6 +98,16 @@
 /// before the first that does not fit have been copied then.
 bool MergePart(const layout_part& part, rank_layout& layout);
 
+std::uint64_t LayoutDigest(const rank_layout& layout);
+/// The layout of a group that has not switched yet: expert e is on rank e modulo the ranks.
+rank_layout InitialLayout(const group_shape& shape);
+/// The difference in parts that fit into one datagram each. Nothing if a layer or rank has no
+/// number of one byte.
+std::vector<layout_delta> SplitDelta(const rank_layout& from, std::uint64_t base,
+                                     const rank_layout& to, std::uint64_t version);
+/// Applies all parts of a difference. Returns false if the result is not the intended layout.
+bool ApplyDelta(const std::vector<layout_delta>& parts, rank_layout& layout);
+
 /// Splits the load into parts that fit into one datagram each.
 std::vector<load_part> SplitLoad(const std::vector<double>& load);
 /// Copies the values of the part into `load`. Returns false, without a change, if they exceed it.
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -3,6 +3,14 @@
 #include <algorithm>
 
 namespace berylbarrow {
+namespace {
+
+bool IsHeldStage(switch_stage stage) {
+  return stage == switch_stage::kHolding || stage == switch_stage::kArming ||
+         stage == switch_stage::kReleasing;
+}
+
+}  // namespace
 
 void map_switch::Reset() {
   members_.clear();
@@ -67,12 +75,20 @@
   known.held = status.held && plan_ && *status.held == plan_->target.step;
 }
 
+duration map_switch::Silence() const {
+  return options_.silence * std::max(1U, status_->size / options_.ranks_per_silence);
+}
+
 std::vector<std::uint32_t> map_switch::SilentRanks(time_point now) const {
   std::vector<std::uint32_t> silent;
   const bool arming = deputising_ || (IsCoordinator() && stage_ == switch_stage::kArming);
   if (!arming) return silent;
   for (const auto& [rank, each] : members_) {
-    if (now - each.direct > options_.silence) silent.push_back(rank);
+    // Of an armed rank it only has to be known that it still is. The deputy also has to see the
+    // hold on rank 0.
+    const bool is_settled = rank != 0 && IsArmed(each.state.mapping, each.state.armed) &&
+                            now - each.at <= options_.member_lifetime / 2;
+    if (now - each.direct > Silence() && !is_settled) silent.push_back(rank);
   }
   return silent;
 }
@@ -89,6 +105,19 @@
   return lacking;
 }
 
+std::vector<std::uint32_t> map_switch::RanksAwaited() const {
+  std::vector<std::uint32_t> awaited;
+  if (!IsCoordinator() || !IsHeldStage(stage_)) return awaited;
+  for (const auto& [rank, each] : members_) {
+    const member_state& state = each.state;
+    const bool is_lacking =
+        (stage_ == switch_stage::kArming && !IsArmed(state.mapping, state.armed)) ||
+        (stage_ == switch_stage::kReleasing && state.mapping != target_.version);
+    if (rank == 1 || is_lacking) awaited.push_back(rank);
+  }
+  return awaited;
+}
+
 void map_switch::OnLayoutKnown(std::uint64_t version) { known_layouts_.insert(version); }
 
 bool map_switch::IsCoordinator() const {
@@ -101,6 +130,12 @@
          (status_ && status_->held);
 }
 
+bool map_switch::MayBeHeld() const {
+  const bool is_planned = plan_ && IsHeldStage(plan_->stage);
+  return IsHeldStage(stage_) || stage_ == switch_stage::kRecovering || is_planned ||
+         committed_.has_value() || (status_ && status_->held);
+}
+
 bool map_switch::AllFresh(time_point now) const {
   return status_ && members_.size() + 1 == status_->size &&
          std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
@@ -138,7 +173,8 @@
 void map_switch::ChooseStep() {
   std::uint64_t latest = status_->step;
   for (const auto& [rank, each] : members_) latest = std::max(latest, each.state.step);
-  target_.step = std::max(latest, target_.step) + options_.lead_steps;
+  target_.step = std::max(latest, target_.step) + options_.lead_steps +
+                 status_->size / options_.ranks_per_lead_step;
 }
 
 void map_switch::Order(const rank_order& order, duration pause, time_point now,
@@ -257,10 +293,7 @@
 }
 
 void map_switch::AdvanceDeputy(time_point now, std::vector<rank_order>& orders) {
-  const bool held_stage = plan_->stage == switch_stage::kHolding ||
-                          plan_->stage == switch_stage::kArming ||
-                          plan_->stage == switch_stage::kReleasing;
-  if (!held_stage || now - plan_at_ <= options_.silence) {
+  if (!IsHeldStage(plan_->stage) || now - plan_at_ <= Silence()) {
     deputising_ = false;
     return;
   }
@@ -269,7 +302,7 @@
   if (coordinator == members_.end()) return;
   const member& first = coordinator->second;
   const bool holds =
-      first.held && now - first.at <= options_.silence && first.state.step < plan_->target.step;
+      first.held && now - first.at <= Silence() && first.state.step < plan_->target.step;
   if (!holds) return;
   plan_->stage = switch_stage::kArming;
   ArmSilentRanks(now, orders);
