Ask the store as rarely as the bounds allow

Cause: each gateway asked the store 1.6 times a second, whatever the bounds of the deployment: a watch on the configuration every 1.8 s and the changes of the instance list every 0.9 s. After a lost answer the next watch waited for changes again, so that the age of the keys came close to their lifetime.

Change: the product derives the intervals from the lifetime of keys and from the time that a leaving upstream still takes requests (new bound upstream_drain): 2.25 s, and 0.9 s, 1.35 s or 1.8 s for 2, 3 or 4 s. The first call after a failure does not wait and is given up after 0.6 s. When a rank group opens, the instance list is read at once, since the rank that was missing is a new upstream. platform/ only applies the figures.

--- a/include/berylbarrow/process/gateway/gateway_settings.h
+++ b/include/berylbarrow/process/gateway/gateway_settings.h
@@ -20,6 +20,8 @@
   duration key_lifetime = std::chrono::seconds(5);
   /// Whether API keys are refused when the configuration is older than `key_lifetime`.
   bool strict_keys = true;
+  /// From the notice that an upstream leaves until it may refuse requests.
+  duration upstream_drain = std::chrono::seconds(2);
   /// The period to which `retry_slack` applies.
   duration retry_window = std::chrono::seconds(10);
   /// Retries allowed per request, over all gateways.
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -323,6 +323,8 @@
                 {{"group", report.group},
                  {"epoch", std::to_string(report.epoch)},
                  {"reported_by", report.address}});
+  // The rank for which the group had waited is a new upstream.
+  if (report.open) feed_->RefreshUpstreams();
 }
 
 void gateway::HandleLostMembers(time_point now) {
--- /dev/null
+++ b/tests/platform/store_feed_test.cc
@@ -0,0 +1,94 @@
+#include "platform/store_feed.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "connection/socket_fixture.h"
+
+namespace berylbarrow::platform {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+/// Stand-in for the store: accepts connections, and the test writes the answers.
+class silent_store {
+ public:
+  explicit silent_store(boost::asio::io_context& context)
+      : context_(context), acceptor_(context, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  /// Waits for a request on the connection with this index and returns its first line.
+  std::string Request(std::size_t connection, std::size_t skipped_bytes = 0) {
+    const bool found = RunUntil(context_, [&] {
+      return connections_.size() > connection &&
+             connections_[connection]->Received().find("\r\n\r\n", skipped_bytes) !=
+                 std::string::npos;
+    });
+    if (!found) return "";
+    const std::string& all = connections_[connection]->Received();
+    return all.substr(skipped_bytes, all.find("\r\n", skipped_bytes) - skipped_bytes);
+  }
+  std::size_t BytesReceived(std::size_t connection) {
+    return connections_[connection]->Received().size();
+  }
+  void Answer(std::size_t connection, const std::string& body) {
+    connections_[connection]->Send(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+        "Content-Length: " +
+        std::to_string(body.size()) + "\r\n\r\n" + body);
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code error, tcp::socket socket) {
+      if (error) return;
+      connections_.push_back(std::make_shared<raw_socket>(std::move(socket)));
+      connections_.back()->Read();
+      Accept();
+    });
+  }
+
+  boost::asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  std::vector<std::shared_ptr<raw_socket>> connections_;
+};
+
+// A lost answer to a watch that waits 2.25 s was noticed after 3.75 s, and the next watch waited as
+// long again, so that keys were refused as outdated although the store was well.
+BOOST_AUTO_TEST_CASE(the_first_call_after_a_lost_answer_does_not_wait) {
+  boost::asio::io_context context;
+  silent_store store(context);
+  manual_clock clock;
+  const feed_timing timing = TimingFor({.key_lifetime = std::chrono::seconds(5)});
+  int current = 0;
+  prefix_watcher watcher(context, {.address = store.Address(), .timing = timing},
+                         {.prefix = "op/", .wait = timing.configuration_wait}, clock,
+                         {.on_full_list = [&](std::vector<store_item>&&, time_point) { ++current; },
+                          .on_changes = [&](std::vector<store_item>&&, time_point) { ++current; },
+                          .on_reachability = [](bool, const std::string&) {}});
+  watcher.Start();
+  BOOST_TEST(store.Request(0) == "GET /kv-range?prefix=op/ HTTP/1.1");
+  const std::size_t first_bytes = store.BytesReceived(0);
+  store.Answer(0, R"({"items":[],"currentRev":7,"hasMore":false})");
+  BOOST_TEST(store.Request(0, first_bytes) ==
+             "GET /kv-watch?prefix=op/&after=7&waitMs=2250 HTTP/1.1");
+  BOOST_TEST(current == 1);
+  // The answer is lost.
+  clock.Advance(timing.configuration_wait + timing.call_timeout + milliseconds(1));
+  watcher.Advance(clock.Now());
+  clock.Advance(milliseconds(150));
+  watcher.Advance(clock.Now());
+  BOOST_TEST(store.Request(1) == "GET /kv-watch?prefix=op/&after=7&waitMs=0 HTTP/1.1");
+  store.Answer(1, R"({"events":[],"currentRev":9})");
+  BOOST_TEST(RunUntil(context, [&] { return current == 2; }));
+  const duration age = clock.Now().time_since_epoch() - manual_clock().Now().time_since_epoch();
+  BOOST_TEST((age < std::chrono::seconds(5)));
+}
+
+}  // namespace
+}  // namespace berylbarrow::platform
