Count only events with data as progress of a stream

Cause: blank lines, comments and events without data counted as events. An upstream that had stalled and sent one now and then kept its stream until the deadline; its caller had given up after a gap of 2 s, and no other upstream went on.

Change: the splitter counts events with a data field. Other blocks are still forwarded, but do not postpone the resumption, are not measured as passes, and do not prove that a prompt part is sound.

--- a/include/berylbarrow/request/stream/event_splitter.h
+++ b/include/berylbarrow/request/stream/event_splitter.h
@@ -29,6 +29,7 @@
   void PrepareResumption();
 
   std::optional<std::uint64_t> LastEventId() const { return last_event_id_; }
+  /// Events with data. Comments and empty events are forwarded too, but show no progress.
   std::uint64_t ForwardedEvents() const { return forwarded_events_; }
   /// Whether the resumed stream skipped an event id. No further events are returned then.
   bool HasGap() const { return has_gap_; }
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -226,13 +226,15 @@
 }
 
 void relayed_request::ForwardStreamPart(std::string& body, time_point now) {
+  const std::uint64_t forwarded_events = splitter_.ForwardedEvents();
   const std::string events = splitter_.Feed(body);
   if (splitter_.HasGap()) {
     CancelAttempt(now);
     HandleBrokenAttempt("event_gap", now);
     return;
   }
-  if (!events.empty()) ForwardEvents(events, now);
+  if (splitter_.ForwardedEvents() > forwarded_events) OnEvent(now);
+  if (!events.empty()) ForwardEvents(events);
   if (state_ != state::kStreaming || !splitter_.IsEventTooLarge()) return;
   attempt_->link->Abort();
   EndAttempt(attempt_outcome::kBroken, now);
@@ -240,14 +242,14 @@
   HandleBrokenAttempt("event_too_large", now);
 }
 
-void relayed_request::ForwardEvents(const std::string& events, time_point now) {
+void relayed_request::OnEvent(time_point now) {
   if (sink_ == nullptr) return;
   if (attempt_ && !attempt_->last_event) OnFirstEvent(now);
   if (attempt_ && attempt_->last_event) {
     context_.selector.OnEventGap(attempt_->upstream_id, now - *attempt_->last_event, now);
   }
   if (attempt_) {
-    // Bytes that complete no event are no progress for the caller.
+    // Other bytes are no progress for the caller.
     attempt_->last_received = now;
     attempt_->last_event = now;
   }
@@ -255,6 +257,10 @@
     first_event_time_ = now;
     context_.counts.Observe("first_event", {.service = request_.service}, now - request_.arrival);
   }
+}
+
+void relayed_request::ForwardEvents(const std::string& events) {
+  if (sink_ == nullptr) return;
   if (!head_sent_) {
     head_sent_ = true;
     sink_->BeginStream(ToCallerAnswer(attempt_->link->AnswerHead()));
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -128,7 +128,9 @@
   /// Handles an attempt that may have run but gave no complete answer.
   void HandleBrokenAttempt(std::string_view reason, time_point now);
   void ForwardStreamPart(std::string& body, time_point now);
-  void ForwardEvents(const std::string& events, time_point now);
+  /// Events with data have arrived.
+  void OnEvent(time_point now);
+  void ForwardEvents(const std::string& events);
   /// `ends_with_connection`: only the end of the connection told that the stream is complete.
   void HandleStreamEnd(bool ends_with_connection, time_point now);
   void ForwardAnswer(const http_head& head, std::string&& body);
--- a/src/request/stream/event_splitter.cc
+++ b/src/request/stream/event_splitter.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+constexpr std::string_view kDataField = "data";
 
 /// Bytes of the first complete event, with the blank line that ends it; 0 if there is none.
 std::size_t EventLength(std::string_view text) {
@@ -20,6 +21,11 @@
   return 0;
 }
 
+bool HasData(std::string_view event) {
+  return event.substr(0, kDataField.size()) == kDataField ||
+         event.find("\ndata") != std::string_view::npos;
+}
+
 /// Value of the first id field that begins with a decimal number.
 std::optional<std::uint64_t> ParseEventId(std::string_view event) {
   std::size_t line_start = 0;
@@ -68,7 +74,7 @@
     }
     last_event_id_ = id;
   }
-  ++forwarded_events_;
+  if (HasData(event)) ++forwarded_events_;
   return true;
 }
 
