Keep the messages of small rank groups as they were

Cause: what spares the links of a group of 96 ranks made switches of groups of 8 and 12 worse: loads paused during a switch, the status of an engine was polled every 24 ms while experts were copied, and passes were not reported.

Change: these three apply to groups of more than 16 ranks only.

--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -144,9 +144,10 @@
     context_.stop();
     return;
   }
-  tick_timer_.expires_after(switch_.MayBeHeld() ? kActiveTickInterval
-                            : active            ? kPreparingTickInterval
-                                                : kIdleTickInterval);
+  const bool is_urgent = active && (switch_.MayBeHeld() || !status_ || !IsLargeGroup());
+  tick_timer_.expires_after(is_urgent ? kActiveTickInterval
+                            : active  ? kPreparingTickInterval
+                                      : kIdleTickInterval);
   tick_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) Tick();
   });
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -109,6 +109,8 @@
   /// Adds the recent loads of the ranks that this one is the relay of, and returns these ranks.
   std::vector<covered_rank> AddCoveredLoads(std::vector<double>& load, time_point now) const;
   duration StateInterval() const;
+  /// Whether the group is so large that its messages have to be spared.
+  bool IsLargeGroup() const { return status_->rank.size > rank_tree::kMaxDirectRanks; }
   void SendPlan(time_point now);
   void SendPlanTo(const std::vector<std::uint32_t>& ranks, const rank_message& announcement,
                   time_point now);
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -199,9 +199,9 @@
 void companion::SendState(time_point now) {
   const auto state = switch_.State();
   if (!state) return;
-  // All ranks begin a pass together, so the coordinator learns of it from its own engine.
   std::optional<member_state> comparable = state;
-  comparable->step = 0;
+  // All ranks begin a pass together, so the coordinator also learns of it from its own engine.
+  if (IsLargeGroup()) comparable->step = 0;
   const bool changed = switch_.IsActive() && comparable != last_sent_state_;
   if (now < next_state_ && !changed) return;
   next_state_ = now + StateInterval();
@@ -209,8 +209,9 @@
   rank_message message{.state = {*state}, .engine_address = settings_.upstream_address};
   if (!coordinator_address_ && state->rank != 0) FindCoordinator(message, now);
   if (state->rank == 0 || !coordinator_address_) return;
-  // During a switch the links are left to its messages.
-  if (now >= next_load_ && !switch_.IsActive() && !expert_rates_.Demand().empty()) {
+  // During a switch of a large group the links are left to its messages.
+  const bool is_load_paused = IsLargeGroup() && switch_.IsActive();
+  if (now >= next_load_ && !is_load_paused && !expert_rates_.Demand().empty()) {
     SendLoad(std::move(message), now);
   } else {
     Send(EncodeRankMessage(message), *coordinator_address_);
