--- a/tests/platform/items_test.cc
+++ b/tests/platform/items_test.cc
@@ -51,6 +51,36 @@
   }
 }
 
+// A platform may write a whole number with a fraction of zero, and a time in fractions of its unit.
+BOOST_AUTO_TEST_CASE(numbers_are_decoded_in_each_notation) {
+  const auto content = DecodeConfiguration(
+      R"({"version":7.0,"routes":[{"name":"r","hostname":"h","prefix":"/","routeType":"idempotent",
+        "timeoutMs":2500.5,"goalMs":1e2,"priority":1.0,"maxAttempts":2.0,"service":"m"}],
+        "services":[{"name":"m","coldStartS":3,"coldPerS":14,"maxConns":1324.0,
+        "engine":{"slots":6.0,"stride":6.0,"read_per_s":61400,"sets":16.0,"experts":192.0,
+        "placements":3.0,"spare":2.0,"expertMb":210,"usual":{"prompt":835.2,"answer":96.6}}}],
+        "limits":{"maxHeaderBytes":1e3,"idleTimeoutMs":9000.25},
+        "tenants":[{"name":"t","apiKeys":["k"],"priority":0.0}]})",
+      problem);
+  BOOST_TEST_REQUIRE(content.has_value(), problem);
+  BOOST_TEST(content->version == 7U);
+  BOOST_TEST((content->routes.at(0).timeout == std::chrono::milliseconds(2500)));
+  BOOST_TEST((content->routes.at(0).goal == std::chrono::milliseconds(100)));
+  BOOST_TEST(content->routes.at(0).max_attempts == 2U);
+  BOOST_TEST(content->services.at(0).engine->slots == 6U);
+  BOOST_TEST(content->services.at(0).engine->experts == 192U);
+  BOOST_TEST(content->services.at(0).engine->usual_answer == 96U);
+  BOOST_TEST(content->limits.max_header_bytes == 1000U);
+  const auto record = DecodeUpstream("i-1",
+                                     R"({"service":"m","address":"10.0.0.1:80","zone":"z",)"
+                                     R"("slots":6.0,"state":"ready","coldMs":500.75,"born":1e12})",
+                                     problem);
+  BOOST_TEST_REQUIRE(record.has_value(), problem);
+  BOOST_TEST(record->slots == 6U);
+  BOOST_TEST((record->cold_left == std::chrono::milliseconds(500)));
+  BOOST_TEST(record->born == 1'000'000'000'000U);
+}
+
 BOOST_AUTO_TEST_CASE(valid_upstream_records_are_decoded_and_malformed_ones_rejected) {
   const std::string valid =
       R"({"service":"m","address":"10.0.0.1:80","zone":"z","slots":12,"state":"draining",)"
