Take the size of the group from the last status that was known

Cause: found while reading the diff: after a request for the status had failed, companions went on with their messages and read the size of the group and their rank from a status that was not there any more. The same read stood in in the plan and the orders.

Change: the size and the rank come from the switch, which keeps the last status; loads and new layouts wait for the next one.

--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -144,7 +144,7 @@
     context_.stop();
     return;
   }
-  const bool is_urgent = active && (switch_.MayBeHeld() || !status_ || !IsLargeGroup());
+  const bool is_urgent = active && (switch_.MayBeHeld() || !IsLargeGroup());
   tick_timer_.expires_after(is_urgent ? kActiveTickInterval
                             : active  ? kPreparingTickInterval
                                       : kIdleTickInterval);
@@ -298,7 +298,7 @@
 void companion::SendOrder(const rank_order& order) {
   const bool is_prepare = order.kind == order_kind::kPrepare;
   http_caller* caller = &order_caller_;
-  if (order.rank != status_->rank.rank) {
+  if (order.rank != switch_.Status()->rank) {
     const auto found_rank = ranks_.find(order.rank);
     if (found_rank == ranks_.end() || !found_rank->second.engine_caller) return;
     caller = found_rank->second.engine_caller.get();
@@ -391,7 +391,7 @@
 }
 
 void companion::EvaluateLayout(time_point now) {
-  if (shutting_down_ || now < next_evaluation_ || !switch_.CanBegin(now)) return;
+  if (shutting_down_ || !status_ || now < next_evaluation_ || !switch_.CanBegin(now)) return;
   next_evaluation_ =
       now + kEvaluationInterval * std::max(1U, status_->rank.size / kRanksPerEvaluationInterval);
   const auto layout = CurrentLayout();
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -110,7 +110,9 @@
   std::vector<covered_rank> AddCoveredLoads(std::vector<double>& load, time_point now) const;
   duration StateInterval() const;
   /// Whether the group is so large that its messages have to be spared.
-  bool IsLargeGroup() const { return status_->rank.size > rank_tree::kMaxDirectRanks; }
+  bool IsLargeGroup() const { return GroupSize() > rank_tree::kMaxDirectRanks; }
+  /// Ranks of the group by the last status, also while the engine does not answer.
+  std::uint32_t GroupSize() const { return switch_.Status() ? switch_.Status()->size : 0; }
   void SendPlan(time_point now);
   void SendPlanTo(const std::vector<std::uint32_t>& ranks, const rank_message& announcement,
                   time_point now);
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -191,7 +191,7 @@
 }
 
 duration companion::StateInterval() const {
-  const std::uint32_t size = status_->rank.size;
+  const std::uint32_t size = GroupSize();
   if (switch_.IsActive()) return kSwitchResendInterval * std::max(1U, size / kRanksPerResend);
   return kStateInterval * std::clamp(size / kRanksPerStateInterval, 1U, kMaxStateIntervals);
 }
@@ -211,7 +211,8 @@
   if (state->rank == 0 || !coordinator_address_) return;
   // During a switch of a large group the links are left to its messages.
   const bool is_load_paused = IsLargeGroup() && switch_.IsActive();
-  if (now >= next_load_ && !is_load_paused && !expert_rates_.Demand().empty()) {
+  const bool is_load_due = status_ && now >= next_load_ && !is_load_paused;
+  if (is_load_due && !expert_rates_.Demand().empty()) {
     SendLoad(std::move(message), now);
   } else {
     Send(EncodeRankMessage(message), *coordinator_address_);
@@ -265,7 +266,7 @@
 std::vector<covered_rank> companion::AddCoveredLoads(std::vector<double>& load,
                                                      time_point now) const {
   std::vector<covered_rank> covered;
-  const rank_tree tree(status_->rank.size);
+  const rank_tree tree(GroupSize());
   if (!tree.IsRelay(status_->rank.rank)) return covered;
   for (const auto& [rank, peer] : ranks_) {
     const bool is_recent = peer.epoch == status_->rank.epoch && peer.load.size() == load.size() &&
@@ -279,7 +280,7 @@
 
 bool companion::IsLiveRelay(std::uint32_t rank, time_point now) const {
   const auto found = ranks_.find(rank);
-  return found != ranks_.end() && rank_tree(status_->rank.size).IsRelay(rank) &&
+  return found != ranks_.end() && rank_tree(GroupSize()).IsRelay(rank) &&
          now - found->second.load_time <= kMaxCoveredLoadAge;
 }
 
@@ -288,7 +289,7 @@
   if (!plan) return;
   SendLayout(*plan, now);
   const rank_message announcement{.plan = {*plan}};
-  const std::uint32_t size = status_->rank.size;
+  const std::uint32_t size = GroupSize();
   if (now < next_plan_ && plan == last_sent_plan_) {
     if (now < next_awaited_plan_) return;
     next_awaited_plan_ = now + kSwitchResendInterval;
@@ -317,7 +318,7 @@
 
 void companion::SendPlanTo(const std::vector<std::uint32_t>& ranks,
                            const rank_message& announcement, time_point now) {
-  const rank_tree tree(status_->rank.size);
+  const rank_tree tree(GroupSize());
   std::map<std::uint32_t, std::string> datagrams;  // by the relay that they name
   for (const std::uint32_t rank : ranks) {
     if (rank == kDeputyRank && switch_.IsCoordinator()) {
@@ -366,7 +367,7 @@
 void companion::SendLayout(const switch_plan& plan, time_point now) {
   const std::vector<std::uint32_t> ranks_without_layout = switch_.RanksWithoutLayout();
   if (ranks_without_layout.empty() || !target_) return;
-  const rank_tree tree(status_->rank.size);
+  const rank_tree tree(GroupSize());
   std::vector<std::uint32_t> receivers;  // relays first, because others wait for them
   for (const std::uint32_t rank : ranks_without_layout) {
     const std::uint32_t parent = tree.ParentOf(rank);
