--- a/review/common/stand_ins.cc
+++ b/review/common/stand_ins.cc
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -396,6 +397,7 @@
   const int log = open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   pid_ = fork();
   if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // also if the case itself is killed
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     execve(arguments[0], arguments.data(), environment.data());
