--- a/review/build.sh
+++ b/review/build.sh
@@ -7,6 +7,6 @@
   [ -e "$source" ] || continue
   program=target/review/$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -I. \
-    "$source" review/common/stand_ins.cc -o "$program" -pthread &
+    "$source" review/stand_ins.cc -o "$program" -pthread &
 done
 wait
--- a/review/common/stand_ins.cc
+++ b/review/stand_ins.cc
@@ -1,4 +1,4 @@
-#include "review/common/stand_ins.h"
+#include "review/stand_ins.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
--- a/review/common/stand_ins.h
+++ b/review/stand_ins.h
@@ -1,5 +1,5 @@
-#ifndef BERYLBARROW_REVIEW_COMMON_STAND_INS_H_
-#define BERYLBARROW_REVIEW_COMMON_STAND_INS_H_
+#ifndef BERYLBARROW_REVIEW_STAND_INS_H_
+#define BERYLBARROW_REVIEW_STAND_INS_H_
 
 #include <sys/types.h>
 
@@ -193,4 +193,4 @@
 
 }  // namespace berylbarrow::review
 
-#endif  // BERYLBARROW_REVIEW_COMMON_STAND_INS_H_
+#endif  // BERYLBARROW_REVIEW_STAND_INS_H_
