Keep a retry off the connection on which the request was refused

Cause: an answer is taken by the id of the request, which all attempts of the request share, and the pool gave an attempt the connection that was used last: the one on which the request had just been refused. An upstream that repeats that refusal late sends it before the answer to the new attempt, with the right id.

A request now remembers the connections on which it was refused, and the pool gives it another one. A copy arrives on the connection of its original only, so that an answer with the id of the request is that of the attempt. Other requests still use the connection.

--- a/src/process/gateway/link_pool.cc
+++ b/src/process/gateway/link_pool.cc
@@ -12,25 +12,37 @@
   return now - link.IdleSince() > limit;
 }
 
-std::shared_ptr<upstream_link> link_pool::Acquire(const std::string& upstream_id,
-                                                  const std::string& address, bool must_be_recent) {
+std::shared_ptr<upstream_link> link_pool::TakeIdle(const link_request& request) {
+  const auto found = idle_.find(request.upstream_id);
+  if (found == idle_.end()) return nullptr;
   const time_point now = clock_.Now();
-  link_list& idle = idle_[upstream_id];
-  while (!idle.empty()) {
-    std::shared_ptr<upstream_link> link = std::move(idle.back());
-    idle.pop_back();
+  link_list& idle = found->second;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    const auto at = idle.begin() + static_cast<std::ptrdiff_t>(i);
+    const std::shared_ptr<upstream_link> link = *at;
     const bool recent =
-        !must_be_recent || now - link->IdleSince() <= options_.max_idle_if_not_repeatable;
-    if (link->IsIdle() && link->Address() == address && !IsExpired(*link, now) && recent) {
-      busy_.insert(link);
-      return link;
-    }
+        !request.must_be_recent || now - link->IdleSince() <= options_.max_idle_if_not_repeatable;
+    const bool usable =
+        link->IsIdle() && link->Address() == request.address && !IsExpired(*link, now) && recent;
+    const bool answered =
+        std::find(request.answered.begin(), request.answered.end(), link) != request.answered.end();
+    if (usable && answered) continue;
+    idle.erase(at);
+    if (usable) return link;
     link->Close();
   }
+  return nullptr;
+}
+
+std::shared_ptr<upstream_link> link_pool::Acquire(const link_request& request) {
+  if (auto link = TakeIdle(request)) {
+    busy_.insert(link);
+    return link;
+  }
   upstream_link_options options = options_.link;
-  options.address = address;
+  options.address = request.address;
   auto link = std::make_shared<upstream_link>(
-      context_, options, clock_, [this, upstream_id](upstream_link& ended) {
+      context_, options, clock_, [this, upstream_id = request.upstream_id](upstream_link& ended) {
         link_list& all = idle_[upstream_id];
         all.erase(std::remove_if(all.begin(), all.end(),
                                  [&](const auto& each) { return each.get() == &ended; }),
--- a/src/process/gateway/link_pool.h
+++ b/src/process/gateway/link_pool.h
@@ -25,6 +25,18 @@
   duration max_idle_if_not_repeatable = std::chrono::milliseconds(1500);
 };
 
+using link_list = std::vector<std::shared_ptr<upstream_link>>;
+
+/// The link that an exchange needs.
+struct link_request {
+  const std::string& upstream_id;
+  const std::string& address;   // "IP:port"
+  bool must_be_recent = false;  // applies `max_idle_if_not_repeatable`
+  /// Links on which the same request was answered before. The upstream may repeat that answer late,
+  /// and the id of the request does not tell the repetition from the answer to the next attempt.
+  const link_list& answered;
+};
+
 /// Pool of connections to upstreams. Tracks both the idle links and those in use.
 class link_pool {
  public:
@@ -35,10 +47,9 @@
         std::make_shared<byte_budget>(options_.max_held_answer_bytes, options_.free_answer_bytes);
   }
 
-  /// Returns a link for one exchange: the most recently used idle link of the upstream that has
-  /// this address, or a new one. `must_be_recent` applies `max_idle_if_not_repeatable`.
-  std::shared_ptr<upstream_link> Acquire(const std::string& upstream_id, const std::string& address,
-                                         bool must_be_recent);
+  /// Returns a link for one exchange: the most recently used idle link of the upstream that fits,
+  /// or a new one.
+  std::shared_ptr<upstream_link> Acquire(const link_request& request);
   /// Must be called when the exchange is over. Keeps the link for reuse if it is still open.
   void Release(const std::string& upstream_id, const std::shared_ptr<upstream_link>& link);
   /// Called regularly. Closes links that have been idle for too long and ends connection attempts
@@ -46,9 +57,10 @@
   void CheckTimeouts(time_point now);
 
  private:
-  using link_list = std::vector<std::shared_ptr<upstream_link>>;
-
   bool IsExpired(const upstream_link& link, time_point now) const;
+  /// Takes a usable idle link out of the pool; null if there is none. Closes those that have ended
+  /// or expired.
+  std::shared_ptr<upstream_link> TakeIdle(const link_request& request);
 
   boost::asio::io_context& context_;
   link_pool_options options_;
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -161,11 +161,13 @@
   last_upstream_ = choice.upstream_id;
   tried_upstreams_.insert(choice.upstream_id);
   const bool must_be_recent = !request_.matched_route->MayRepeat();
-  attempt_ =
-      attempt{.upstream_id = choice.upstream_id,
-              .link = context_.links.Acquire(choice.upstream_id, choice.address, must_be_recent),
-              .sent = now,
-              .last_received = now};
+  attempt_ = attempt{.upstream_id = choice.upstream_id,
+                     .link = context_.links.Acquire({.upstream_id = choice.upstream_id,
+                                                     .address = choice.address,
+                                                     .must_be_recent = must_be_recent,
+                                                     .answered = answered_links_}),
+                     .sent = now,
+                     .last_received = now};
   std::vector<header_field> fields =
       context_.dialect.AttemptFields(request_.head, {.upstream_id = choice.upstream_id,
                                                      .account = request_.account,
@@ -335,6 +337,7 @@
   const std::string upstream = attempt_->upstream_id;
   const std::string reason = misdirected ? "misdirected" : "refused_" + std::to_string(head.status);
   LogAttempt("attempt_not_run", reason);
+  answered_links_.push_back(attempt_->link);
   EndAttempt(misdirected ? attempt_outcome::kMisdirected : attempt_outcome::kRefused, now);
   if (misdirected) listener_.OnMisdirectedAttempt();
   if (Retry(reason, now) || Requeue(upstream, now)) return;
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -154,6 +154,7 @@
   state state_ = state::kWaiting;
   std::optional<attempt> attempt_;
   std::set<std::string> tried_upstreams_;
+  link_list answered_links_;         // of attempts that were refused
   std::uint32_t sent_attempts_ = 0;  // attempts that were started
   std::uint32_t possible_runs_ = 0;  // attempts that may have run
   bool is_denial_logged_ = false;    // a denial by the retry budget is logged only once
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -1,4 +1,9 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
 
 #include "platform/gateway_fixture.h"
 
@@ -96,6 +101,62 @@
   BOOST_TEST(!Contains(second, "one"));
 }
 
+/// Refuses the first request as not executed, executes all others, and repeats the refusal before
+/// the next response on the same connection.
+class refusal_repeating_upstream {
+ public:
+  /// `echoes_id`: the refusal names the request that it answers.
+  explicit refusal_repeating_upstream(bool echoes_id)
+      : upstream_([this, echoes_id](const std::string& request) {
+          return Respond(request, echoes_id);
+        }) {}
+
+  const scripted_upstream& Upstream() const { return upstream_; }
+  /// How often the request was executed.
+  int ExecutionCount(const std::string& id) const {
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(std::count(executed_.begin(), executed_.end(), id));
+  }
+  std::size_t ConnectionCount() const {
+    const std::lock_guard lock(mutex_);
+    return connections_.size();
+  }
+
+ private:
+  scripted_reply Respond(const std::string& request, bool echoes_id) {
+    const std::lock_guard lock(mutex_);
+    const std::string id = HeaderValue(request, "Request-Attempt-Id");
+    // Each connection has its own thread.
+    std::string& repeated = connections_[std::this_thread::get_id()];
+    if (!std::exchange(has_refused_, true)) {
+      repeated = "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n" +
+                 (echoes_id ? "Request-Attempt-Id: " + id + "\r\n\r\n" : "\r\n");
+      return {.bytes = repeated};
+    }
+    executed_.push_back(id);
+    return {.bytes = std::exchange(repeated, "") + MakeSignedResponse(request, 200, "done")};
+  }
+
+  mutable std::mutex mutex_;
+  bool has_refused_ = false;
+  std::vector<std::string> executed_;
+  std::map<std::thread::id, std::string> connections_;  // with the refusal that is repeated on each
+  scripted_upstream upstream_;
+};
+
+// Regression test (review/1): the copy of a refusal was taken for the response to the next attempt
+// of the same request, which was answered 503 although it had been executed, or was executed twice.
+BOOST_AUTO_TEST_CASE(a_repeated_refusal_is_not_taken_for_the_response_to_the_next_attempt) {
+  const refusal_repeating_upstream repeating(true);
+  const gateway_fixture gateway({&repeating.Upstream()});
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a1")), "\r\n\r\ndone"));
+  BOOST_TEST(repeating.ExecutionCount("a1") == 1);
+  // Other requests may use the connection, as they have other ids.
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a2")), "\r\n\r\ndone"));
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a3")), "\r\n\r\ndone"));
+  BOOST_TEST(repeating.ConnectionCount() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(an_unsigned_success_response_is_not_forwarded) {
   const scripted_upstream unsigned_upstream([](const std::string&) {
     return scripted_reply{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"};
