--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -157,6 +157,17 @@
   BOOST_TEST(repeating.ConnectionCount() == 2U);
 }
 
+// Guards against a copy of a refusal without id that is taken for the response to another request.
+BOOST_AUTO_TEST_CASE(
+    a_repeated_refusal_without_id_is_not_taken_for_the_response_to_another_request) {
+  const refusal_repeating_upstream repeating(false);
+  const gateway_fixture gateway({&repeating.Upstream()});
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a1")), "\r\n\r\ndone"));
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a2")), "\r\n\r\ndone"));
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a3")), "\r\n\r\ndone"));
+  for (const char* id : {"a1", "a2", "a3"}) BOOST_TEST(repeating.ExecutionCount(id) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(an_unsigned_success_response_is_not_forwarded) {
   const scripted_upstream unsigned_upstream([](const std::string&) {
     return scripted_reply{.bytes = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfake"};
