Accept no key while the list of accounts is empty

Cause: an empty list stood both for a configuration without accounts, whose requests need no key, and for one that has a list of accounts with none in it. NeedsKeys() asked whether the list was empty. Evidence: version_in_force accounts=0, and no request_refused after it.

The list is now optional. Absent: no key is needed. Empty: no key is valid.

Three older tests name the list as optional now and check the same.

--- a/include/berylbarrow/version/routing/routing_view.h
+++ b/include/berylbarrow/version/routing/routing_view.h
@@ -96,7 +96,8 @@
   std::uint64_t version = 0;
   std::vector<route> routes;
   std::vector<service_profile> services;
-  std::vector<client_account> accounts;  // none: requests need no key
+  /// Absent: requests need no key. Empty: no key is valid.
+  std::optional<std::vector<client_account>> accounts;
   caller_limits limits;
   auto operator<=>(const routing_content&) const = default;
 };
@@ -109,7 +110,7 @@
   std::uint64_t Version() const { return content_.version; }
   const routing_content& Content() const { return content_; }
   const caller_limits& Limits() const { return content_.limits; }
-  bool NeedsKeys() const { return !content_.accounts.empty(); }
+  bool NeedsKeys() const { return content_.accounts.has_value(); }
 
   /// The route of that host with the longest prefix of the path, or null. `target` may hold a
   /// query.
--- a/src/process/gateway/gateway_information.cc
+++ b/src/process/gateway/gateway_information.cc
@@ -65,10 +65,11 @@
 
 void gateway::OnRouting(routing_content&& content) {
   if (routing_view_ != nullptr && content.version <= routing_view_->Version()) return;
-  logger::Event(log_level::kInfo, "configuration", "version_in_force",
-                {{"version", std::to_string(content.version)},
-                 {"routes", std::to_string(content.routes.size())},
-                 {"accounts", std::to_string(content.accounts.size())}});
+  logger::Event(
+      log_level::kInfo, "configuration", "version_in_force",
+      {{"version", std::to_string(content.version)},
+       {"routes", std::to_string(content.routes.size())},
+       {"accounts", content.accounts ? std::to_string(content.accounts->size()) : "none"}});
   routing_view_ = std::make_shared<const routing_view>(std::move(content));
   const caller_limits& limits = routing_view_->Limits();
   caller_server_.SetOptions({.max_connections = settings_.max_connections,
--- a/src/version/routing/routing_view.cc
+++ b/src/version/routing/routing_view.cc
@@ -31,8 +31,9 @@
   for (std::size_t i = 0; i < content_.services.size(); ++i) {
     services_.emplace(content_.services[i].name, i);
   }
-  for (std::size_t i = 0; i < content_.accounts.size(); ++i) {
-    for (const std::string& key : content_.accounts[i].keys) keys_.emplace(key, i);
+  if (!content_.accounts) return;
+  for (std::size_t i = 0; i < content_.accounts->size(); ++i) {
+    for (const std::string& key : (*content_.accounts)[i].keys) keys_.emplace(key, i);
   }
 }
 
@@ -62,7 +63,7 @@
 
 const client_account* routing_view::FindAccount(std::string_view key) const {
   const auto found = keys_.find(key);
-  return found == keys_.end() ? nullptr : &content_.accounts[found->second];
+  return found == keys_.end() ? nullptr : &(*content_.accounts)[found->second];
 }
 
 const std::string& ChooseService(const route& route, double draw) {
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -41,7 +41,7 @@
                     MakeRoute("read", request_kind::kIdempotent, 2, timeout),
                     MakeRoute("draft", request_kind::kStreaming, 2, timeout)};
   content.services = {{.name = "app"}};
-  content.accounts = {{.name = "counter", .keys = {"key-1"}}};
+  content.accounts = std::vector<client_account>{{.name = "counter", .keys = {"key-1"}}};
   return content;
 }
 
--- a/tests/platform/items_test.cc
+++ b/tests/platform/items_test.cc
@@ -38,7 +38,7 @@
   BOOST_TEST(model.engine->read_tokens_per_ms == 61.4);
   BOOST_TEST(!content->services.at(1).engine.has_value());
   BOOST_TEST(content->limits.max_header_bytes == 1000U);
-  BOOST_TEST(content->accounts.at(0).priority.value() == 0U);
+  BOOST_TEST(content->accounts.value().at(0).priority.value() == 0U);
 }
 
 BOOST_AUTO_TEST_CASE(a_malformed_configuration_is_rejected_with_a_reason) {
--- a/tests/version/routing/routing_view_test.cc
+++ b/tests/version/routing/routing_view_test.cc
@@ -16,7 +16,7 @@
        .services = {{"model", 90}, {"model-next", 10}}},
   };
   content.services = {{.name = "plain"}, {.name = "model"}};
-  content.accounts = {{.name = "counter", .keys = {"k1", "k2"}}};
+  content.accounts = std::vector<client_account>{{.name = "counter", .keys = {"k1", "k2"}}};
   return content;
 }
 
