Leave out API keys that are empty

A request without a key has the empty text as its key, so that an account with an empty text among its keys opened its routes to requests without one.

Test: an_empty_key_is_not_valid failed before.

--- a/src/version/routing/routing_view.cc
+++ b/src/version/routing/routing_view.cc
@@ -33,7 +33,10 @@
   }
   if (!content_.accounts) return;
   for (std::size_t i = 0; i < content_.accounts->size(); ++i) {
-    for (const std::string& key : (*content_.accounts)[i].keys) keys_.emplace(key, i);
+    for (const std::string& key : (*content_.accounts)[i].keys) {
+      // A request without a key has the empty text as its key.
+      if (!key.empty()) keys_.emplace(key, i);
+    }
   }
 }
 
--- a/tests/platform/key_revocation_test.cc
+++ b/tests/platform/key_revocation_test.cc
@@ -46,6 +46,15 @@
   }
 }
 
+// Guards against requests without a key that run for an account with an empty text among its keys.
+BOOST_AUTO_TEST_CASE(an_empty_key_is_not_valid) {
+  const std::string accounts = R"(,"tenants":[{"name":"t","apiKeys":["","k1"]}])";
+  const admission_decision decision = Decide("", accounts);
+  BOOST_TEST_REQUIRE(decision.refusal.has_value());
+  BOOST_TEST(decision.refusal->status == 401U);
+  BOOST_TEST(!Decide("k1", accounts).refusal);
+}
+
 BOOST_AUTO_TEST_CASE(requests_need_no_key_if_the_configuration_has_no_list_of_accounts) {
   BOOST_TEST(!Decide("", "").refusal);
 }
