Do not count a configuration as current while the store's cannot be read

If the newest configuration could not be read, or was removed, the gateway kept the version before it and went on to confirm it as current with each answer of the store. Keys that the unreadable version took away opened routes without end.

The feed confirms the configuration only if the sink has the one that the store holds.

--- a/include/berylbarrow/process/gateway/platform_feed.h
+++ b/include/berylbarrow/process/gateway/platform_feed.h
@@ -27,7 +27,7 @@
   /// `domains`: all failure domains that are evacuated now.
   virtual void OnEvacuatedDomains(const std::set<std::string>& domains) = 0;
   /// The routing and the evacuated domains reported so far were complete and current at some time
-  /// after `requested_at`.
+  /// after `requested_at`. Not called while the platform holds a configuration that cannot be read.
   virtual void OnConfigurationCurrent(time_point requested_at) = 0;
   /// `records`: all upstreams in the instance list.
   virtual void OnUpstreamList(const std::vector<upstream_record>& records) = 0;
--- a/tests/platform/store_feed_test.cc
+++ b/tests/platform/store_feed_test.cc
@@ -90,5 +90,57 @@
   BOOST_TEST((age < std::chrono::seconds(5)));
 }
 
+/// Counts what a feed reports of the configuration.
+class recording_sink final : public platform_sink {
+ public:
+  void OnRouting(routing_content&& content) override { version = content.version; }
+  void OnEvacuatedDomains(const std::set<std::string>&) override { ++applied_reads; }
+  void OnConfigurationCurrent(time_point) override { ++confirmations; }
+  void OnUpstreamList(const std::vector<upstream_record>&) override {}
+  void OnUpstreamChanges(const std::vector<upstream_change>&) override {}
+  void OnStoreReachability(bool, const std::string&) override {}
+  void OnUnreadableItem(const std::string&, const std::string&) override { ++unreadable_items; }
+
+  std::uint64_t version = 0;
+  int applied_reads = 0;
+  int confirmations = 0;
+  int unreadable_items = 0;
+};
+
+// Guards against keys that stay valid because the version that took them away cannot be read: the
+// version before it was still reported as current.
+BOOST_AUTO_TEST_CASE(a_configuration_is_not_current_while_the_store_holds_one_that_is_unreadable) {
+  boost::asio::io_context context;
+  silent_store store(context);
+  manual_clock clock;
+  recording_sink sink;
+  store_feed feed(context, {.address = store.Address(), .timing = TimingFor({})}, clock, sink);
+  feed.Start();
+  BOOST_TEST_REQUIRE(!store.Request(1).empty());
+  const std::size_t link = store.Request(0).find("prefix=op/") != std::string::npos ? 0 : 1;
+  const auto answer_next = [&](const std::string& body) {
+    const int reads = sink.applied_reads;
+    const std::size_t bytes = store.BytesReceived(link);
+    store.Answer(link, body);
+    BOOST_TEST_REQUIRE(RunUntil(context, [&] { return sink.applied_reads > reads; }));
+    BOOST_TEST_REQUIRE(!store.Request(link, bytes).empty());
+  };
+  // {"version":3,"routes":[],"services":[]}
+  const std::string readable =
+      R"({"key":"op/config","value":"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"})";
+  answer_next(R"({"items":[)" + readable + R"(],"currentRev":5,"hasMore":false})");
+  BOOST_TEST(sink.version == 3U);
+  BOOST_TEST(sink.confirmations == 1);
+  answer_next(R"({"events":[{"key":"op/config","value":"e30="}],"currentRev":6})");
+  answer_next(R"({"events":[],"currentRev":7})");
+  BOOST_TEST(sink.unreadable_items == 1);
+  BOOST_TEST(sink.confirmations == 1);
+  answer_next(R"({"events":[)" + readable + R"(],"currentRev":8})");
+  BOOST_TEST(sink.confirmations == 2);
+  answer_next(R"({"events":[{"key":"op/config","tombstone":true}],"currentRev":9})");
+  BOOST_TEST(sink.unreadable_items == 2);
+  BOOST_TEST(sink.confirmations == 2);
+}
+
 }  // namespace
 }  // namespace berylbarrow::platform
