Send nothing more to an upstream that says that it leaves

The gateway was cut off from the store, which was its only source for that.

Cause: nothing read the note. It is read now with the head of an answer, and the registry counts the upstream as leaving until it starts again, whatever the instance list says. An answer to a request from before a restart, or of another upstream at the address, does not count.

--- a/include/berylbarrow/connection/http/exchange_dialect.h
+++ b/include/berylbarrow/connection/http/exchange_dialect.h
@@ -47,6 +47,7 @@
   bool not_run = false;         // the upstream states that it did not begin the request
   bool is_signed = false;       // produced by an upstream
   bool is_misdirected = false;  // another upstream has the address now
+  bool is_leaving = false;      // the upstream ends soon and takes no new requests
   std::string failed_upstream;  // whose failure caused the refusal
   std::optional<reply_load> load;
   std::optional<duration> cold_left;
--- a/include/berylbarrow/process/membership/upstream_registry.h
+++ b/include/berylbarrow/process/membership/upstream_registry.h
@@ -28,12 +28,16 @@
   /// Records that vanished while the instance list was away stay in use for so long after its
   /// return: live upstreams publish again within that time.
   duration lapse_grace = std::chrono::milliseconds(1800);
+  /// How long an upstream that has said that it leaves may take to end. Later its announcement is
+  /// forgotten, unless it is still in the instance list.
+  duration longest_leave = std::chrono::minutes(10);
 };
 
 struct known_upstream {
   upstream_record record;
   time_point cold_until = time_point::min();
   std::optional<time_point> missing_since;  // lapsed while the instance list was away
+  time_point started_at;  // when this incarnation was first published, as far as is known
 };
 
 /// The upstreams that may be used, from an instance list that lags and is away at times.
@@ -43,13 +47,16 @@
 
   void Put(const upstream_record& record, time_point now);
   void Remove(const std::string& id, time_point now);
+  /// The upstream has said that it leaves, in the answer to a request of `sent_at`. It counts as
+  /// leaving until it starts again, whatever the instance list says. Returns whether that is news.
+  bool OnLeavingAnnounced(const std::string& id, time_point sent_at, time_point now);
   /// The whole list. Upstreams that are not in it are removed.
   void Replace(const std::vector<upstream_record>& records, time_point now);
   /// The instance list does not answer.
   void OnSourceLost();
   /// It answers again. To be called before what it answers is put in.
   void OnSourceRegained(time_point now);
-  /// Forgets the lapsed records whose grace is over.
+  /// Forgets the lapsed records whose grace is over, and old announcements.
   void Advance(time_point now);
 
   const std::map<std::string, known_upstream>& Upstreams() const { return upstreams_; }
@@ -57,8 +64,19 @@
   std::uint64_t Revision() const { return revision_; }
 
  private:
+  struct leave_announcement {
+    std::uint64_t born = 0;  // of the incarnation that leaves
+    time_point announced_at;
+  };
+
+  /// Whether this incarnation has said that it leaves. Forgets what another one has said. `is_new`:
+  /// the upstream was not known.
+  bool HasAnnouncedLeaving(const upstream_record& record, bool is_new);
+  void ExpireAnnouncements(time_point now);
+
   upstream_registry_options options_;
   std::map<std::string, known_upstream> upstreams_;
+  std::map<std::string, leave_announcement> leave_announcements_;  // by id
   std::uint64_t revision_ = 0;
   bool source_lost_ = false;
   time_point grace_until_ = time_point::min();
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -206,6 +206,12 @@
   const std::uint32_t upstream = UpstreamHash(upstream_id);
   const time_point now = clock_.Now();
   if (limits_.OnAnswer(upstream, facts.rate_limit, sent_at, now)) ApplyLimit(upstream, now);
+  if (!facts.is_leaving || facts.is_misdirected) return;
+  if (!registry_.OnLeavingAnnounced(upstream_id, sent_at, now)) return;
+  metrics_.Count("leaving_upstreams", {});
+  logger::Event(log_level::kInfo, "fleet", "upstream_leaves",
+                {{"id", upstream_id}, {"answer_to", facts.attempt_id}});
+  UpdateSelector(now);
 }
 
 void gateway::OnRequestDone(queued_request_id id) {
--- a/src/process/membership/upstream_registry.cc
+++ b/src/process/membership/upstream_registry.cc
@@ -5,10 +5,14 @@
 
 namespace berylbarrow {
 
-void upstream_registry::Put(const upstream_record& record, time_point now) {
-  known_upstream& known = upstreams_[record.id];
+void upstream_registry::Put(const upstream_record& published, time_point now) {
+  const auto [place, is_new] = upstreams_.try_emplace(published.id);
+  known_upstream& known = place->second;
+  const bool restarted = known.record.born != published.born;
+  if (is_new || restarted) known.started_at = now;
+  upstream_record record = published;
+  record.leaving = record.leaving || HasAnnouncedLeaving(record, is_new);
   if (known.record != record || known.missing_since) ++revision_;
-  const bool restarted = known.record.born != record.born;
   known.record = record;
   known.missing_since.reset();
   if (record.cold_left > duration::zero()) {
@@ -30,6 +34,36 @@
   upstreams_.erase(found);
 }
 
+bool upstream_registry::OnLeavingAnnounced(const std::string& id, time_point sent_at,
+                                           time_point now) {
+  const auto found = upstreams_.find(id);
+  // An answer to a request from before the start is of the incarnation before.
+  if (found == upstreams_.end() || sent_at < found->second.started_at) return false;
+  upstream_record& record = found->second.record;
+  leave_announcements_[id] = {.born = record.born, .announced_at = now};
+  if (record.leaving) return false;
+  record.leaving = true;
+  ++revision_;
+  return true;
+}
+
+bool upstream_registry::HasAnnouncedLeaving(const upstream_record& record, bool is_new) {
+  const auto found = leave_announcements_.find(record.id);
+  if (found == leave_announcements_.end()) return false;
+  // Without `born`, an upstream that was removed and is published again has restarted.
+  const bool may_be_same = record.born != 0 || !is_new;
+  if (may_be_same && found->second.born == record.born) return true;
+  leave_announcements_.erase(found);
+  return false;
+}
+
+void upstream_registry::ExpireAnnouncements(time_point now) {
+  std::erase_if(leave_announcements_, [&](const auto& entry) {
+    return upstreams_.count(entry.first) == 0 &&
+           now - entry.second.announced_at > options_.longest_leave;
+  });
+}
+
 void upstream_registry::Replace(const std::vector<upstream_record>& records, time_point now) {
   std::set<std::string> listed;
   for (const upstream_record& each : records) {
@@ -52,6 +86,7 @@
 }
 
 void upstream_registry::Advance(time_point now) {
+  ExpireAnnouncements(now);
   if (now < grace_until_) return;
   for (auto each = upstreams_.begin(); each != upstreams_.end();) {
     if (!each->second.missing_since) {
--- a/tests/platform/exchange_test.cc
+++ b/tests/platform/exchange_test.cc
@@ -136,6 +136,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_says_in_its_answers_that_it_leaves) {
+  const auto is_leaving = [](const std::string& value) {
+    return header_codec()
+        .ReadReply({.status = 200, .fields = {{"Server-Leaving", value}}})
+        .is_leaving;
+  };
+  BOOST_TEST(is_leaving("1"));
+  BOOST_TEST(!is_leaving("0"));
+  BOOST_TEST(!header_codec().ReadReply({.status = 200}).is_leaving);
+}
+
 // Guards against uses of the platform's wire names outside its adapter.
 BOOST_AUTO_TEST_CASE(platform_wire_names_occur_only_in_the_platform_folder) {
   const std::regex wire_names(
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -222,6 +222,22 @@
   BOOST_TEST(HeaderValue(other.Requests().front(), "Last-Event-Id") == "1");
 }
 
+// Regression test (review/3): requests went on to an upstream that said in its answers that it
+// leaves, until it ended and lost those that it had.
+BOOST_AUTO_TEST_CASE(no_request_follows_the_answer_of_an_upstream_that_says_that_it_leaves) {
+  const scripted_upstream leaving([](const std::string& request) {
+    return scripted_reply{.bytes =
+                              MakeSignedResponse(request, 200, "leaving", "Server-Leaving: 1\r\n")};
+  });
+  const scripted_upstream other = UpstreamReturning("done");
+  const gateway_fixture gateway({&leaving, &other});
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a1")), "\r\n\r\nleaving"));
+  for (const char* id : {"a2", "a3", "a4"}) {
+    BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", id)), "\r\n\r\ndone"));
+  }
+  BOOST_TEST(leaving.Requests().size() == 1U);
+}
+
 // Regression test (mix --seed 62763989409): the refusal of the second upstream was written into the
 // stream as a second response.
 BOOST_AUTO_TEST_CASE(a_stream_is_reset_when_its_resumption_is_refused) {
--- a/tests/process/membership/upstream_registry_test.cc
+++ b/tests/process/membership/upstream_registry_test.cc
@@ -48,6 +48,56 @@
   BOOST_TEST(registry.Upstreams().empty());
 }
 
+// Regression test (review/3): what an upstream said of its leaving in its answers was not read, and
+// the instance list, which a gateway may not reach, still called it ready.
+BOOST_AUTO_TEST_CASE(an_upstream_that_has_said_that_it_leaves_counts_as_leaving_until_it_restarts) {
+  upstream_registry registry({});
+  registry.Put(Record("a"), kStart);
+  const std::uint64_t revision = registry.Revision();
+  BOOST_TEST(registry.OnLeavingAnnounced("a", kStart, kStart));
+  BOOST_TEST(!registry.OnLeavingAnnounced("a", kStart, kStart));
+  BOOST_TEST(registry.Revision() == revision + 1);
+  BOOST_TEST(registry.Upstreams().at("a").record.leaving);
+  registry.Replace({Record("a")}, kStart + milliseconds(500));
+  BOOST_TEST(registry.Upstreams().at("a").record.leaving);
+  registry.Remove("a", kStart + milliseconds(600));
+  registry.Put(Record("a"), kStart + milliseconds(700));
+  BOOST_TEST(registry.Upstreams().at("a").record.leaving);
+  upstream_record restarted = Record("a");
+  restarted.born = 2;
+  registry.Put(restarted, kStart + milliseconds(800));
+  BOOST_TEST(!registry.Upstreams().at("a").record.leaving);
+  // The answer to a request that was sent before the restart.
+  BOOST_TEST(!registry.OnLeavingAnnounced("a", kStart, kStart + milliseconds(900)));
+  BOOST_TEST(!registry.Upstreams().at("a").record.leaving);
+}
+
+BOOST_AUTO_TEST_CASE(an_announcement_of_an_upstream_that_is_gone_is_forgotten) {
+  upstream_registry registry({.longest_leave = std::chrono::minutes(10)});
+  registry.Put(Record("a"), kStart);
+  registry.OnLeavingAnnounced("a", kStart, kStart);
+  registry.Advance(kStart + std::chrono::minutes(11));
+  BOOST_TEST(registry.Upstreams().at("a").record.leaving);
+  registry.Remove("a", kStart + std::chrono::minutes(11));
+  registry.Advance(kStart + std::chrono::minutes(11));
+  registry.Put(Record("a"), kStart + std::chrono::minutes(12));
+  BOOST_TEST(!registry.Upstreams().at("a").record.leaving);
+  BOOST_TEST(!registry.OnLeavingAnnounced("unknown", kStart, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(without_a_start_time_an_upstream_that_returns_has_restarted) {
+  upstream_registry registry({});
+  upstream_record record = Record("a");
+  record.born = 0;
+  registry.Put(record, kStart);
+  registry.OnLeavingAnnounced("a", kStart, kStart);
+  registry.Put(record, kStart + milliseconds(100));
+  BOOST_TEST(registry.Upstreams().at("a").record.leaving);
+  registry.Remove("a", kStart + milliseconds(200));
+  registry.Put(record, kStart + milliseconds(300));
+  BOOST_TEST(!registry.Upstreams().at("a").record.leaving);
+}
+
 BOOST_AUTO_TEST_CASE(a_removal_long_after_the_return_counts) {
   upstream_registry registry({});
   registry.Put(Record("a"), kStart);
