Pause an upstream for the time that its refusal names

An upstream that refuses a request with 503 may name the time for which it wants nothing from this gateway. The gateway came back after its own back-off, 250 ms at first, and let requests wait that no upstream would take in time.

The selector leaves a paused upstream out, also if no other is left. If all are paused or limited beyond the time that a request has, it is refused at once. A restart ends the pause.

Tests: an_upstream_gets_nothing_for_the_time_that_its_refusal_names and a_request_that_no_upstream_wants_before_its_deadline_is_refused_at_once failed before; upstream_selector_test.

--- a/include/berylbarrow/connection/http/exchange_dialect.h
+++ b/include/berylbarrow/connection/http/exchange_dialect.h
@@ -53,6 +53,8 @@
   std::optional<duration> cold_left;
   /// Requests per second that the upstream takes from all entries together.
   std::optional<double> rate_limit;
+  /// With a refusal: how long the upstream wants nothing from this entry.
+  std::optional<duration> pause;
 };
 
 /// Header fields of callers and upstreams. Implemented by each platform.
--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -73,7 +73,7 @@
   kAllBusy,        // full or blocked
   kColdRateLimit,  // an upstream is cold and has reached its request rate limit
   kNoRetryBudget,  // a retry has to wait until the retry budget allows it
-  kAllLimited,     // all upstreams have named a request rate limit, and their shares are used up
+  kAllLimited,     // all upstreams are paused, or have named a rate limit whose shares are used up
 };
 
 struct dispatch_choice {
@@ -81,8 +81,8 @@
   std::string address;
   std::uint32_t load = 0;                                       // known requests on the upstream
   dispatch_obstacle obstacle = dispatch_obstacle::kNoUpstream;  // applies if `upstream_id` is empty
-  /// Of kAllLimited: time until a limit allows the next request, if this entry has a share, and the
-  /// requests per second that it may then send.
+  /// Of kAllLimited: time until a pause ends or a limit allows the next request, if this entry has
+  /// a share, and the requests per second that it may then send.
   std::optional<duration> limited_for;
   double limited_rate = 0;
 };
@@ -150,6 +150,8 @@
                   duration latency, time_point now);
   /// Records that the upstream reported the time for which it stays cold.
   void OnColdTimeLeft(const std::string& id, duration left, time_point now);
+  /// Sends nothing to the upstream until then: it has said that it wants nothing from this entry.
+  void OnPause(const std::string& id, time_point until);
   /// Returns whether the report opens or closes its group. A report that was made before the last
   /// one of that engine changes nothing.
   bool OnEngineReport(const engine_report& report, time_point made_at);
@@ -195,9 +197,10 @@
     time_point last_failure_at = time_point::min();
     std::uint32_t consecutive_failures = 0;
     time_point blocked_until = time_point::min();
-    double latency_ms = 0;             // moving average of served responses; 0: none yet
-    std::optional<double> rate_limit;  // requests per second from all entries
-    std::optional<request_rate> rate;  // of this entry, while cold or limited
+    time_point paused_until = time_point::min();  // at the wish of the upstream
+    double latency_ms = 0;                        // moving average of served responses; 0: none yet
+    std::optional<double> rate_limit;             // requests per second from all entries
+    std::optional<request_rate> rate;             // of this entry, while cold or limited
     std::optional<engine_report> report;
     time_point report_received_at = time_point::min();
   };
@@ -228,7 +231,7 @@
   /// False if a recent report says that a rank of the group is lost: all of its ranks then stall.
   bool IsGroupOpen(const upstream_state& state, time_point now) const;
   bool IsWithinRate(const upstream_state& state, time_point now) const;
-  /// True if the upstream failed recently or its group is waiting for a rank.
+  /// True if the upstream failed recently, is paused, or its group is waiting for a rank.
   bool IsBlocked(const upstream_state& state, time_point now) const;
   /// Sets the part of the rate of a cold or limited upstream that this entry may use.
   void UpdateRate(upstream_state& state, time_point now) const;
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -194,7 +194,10 @@
 }
 
 void gateway::OnRequeueNeeded(relayed_request& request) {
-  Enqueue(request, dispatch_obstacle::kAllBusy, clock_.Now());
+  const time_point now = clock_.Now();
+  const dispatch_obstacle obstacle = request.ChooseUpstream(std::nullopt, now).obstacle;
+  const bool is_limited = obstacle == dispatch_obstacle::kAllLimited;
+  Enqueue(request, is_limited ? obstacle : dispatch_obstacle::kAllBusy, now);
 }
 
 void gateway::OnMisdirectedAttempt() { feed_->RefreshUpstreams(); }
@@ -206,6 +209,14 @@
   const std::uint32_t upstream = UpstreamHash(upstream_id);
   const time_point now = clock_.Now();
   if (limits_.OnAnswer(upstream, facts.rate_limit, sent_at, now)) ApplyLimit(upstream, now);
+  if (facts.pause) {
+    metrics_.Count("pauses", {});
+    logger::Event(log_level::kInfo, "fleet", "upstream_pauses",
+                  {{"id", upstream_id},
+                   {"ms", MillisecondsText(*facts.pause)},
+                   {"answer_to", facts.attempt_id}});
+    selector_.OnPause(upstream_id, now + *facts.pause);
+  }
   if (!facts.is_leaving || facts.is_misdirected) return;
   if (!registry_.OnLeavingAnnounced(upstream_id, sent_at, now)) return;
   metrics_.Count("leaving_upstreams", {});
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -18,12 +18,16 @@
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
+/// Adds an upstream that takes requests at this rate after a wait.
+void AddLimited(duration wait, double requests_per_second, dispatch_choice& choice) {
+  choice.limited_for = std::min(choice.limited_for.value_or(wait), wait);
+  choice.limited_rate += requests_per_second;
+}
+
 /// Adds what the rate of a limited upstream allows later.
 void AddLimited(const request_rate& rate, time_point now, dispatch_choice& choice) {
   const auto wait = rate.TimeUntilAllowed(now);
-  if (!wait) return;
-  choice.limited_for = std::min(choice.limited_for.value_or(*wait), *wait);
-  choice.limited_rate += rate.RequestsPerSecond();
+  if (wait) AddLimited(*wait, rate.RequestsPerSecond(), choice);
 }
 
 }  // namespace
@@ -44,6 +48,7 @@
       state.decayed_failures = 0;
       state.consecutive_failures = 0;
       state.blocked_until = time_point::min();
+      state.paused_until = time_point::min();
     }
     if (state.record.address != registered.record.address) state.blocked_until = time_point::min();
     state.record = registered.record;
@@ -155,7 +160,7 @@
 }
 
 bool upstream_selector::IsBlocked(const upstream_state& state, time_point now) const {
-  return now < state.blocked_until || !IsGroupOpen(state, now);
+  return now < state.blocked_until || now < state.paused_until || !IsGroupOpen(state, now);
 }
 
 void upstream_selector::UpdateRate(upstream_state& state, time_point now) const {
@@ -265,6 +270,12 @@
   bool all_limited = true;
   for (const auto& [id, state] : upstreams_) {
     if (!IsUsable(state, query)) continue;
+    if (now < state.paused_until) {
+      choice.obstacle = std::max(choice.obstacle, dispatch_obstacle::kAllBusy);
+      // After the pause only its slots limit the upstream.
+      AddLimited(state.paused_until - now, std::numeric_limits<double>::infinity(), choice);
+      continue;
+    }
     all_limited = all_limited && state.rate_limit && !IsWithinRate(state, now);
     if (!HasCapacity(state, groups, query.late, now)) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
@@ -375,6 +386,12 @@
   UpdateRate(found->second, now);
 }
 
+void upstream_selector::OnPause(const std::string& id, time_point until) {
+  const auto found = upstreams_.find(id);
+  if (found == upstreams_.end()) return;
+  found->second.paused_until = std::max(found->second.paused_until, until);
+}
+
 bool upstream_selector::OnEngineReport(const engine_report& report, time_point made_at) {
   const auto id = ids_by_address_.find(UpstreamHash(report.address));
   if (id == ids_by_address_.end()) return false;
@@ -525,6 +542,7 @@
                    {"slots", state.record.slots},
                    {"failures", DecayedFailures(state, now)},
                    {"blocked", now < state.blocked_until},
+                   {"paused", now < state.paused_until},
                    {"cold", now < state.cold_until},
                    {"rate_limit", state.rate_limit.value_or(-1)},
                    {"own_rate", state.rate ? state.rate->RequestsPerSecond() : -1.0},
--- a/tests/platform/exchange_test.cc
+++ b/tests/platform/exchange_test.cc
@@ -147,6 +147,18 @@
   BOOST_TEST(!header_codec().ReadReply({.status = 200}).is_leaving);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_says_with_a_refusal_how_long_it_wants_nothing) {
+  const auto pause = [](unsigned status, const std::string& seconds) {
+    return header_codec().ReadReply({.status = status, .fields = {{"Retry-After", seconds}}}).pause;
+  };
+  BOOST_TEST((pause(503, "2").value() == std::chrono::seconds(2)));
+  BOOST_TEST((pause(503, "0.25").value() == milliseconds(250)));
+  BOOST_TEST((pause(503, "1e9") == std::nullopt));
+  BOOST_TEST((pause(503, "99999999999999").value() == std::chrono::hours(24)));
+  BOOST_TEST((pause(503, "Fri, 31 Dec 1999 23:59:59 GMT") == std::nullopt));
+  BOOST_TEST((pause(200, "2") == std::nullopt));
+}
+
 // Guards against uses of the platform's wire names outside its adapter.
 BOOST_AUTO_TEST_CASE(platform_wire_names_occur_only_in_the_platform_folder) {
   const std::regex wire_names(
--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <map>
 #include <mutex>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "platform/gateway_fixture.h"
 
@@ -222,6 +224,39 @@
   BOOST_TEST(HeaderValue(other.Requests().front(), "Last-Event-Id") == "1");
 }
 
+// Guards against requests to an upstream that has refused one with a time for which it wants
+// nothing.
+BOOST_AUTO_TEST_CASE(an_upstream_gets_nothing_for_the_time_that_its_refusal_names) {
+  std::mutex mutex;
+  std::vector<std::chrono::steady_clock::time_point> arrivals;
+  const scripted_upstream full([&](const std::string& request) {
+    const std::lock_guard lock(mutex);
+    arrivals.push_back(std::chrono::steady_clock::now());
+    if (arrivals.size() > 1)
+      return scripted_reply{.bytes = MakeSignedResponse(request, 200, "done")};
+    return scripted_reply{
+        .bytes = MakeSignedResponse(request, 503, "", "Not-Executed: 1\r\nRetry-After: 1.2\r\n")};
+  });
+  const gateway_fixture gateway({&full});
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("pay", "a1"), milliseconds(2500)),
+                      "\r\n\r\ndone"));
+  const std::lock_guard lock(mutex);
+  BOOST_TEST_REQUIRE(arrivals.size() == 2U);
+  BOOST_TEST((arrivals[1] - arrivals[0] >= milliseconds(1200)));
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_no_upstream_wants_before_its_deadline_is_refused_at_once) {
+  const scripted_upstream full([](const std::string& request) {
+    return scripted_reply{
+        .bytes = MakeSignedResponse(request, 503, "", "Not-Executed: 1\r\nRetry-After: 30\r\n")};
+  });
+  const gateway_fixture gateway({&full});
+  const std::string response = gateway.SendAndReceive(MakeRequest("pay", "a1"), milliseconds(300));
+  BOOST_TEST(Contains(response, "HTTP/1.1 503"));
+  BOOST_TEST(Contains(response, "Retry-After: "));
+  BOOST_TEST(full.Requests().size() == 1U);
+}
+
 // Regression test (review/3): requests went on to an upstream that said in its answers that it
 // leaves, until it ended and lost those that it had.
 BOOST_AUTO_TEST_CASE(no_request_follows_the_answer_of_an_upstream_that_says_that_it_leaves) {
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -380,6 +380,28 @@
   BOOST_TEST(fixture.Choose("plain").upstream_id == "c");
 }
 
+// Guards against requests to an upstream that has refused one and wants nothing for a while, also
+// when no other upstream is left and when their number makes it the least loaded.
+BOOST_AUTO_TEST_CASE(a_paused_upstream_gets_no_request_until_its_pause_ends) {
+  selector_fixture fixture;
+  fixture.AddUpstream("a", "north", "plain");
+  fixture.AddUpstream("b", "north", "plain");
+  fixture.selector.OnPause("a", fixture.now + std::chrono::seconds(3));
+  fixture.selector.OnPause("a", fixture.now + std::chrono::seconds(2));
+  for (int i = 0; i < 5; ++i) {
+    const dispatch_choice choice = fixture.Choose("plain");
+    BOOST_TEST(choice.upstream_id == "b");
+    fixture.selector.OnSent("b", 0, fixture.now);
+  }
+  fixture.selector.OnPause("b", fixture.now + std::chrono::seconds(4));
+  const dispatch_choice none = fixture.Choose("plain");
+  BOOST_TEST(none.upstream_id.empty());
+  BOOST_TEST((none.obstacle == dispatch_obstacle::kAllLimited));
+  BOOST_TEST((none.limited_for.value() == std::chrono::seconds(3)));
+  fixture.now += std::chrono::seconds(3);
+  BOOST_TEST(fixture.Choose("plain").upstream_id == "a");
+}
+
 BOOST_AUTO_TEST_CASE(an_upstream_in_an_evacuated_domain_gets_no_requests_and_returns_cold) {
   selector_fixture fixture;
   fixture.AddUpstream("a", "south");
