Keep what a companion knows of its group as long as its switch

Cause: after an answer that could not be read, the companion took the next status, of the same epoch, for a new run and forgot the other ranks. The switch compares group, epoch and rank with its own last status and went on, and its ranks were looked up with at().

Both now ask the same question of the same status (rank_status::IsSameRun). Look-ups of a rank neither throw nor make an empty record.

Test: a_coordinator_goes_on_with_its_switch_after_a_broken_answer_of_its_engine ended with std::out_of_range before.

--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -36,6 +36,10 @@
   std::optional<armed_map> armed;
   std::optional<std::uint64_t> held;  // the group does not begin this pass
   auto operator<=>(const rank_status&) const = default;
+  /// Whether both are of the same rank in the same epoch of its group.
+  bool IsSameRun(const rank_status& other) const {
+    return group == other.group && epoch == other.epoch && rank == other.rank;
+  }
 };
 
 enum class order_kind : std::uint8_t { kPrepare, kHold, kArm, kGo };
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -203,9 +203,9 @@
   if (!status) return OnStatusFailure();
   const bool was_open = status_ && status_->rank.open;
   failed_statuses_ = 0;
-  const bool new_epoch = !status_ || status_->rank.epoch != status->rank.epoch ||
-                         status_->rank.group != status->rank.group;
-  if (new_epoch) {
+  // Compared with what the switch goes on from, which answers that cannot be read do not change.
+  const bool is_new_run = !switch_.Status() || !switch_.Status()->IsSameRun(status->rank);
+  if (is_new_run) {
     logger::Event(log_level::kInfo, "engine", "epoch_begins",
                   {{"group", status->rank.group},
                    {"epoch", std::to_string(status->rank.epoch)},
@@ -274,7 +274,9 @@
 
 void companion::PollSilentRanks(time_point now) {
   for (const std::uint32_t rank : switch_.SilentRanks(now)) {
-    peer_rank& peer = ranks_[rank];
+    const auto found = ranks_.find(rank);
+    if (found == ranks_.end()) continue;
+    peer_rank& peer = found->second;
     if (peer.engine_call_pending || peer.engine_address.empty()) continue;
     const auto pending = std::count_if(ranks_.begin(), ranks_.end(), [](const auto& entry) {
       return entry.second.engine_call_pending;
@@ -288,7 +290,9 @@
     }
     peer.engine_call_pending = true;
     peer.engine_caller->Call(dialect_.StatusCall(), [this, rank, now](const http_result& result) {
-      ranks_[rank].engine_call_pending = false;
+      if (const auto called = ranks_.find(rank); called != ranks_.end()) {
+        called->second.engine_call_pending = false;
+      }
       const auto status = result.status == 200 ? dialect_.ParseStatus(result.body) : std::nullopt;
       if (status) switch_.OnRemoteStatus(rank, status->rank, now);
     });
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -321,13 +321,15 @@
   const rank_tree tree(GroupSize());
   std::map<std::uint32_t, std::string> datagrams;  // by the relay that they name
   for (const std::uint32_t rank : ranks) {
+    const auto receiver = ranks_.find(rank);
+    if (receiver == ranks_.end()) continue;
     if (rank == kDeputyRank && switch_.IsCoordinator()) {
       // The deputy gets the address of the coordinator's engine, for a switch that it has to
       // finish.
       rank_message message = announcement;
       message.state = {*switch_.State()};
       message.engine_address = settings_.upstream_address;
-      Send(EncodeRankMessage(message), ranks_.at(rank).address);
+      Send(EncodeRankMessage(message), receiver->second.address);
       continue;
     }
     const std::uint32_t parent = tree.ParentOf(rank);
@@ -338,7 +340,7 @@
       if (relay != 0) message.relay_address = EndpointText(ranks_.at(relay).address);
       datagram = EncodeRankMessage(message);
     }
-    Send(datagram, ranks_.at(rank).address);
+    Send(datagram, receiver->second.address);
   }
 }
 
@@ -383,9 +385,11 @@
                                        [&](std::uint32_t rank) { return spread_.WasSent(rank); });
   for (const std::uint32_t rank :
        spread_.Next(receivers, TotalSize(is_repeated ? whole : delta), now)) {
+    const auto receiver = ranks_.find(rank);
+    if (receiver == ranks_.end()) continue;
     const bool is_first = delta_ranks_.insert(rank).second;
     for (const std::string& datagram : is_first ? delta : whole) {
-      Send(datagram, ranks_[rank].address);
+      Send(datagram, receiver->second.address);
     }
     if (!IsLiveRelay(rank, now)) continue;
     for (const std::uint32_t child : tree.ChildrenOf(rank)) {
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -25,9 +25,7 @@
 }
 
 void map_switch::OnStatus(const rank_status& status, time_point asked) {
-  const bool same_run = status_ && status_->group == status.group &&
-                        status_->epoch == status.epoch && status_->rank == status.rank;
-  if (!same_run) Reset();
+  if (!status_ || !status_->IsSameRun(status)) Reset();
   status_ = status;
   status_asked_ = asked;
   highest_version_ = std::max({highest_version_, status.mapping, status.prepared.value_or(0),
--- a/tests/platform/companion_crash_test.cc
+++ b/tests/platform/companion_crash_test.cc
@@ -1,4 +1,5 @@
 #include <array>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
@@ -12,6 +13,7 @@
 #include "berylbarrow/request/suspect/crash_analysis.h"
 #include "platform/engine_api.h"
 #include "platform/gateway_fixture.h"
+#include "process/companion/rank_message.h"
 
 namespace berylbarrow {
 namespace {
@@ -49,6 +51,21 @@
     gateway_.send_to(boost::asio::buffer(EncodeCrashDigest(digest)),
                      MakeUdpEndpoint(settings_.peers_address));
   }
+  void Send(const rank_message& message) {
+    gateway_.send_to(boost::asio::buffer(EncodeRankMessage(message)),
+                     MakeUdpEndpoint(settings_.peers_address));
+  }
+  /// The next plan of the companion, as the coordinator of its group.
+  switch_plan ReceivePlan() {
+    while (true) {
+      const auto message = DecodeRankMessage(Receive());
+      if (message && !message->plan.empty()) return message->plan.front();
+    }
+  }
+  /// Discards what has arrived so far.
+  void DiscardReceived() {
+    while (gateway_.available() > 0) Receive();
+  }
   crash_digest ReceiveDigest() {
     while (true) {
       if (auto digest = DecodeCrashDigest(Receive())) return *digest;
@@ -86,7 +103,7 @@
   before.OnAnswered({2, 100}, kStart);
   before.OnCrash(deadly, 1, answer_progress::kStarted, kStart);
   companion.Send(before.MakeDigest(kStart));
-  companion.Send({});
+  companion.Send(crash_digest{});
   crash_analysis after({.observer = 2});
   after.Merge(companion.ReceiveDigest(), kStart + std::chrono::seconds(1));
   const auto permission = [&](const trait_list& traits) {
@@ -117,5 +134,54 @@
   BOOST_TEST(lost.address == open.address);
 }
 
+// Regression test (review/2): after one broken answer of its engine a companion forgot the other
+// ranks, but not the switch that it coordinated, and ended when it sent them the plan of that
+// switch.
+BOOST_AUTO_TEST_CASE(a_coordinator_goes_on_with_its_switch_after_a_broken_answer_of_its_engine) {
+  constexpr std::uint32_t kRanks = 32;
+  std::atomic<bool> breaks_next{false};
+  // An earlier coordinator has left a hold behind.
+  const scripted_upstream engine([&](const std::string& request) -> scripted_reply {
+    const bool is_status = request.rfind("GET /report ", 0) == 0;
+    const std::string body =
+        is_status
+            ? R"({"group":{"name":"g","epoch":3,"rank":0,"state":"open"},"size":32,"step":99,)"
+              R"("held":100})"
+            : "";
+    const std::string bytes = "HTTP/1.1 " + std::string(is_status ? "200" : "404") +
+                              " x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                              body;
+    if (!is_status || !breaks_next.exchange(false)) return {.bytes = bytes};
+    return {.bytes = bytes.substr(0, bytes.size() / 2),
+            .action = scripted_reply::connection_action::kReset};
+  });
+  companion_fixture companion(engine.Address());
+  std::uint64_t coordinator = 0;
+  const auto send_states = [&] {
+    for (std::uint32_t rank = 1; rank < kRanks; ++rank) {
+      companion.Send(rank_message{.state = {{.incarnation = 1000 + rank,
+                                             .heard = coordinator,
+                                             .group = "g",
+                                             .epoch = 3,
+                                             .rank = rank,
+                                             .step = 99,
+                                             .prepared = 5,
+                                             .committed = {.version = 5, .step = 100}}}});
+    }
+  };
+  switch_plan plan;
+  while (plan.stage != switch_stage::kArming) {
+    send_states();
+    plan = companion.ReceivePlan();
+    coordinator = plan.incarnation;
+  }
+  breaks_next = true;
+  while (breaks_next) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  companion.DiscardReceived();
+  // The ranks have sent nothing since, so the plan goes to those that were known before.
+  BOOST_TEST((companion.ReceivePlan() == plan));
+}
+
 }  // namespace
 }  // namespace berylbarrow
