Refuse settings with an empty certificate

Required texts of settings and documents must not be empty now.

Test: two rows of EntryFindings in process.settings_test; before, the edited settings were accepted.

--- a/src/process/runtime/map_reader.cc
+++ b/src/process/runtime/map_reader.cc
@@ -136,6 +136,10 @@
   if (node == nullptr) {
     return false;
   }
+  if (needed == need::kRequired && node->text.empty()) {
+    ReportValue(key, *node, "is empty");
+    return false;
+  }
   value = node->text;
   return true;
 }
--- a/src/process/runtime/map_reader.h
+++ b/src/process/runtime/map_reader.h
@@ -49,6 +49,7 @@
   place At(std::string_view key) const;
 
   bool ReadName(std::string_view key, std::string& value, need needed);
+  /// A required text must not be empty.
   bool ReadText(std::string_view key, std::string& value, need needed);
   bool ReadAddress(std::string_view key, std::string& value, need needed);
   bool ReadFlag(std::string_view key, bool& value, need needed = need::kOptional);
--- a/tests/process/settings_test.cc
+++ b/tests/process/settings_test.cc
@@ -84,6 +84,8 @@
   callers: 0.0.0.0:7001\n =>  => 3:3: listen has no key "callers"
 7901 => 7101 => 6:14: listen has operators "127.0.0.1:7101", which is already used by listen on line 5
 , private_key: key.pem =>  => 4:8: listen: tls has no key "private_key"
+chain.pem => "" => 4:22: listen: tls has certificate "", which is empty
+key.pem => "" => 4:46: listen: tls has private_key "", which is empty
   instance_list: 127.0.0.1:7801\n =>  => 8:3: platform has no key "instance_list"
 127.0.0.1:7800 => config:7800 => 8:26: platform has configuration_service "config:7800", which is not an IP address and port such as 10.0.0.1:7000
 "127.0.0.1:7102" => here => 10:9: the settings file has the item "here" in seeds, which is not an IP address and port such as 10.0.0.1:7000
