--- a/include/berylbarrow/connection/http/upstream_link.h
+++ b/include/berylbarrow/connection/http/upstream_link.h
@@ -63,7 +63,8 @@
 };
 
 struct upstream_link_options {
-  std::string address;  // "IP:port"
+  std::string address;       // "IP:port"
+  std::uint64_t serial = 0;  // tells the links of a process apart in its log
   std::uint64_t max_answer_bytes = 8U << 20U;
   std::shared_ptr<byte_budget> answer_budget;  // shared by all links; null: none
   duration connect_timeout = std::chrono::milliseconds(500);
@@ -94,6 +95,7 @@
   /// How long the upstream keeps an idle connection, if it said so.
   std::optional<duration> KeepAliveHint() const { return keep_alive_; }
   const std::string& Address() const { return options_.address; }
+  std::uint64_t Serial() const { return options_.serial; }
   /// Head of the answer that is being read.
   const http_head& AnswerHead() const { return parser_->Head(); }
 
--- a/src/process/gateway/link_pool.cc
+++ b/src/process/gateway/link_pool.cc
@@ -41,6 +41,7 @@
   }
   upstream_link_options options = options_.link;
   options.address = request.address;
+  options.serial = ++opened_links_;
   auto link = std::make_shared<upstream_link>(
       context_, options, clock_, [this, upstream_id = request.upstream_id](upstream_link& ended) {
         link_list& all = idle_[upstream_id];
--- a/src/process/gateway/link_pool.h
+++ b/src/process/gateway/link_pool.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_SRC_PROCESS_GATEWAY_LINK_POOL_H_
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -65,6 +66,7 @@
   boost::asio::io_context& context_;
   link_pool_options options_;
   const runtime_clock& clock_;
+  std::uint64_t opened_links_ = 0;
   std::map<std::string, link_list> idle_;  // by upstream id
   std::unordered_set<std::shared_ptr<upstream_link>> busy_;
 };
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -168,6 +168,7 @@
                                                      .answered = answered_links_}),
                      .sent = now,
                      .last_received = now};
+  last_link_ = attempt_->link->Serial();
   std::vector<header_field> fields =
       context_.dialect.AttemptFields(request_.head, {.upstream_id = choice.upstream_id,
                                                      .account = request_.account,
@@ -559,6 +560,7 @@
                 {{"id", request_.facts.attempt_id},
                  {"reason", std::string(reason)},
                  {"upstream", last_upstream_},
+                 {"link", std::to_string(last_link_)},
                  {"service", request_.service},
                  {"load", std::to_string(last_upstream_load_)},
                  {"version", std::to_string(request_.view->Version())},
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -163,6 +163,7 @@
   time_point first_event_time_ = time_point::min();  // min: no event was forwarded yet
   std::string last_upstream_;                        // of the most recent attempt
   std::uint32_t last_upstream_load_ = 0;
+  std::uint64_t last_link_ = 0;  // serial number
 };
 
 }  // namespace berylbarrow
