--- a/src/process/gateway/link_pool.cc
+++ b/src/process/gateway/link_pool.cc
@@ -19,7 +19,7 @@
   link_list& idle = found->second;
   for (std::size_t i = idle.size(); i-- > 0;) {
     const auto at = idle.begin() + static_cast<std::ptrdiff_t>(i);
-    const std::shared_ptr<upstream_link> link = *at;
+    std::shared_ptr<upstream_link> link = *at;
     const bool recent =
         !request.must_be_recent || now - link->IdleSince() <= options_.max_idle_if_not_repeatable;
     const bool usable =
