Wait for the engine's report in the test of a coordinator

a_coordinator_goes_on_with_its_switch_after_a_broken_answer_of_its_engine hung under the thread sanitizer in 5 of 9 runs. Cause: the states of the ranks were sent before the companion had its first status, which it ignores, and the test then waited for a plan that nobody was to get. It also sent states faster than the companion read them there. It waits for the first report now and sends at a pace; the checks are the same.

--- a/tests/platform/companion_crash_test.cc
+++ b/tests/platform/companion_crash_test.cc
@@ -169,9 +169,14 @@
                                              .committed = {.version = 5, .step = 100}}}});
     }
   };
+  // A companion that does not know the group of its engine ignores the other ranks.
+  companion.ReceiveReport(true);
   switch_plan plan;
   while (plan.stage != switch_stage::kArming) {
+    companion.DiscardReceived();
     send_states();
+    // Further states before the companion has read these would overflow its socket.
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
     plan = companion.ReceivePlan();
     coordinator = plan.incarnation;
   }
