--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -245,6 +245,7 @@
   BOOST_TEST((arrivals[1] - arrivals[0] >= milliseconds(1200)));
 }
 
+// Guards against requests that wait for a pause that outlasts their deadline.
 BOOST_AUTO_TEST_CASE(a_request_that_no_upstream_wants_before_its_deadline_is_refused_at_once) {
   const scripted_upstream full([](const std::string& request) {
     return scripted_reply{
