Say in the log on which use of a connection an answer came, and if it bore the id

The events of attempts have both now: link_use counts the requests sent on the connection, tagged says whether the answer bore the request's id.

No decision changes. attempt_sent is logged after the request is handed to the connection, which counts the use.

--- a/include/berylbarrow/connection/http/upstream_link.h
+++ b/include/berylbarrow/connection/http/upstream_link.h
@@ -96,6 +96,8 @@
   std::optional<duration> KeepAliveHint() const { return keep_alive_; }
   const std::string& Address() const { return options_.address; }
   std::uint64_t Serial() const { return options_.serial; }
+  /// Number of requests sent on this connection, including the present one.
+  std::uint32_t ExchangeCount() const { return exchange_count_; }
   /// Head of the answer that is being read.
   const http_head& AnswerHead() const { return parser_->Head(); }
 
@@ -131,6 +133,7 @@
   bool is_head_ = false;
   bool head_shown_ = false;
   bool skipping_ = false;
+  std::uint32_t exchange_count_ = 0;
   std::uint32_t ignored_answers_ = 0;  // interim answers and answers to other requests
   std::size_t held_bytes_ = 0;         // of `answer_budget`
   std::string input_;
--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -29,6 +29,7 @@
   output_ = std::move(request);
   is_head_ = is_head;
   ignored_answers_ = 0;
+  ++exchange_count_;
   BeginParser();
   if (state_ == state::kNew) {
     Connect();
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -179,9 +179,11 @@
                         request_.head.method == "PUT" || request_.head.method == "PATCH";
   if (has_body) fields.push_back({"Content-Length", std::to_string(request_.body.size())});
   context_.selector.OnSent(choice.upstream_id, ExpectedTokens(), now);
-  LogAttempt("attempt_sent", sent_attempts_ > 1 ? "retry" : "first");
+  is_last_answer_tagged_ = false;
   attempt_->link->Exchange(RequestHeadText(request_.head, fields) + request_.body,
                            request_.head.method == "HEAD", this);
+  last_link_use_ = attempt_->link->ExchangeCount();
+  LogAttempt("attempt_sent", sent_attempts_ > 1 ? "retry" : "first");
 }
 
 void relayed_request::EndAttempt(attempt_outcome outcome, time_point now) {
@@ -219,6 +221,7 @@
   attempt_->head_received = now;
   listener_.OnAnswerHead(attempt_->upstream_id, facts, attempt_->sent);
   attempt_->facts = std::move(facts);
+  is_last_answer_tagged_ = !attempt_->facts.attempt_id.empty();
   if (!IsStreamAnswer(head)) return true;
   if (!attempt_->facts.is_signed) return true;  // handled as broken in OnAnswerEnd
   state_ = state::kStreaming;
@@ -561,6 +564,8 @@
                  {"reason", std::string(reason)},
                  {"upstream", last_upstream_},
                  {"link", std::to_string(last_link_)},
+                 {"link_use", std::to_string(last_link_use_)},
+                 {"tagged", is_last_answer_tagged_ ? "true" : "false"},
                  {"service", request_.service},
                  {"load", std::to_string(last_upstream_load_)},
                  {"version", std::to_string(request_.view->Version())},
