Show with real processes that refused payments run

It composes faults of the upstreams (full, misdirected; copies of answers that are late, early, without id or torn; answers without id, promises without the statement, losses by close, reset and silence, truncation, garbage, delays before and after the run; silent, cut and slow connections, reused addresses, leaving) with second steps of ours (retry, queue, SIGHUP, SIGTERM, SIGKILL and restart, SIGSTOP, new configurations, a store that is silent or refuses). A ledger compares what callers were told with what upstreams ran.

platform.gateway_refusal_test shows each case alone.

--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -163,9 +163,9 @@
   time_point first_event_time_ = time_point::min();  // min: no event was forwarded yet
   std::string last_upstream_;                        // of the most recent attempt
   std::uint32_t last_upstream_load_ = 0;
-  std::uint64_t last_link_ = 0;                      // serial number
-  std::uint32_t last_link_use_ = 0;                  // 1: the attempt opened the connection
-  bool is_last_answer_tagged_ = false;               // with the id of the request
+  std::uint64_t last_link_ = 0;         // serial number
+  std::uint32_t last_link_use_ = 0;     // 1: the attempt opened the connection
+  bool is_last_answer_tagged_ = false;  // with the id of the request
 };
 
 }  // namespace berylbarrow
--- /dev/null
+++ b/tests/support/gateway_fleet.h
@@ -0,0 +1,64 @@
+#ifndef BERYLBARROW_TESTS_SUPPORT_GATEWAY_FLEET_H_
+#define BERYLBARROW_TESTS_SUPPORT_GATEWAY_FLEET_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "support/faulty_upstream.h"
+#include "support/process_fleet.h"
+#include "support/request_ledger.h"
+#include "support/store_stand_in.h"
+#include "support/tcp_relay.h"
+
+namespace berylbarrow {
+
+struct gateway_fleet_options {
+  int gateways = 3;
+  int upstreams = 3;
+  std::uint64_t seed = 1;
+};
+
+/// Gateways as real processes on loopback, with stand-ins of the store and of the upstreams of one
+/// service. Every second upstream is reached through a relay.
+class gateway_fleet : public process_fleet {
+ public:
+  gateway_fleet(const gateway_fleet_options& options, request_ledger& ledger);
+
+  int GatewayCount() const { return static_cast<int>(ready_.size()); }
+  std::string GatewayName(int index) const { return "gateway-" + std::to_string(index); }
+  const std::string& CallersAddress(int index) const { return Callers(GatewayName(index)); }
+  /// Waits until every gateway says that it is ready.
+  bool AwaitReady() const;
+  /// What the gateway has logged of a request.
+  std::vector<std::string> LogLines(const std::string& request_id) const;
+
+  store_stand_in& Store() { return store_; }
+  faulty_upstream& Upstream(std::size_t index) { return *upstreams_.at(index); }
+  std::size_t UpstreamCount() const { return upstreams_.size(); }
+  /// Null if the upstream is reached directly.
+  tcp_relay* RelayOf(std::size_t index) { return relays_.at(index).get(); }
+
+  /// Lists the upstream in the store under its present id, as `state` ("ready" or "draining").
+  void ListUpstream(std::size_t index, const std::string& state);
+  void UnlistUpstream(const std::string& id) { store_.Remove("servers/" + id); }
+  /// Publishes the next configuration.
+  void PublishConfiguration(int max_attempts, int timeout_ms);
+
+ private:
+  std::string WriteGatewaySettings(const std::string& name, int index);
+
+  store_stand_in store_;
+  std::vector<std::unique_ptr<faulty_upstream>> upstreams_;
+  std::vector<std::unique_ptr<tcp_relay>> relays_;
+  std::vector<std::string> listed_addresses_;
+  std::vector<std::string> ready_;  // readiness addresses
+  int version_ = 6;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_TESTS_SUPPORT_GATEWAY_FLEET_H_
--- /dev/null
+++ b/tests/support/store_stand_in.h
@@ -0,0 +1,56 @@
+#ifndef BERYLBARROW_TESTS_SUPPORT_STORE_STAND_IN_H_
+#define BERYLBARROW_TESTS_SUPPORT_STORE_STAND_IN_H_
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "support/loopback_stream.h"
+
+namespace berylbarrow {
+
+/// Stand-in of the platform's store: range reads and watches over items with one revision counter.
+/// It keeps all of its history.
+class store_stand_in {
+ public:
+  enum class fault : std::uint8_t { kNone, kSilent, kRefusing };
+
+  store_stand_in();
+  ~store_stand_in();
+
+  const std::string& Address() const { return server_.Address(); }
+  void Put(const std::string& key, const nlohmann::json& value);
+  void Remove(const std::string& key);
+  void SetFault(fault mode) { fault_ = mode; }
+
+ private:
+  struct change {
+    std::uint64_t revision = 0;
+    std::string key;
+    std::string value;  // base64
+    bool is_removal = false;
+  };
+
+  void Record(change&& made);
+  void Serve(loopback_stream& stream);
+  std::string Answer(const std::string& target);
+  nlohmann::json Range(const std::string& prefix);
+  nlohmann::json Watch(const std::string& prefix, std::uint64_t after,
+                       std::chrono::milliseconds wait);
+
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::uint64_t revision_ = 100;
+  std::vector<change> history_;
+  std::atomic<fault> fault_{fault::kNone};
+  std::atomic<bool> stopping_{false};
+  loopback_server server_;
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_TESTS_SUPPORT_STORE_STAND_IN_H_
