Take no answer without id on a kept connection for that of the present request

Cause: an answer without id counted as that of the request in flight.

Change: an answer belongs to a request if it bears the request's id, or if it has none and is on a connection that has served no other request. Anything else breaks the attempt: 502 for what must not run twice, another upstream for the rest. A request without id gets a connection of its own.

--- a/src/process/gateway/link_pool.cc
+++ b/src/process/gateway/link_pool.cc
@@ -35,7 +35,7 @@
 }
 
 std::shared_ptr<upstream_link> link_pool::Acquire(const link_request& request) {
-  if (auto link = TakeIdle(request)) {
+  if (auto link = request.must_be_new ? nullptr : TakeIdle(request)) {
     busy_.insert(link);
     return link;
   }
--- a/src/process/gateway/link_pool.h
+++ b/src/process/gateway/link_pool.h
@@ -33,6 +33,7 @@
   const std::string& upstream_id;
   const std::string& address;   // "IP:port"
   bool must_be_recent = false;  // applies `max_idle_if_not_repeatable`
+  bool must_be_new = false;     // for a request whose answer cannot be told from that of another
   /// Links on which the same request was answered before. The upstream may repeat that answer late,
   /// and the id of the request does not tell the repetition from the answer to the next attempt.
   const link_list& answered;
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -161,13 +161,15 @@
   last_upstream_ = choice.upstream_id;
   tried_upstreams_.insert(choice.upstream_id);
   const bool must_be_recent = !request_.matched_route->MayRepeat();
-  attempt_ = attempt{.upstream_id = choice.upstream_id,
-                     .link = context_.links.Acquire({.upstream_id = choice.upstream_id,
-                                                     .address = choice.address,
-                                                     .must_be_recent = must_be_recent,
-                                                     .answered = answered_links_}),
-                     .sent = now,
-                     .last_received = now};
+  attempt_ =
+      attempt{.upstream_id = choice.upstream_id,
+              .link = context_.links.Acquire({.upstream_id = choice.upstream_id,
+                                              .address = choice.address,
+                                              .must_be_recent = must_be_recent,
+                                              .must_be_new = request_.facts.attempt_id.empty(),
+                                              .answered = answered_links_}),
+              .sent = now,
+              .last_received = now};
   last_link_ = attempt_->link->Serial();
   std::vector<header_field> fields =
       context_.dialect.AttemptFields(request_.head, {.upstream_id = choice.upstream_id,
@@ -210,13 +212,30 @@
   return request_.matched_route->kind == request_kind::kStreaming && head.status == 200;
 }
 
+relayed_request::answer_owner relayed_request::OwnerOf(const reply_facts& facts) const {
+  if (!facts.attempt_id.empty()) {
+    return facts.attempt_id == request_.facts.attempt_id ? answer_owner::kThisRequest
+                                                         : answer_owner::kOtherRequest;
+  }
+  return attempt_->link->ExchangeCount() == 1 ? answer_owner::kThisRequest : answer_owner::kUnknown;
+}
+
 bool relayed_request::OnAnswerHead(const http_head& head) {
   reply_facts facts = context_.dialect.ReadReply(head);
-  if (!facts.attempt_id.empty() && facts.attempt_id != request_.facts.attempt_id) {
+  const answer_owner owner = OwnerOf(facts);
+  if (owner == answer_owner::kOtherRequest) {
     LogAttempt("answer_skipped", "other_request");
     return false;
   }
   const time_point now = context_.clock.Now();
+  if (owner == answer_owner::kUnknown) {
+    const auto self = shared_from_this();
+    attempt_->link->Abort();
+    EndAttempt(attempt_outcome::kBroken, now);
+    ++possible_runs_;
+    HandleBrokenAttempt("untagged_answer", now);
+    return false;
+  }
   attempt_->last_received = now;
   attempt_->head_received = now;
   listener_.OnAnswerHead(attempt_->upstream_id, facts, attempt_->sent);
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -89,6 +89,7 @@
 
  private:
   enum class state : std::uint8_t { kWaiting, kSent, kStreaming, kDone };
+  enum class answer_owner : std::uint8_t { kThisRequest, kOtherRequest, kUnknown };
 
   struct attempt {
     std::string upstream_id;
@@ -143,6 +144,9 @@
   /// connection to the upstream.
   http_answer ToCallerAnswer(const http_head& head) const;
   bool IsStreamAnswer(const http_head& head) const;
+  /// Which request an answer on the link of the attempt belongs to. The link may have served other
+  /// requests before, and the upstream may repeat their answers.
+  answer_owner OwnerOf(const reply_facts& facts) const;
   void LogAttempt(std::string_view event, std::string_view reason) const;
   /// Retries on another upstream if the current one has been silent for too long.
   void RetryIfSilent(time_point now);
