Fail an answer whose head was completed by the head of the next answer

Cause: an upstream sent part of a refusal, up to the middle of a field, where the next answer was expected, and then that answer. The parser takes the status line of the second as the rest of the field's value. The result has the statement "not run" of the one and the id of the other.

Change: a head with a status line inside its reason or a field is garbled, and the connection ends. Other places of a tear did not parse before.

--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -1,9 +1,11 @@
 #include "berylbarrow/connection/http/upstream_link.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/detail/socket_option.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "connection/http/endpoint.h"
@@ -15,6 +17,32 @@
 // Interim answers and answers to other requests that may precede the answer to a request.
 constexpr std::uint32_t kMaxIgnoredAnswers = 8;
 
+/// Whether the text contains the start of a status line, such as "HTTP/1.1 200".
+bool ContainsStatusLine(std::string_view text) {
+  constexpr std::string_view kProtocol = "HTTP/1.";
+  const auto is_digit = [&](std::size_t at) {
+    return at < text.size() && text[at] >= '0' && text[at] <= '9';
+  };
+  for (auto at = text.find(kProtocol); at != std::string_view::npos;
+       at = text.find(kProtocol, at + 1)) {
+    const std::size_t version = at + kProtocol.size();
+    const bool has_version =
+        is_digit(version) && version + 1 < text.size() && text[version + 1] == ' ';
+    if (has_version && is_digit(version + 2) && is_digit(version + 3) && is_digit(version + 4)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+/// Whether the head begins with a part of one head and goes on with another: an answer was broken
+/// off inside its head, and the next answer on the connection follows.
+bool IsJoined(const http_head& head) {
+  return ContainsStatusLine(head.reason) ||
+         std::any_of(head.fields.begin(), head.fields.end(),
+                     [](const header_field& field) { return ContainsStatusLine(field.value); });
+}
+
 }  // namespace
 
 upstream_link::upstream_link(boost::asio::io_context& context, const upstream_link_options& options,
@@ -122,6 +150,10 @@
 void upstream_link::ParseInput() {
   while (state_ == state::kBusy && !input_.empty()) {
     const parse_state parsed = parser_->Parse(input_);
+    if (parser_->HasHead() && !head_shown_ && IsJoined(parser_->Head())) {
+      Fail(link_failure::kGarbled);
+      return;
+    }
     if (parser_->HasHead() && !head_shown_ && parser_->Head().status >= 200) {
       head_shown_ = true;
       skipping_ = !handler_->OnAnswerHead(parser_->Head());
