Promise "not run" in one place, and only if no upstream may have run the request

What must not run twice was guarded before.

Cause: four places chose a status that promises "not run": the refusal after an upstream's refusal, after an unreachable upstream, of crash trials, and the passing on of an upstream's 503, 429 or 408. Each had its own rule for what had been sent before, and the last three had none for requests that may be repeated.

Change: SendFailure alone turns a promise into 502 if an attempt may have run, whatever the kind of request (counter withheld_promises). A promise of an upstream is passed on for no request; where the request may be repeated, 429 and 408 without the statement are retried like 5xx.

--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -44,6 +44,11 @@
   return text;
 }
 
+/// Whether the status tells callers that the request has not run and never will.
+bool PromisesNotRun(unsigned status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// Whether the end of the connection is the end of the answer.
 bool EndsWithConnection(const http_head& head) {
   return !head.Has("Content-Length") && !head.Has("Transfer-Encoding");
@@ -320,24 +325,16 @@
     return;
   }
   ++possible_runs_;
-  if (head.status >= 500) {
-    EndAttempt(attempt_outcome::kFailed, now);
-    if (request_.matched_route->MayRepeat() && Retry("upstream_error", now)) return;
-    // The status 503 means that the request was not run, so it must not be forwarded for a request
-    // that may have run.
-    if (head.status == 503 && !request_.matched_route->MayRepeat()) {
-      SendFailure(502, "upstream_error");
-      return;
-    }
+  const bool promises_not_run = PromisesNotRun(head.status);
+  if (head.status < 500 && !promises_not_run) {
+    EndAttempt(attempt_outcome::kServed, now);
     ForwardAnswer(head, std::move(body));
     return;
   }
-  EndAttempt(attempt_outcome::kServed, now);
-  const bool implies_not_run = head.status == 429 || head.status == 408;
-  if (implies_not_run && !request_.matched_route->MayRepeat()) {
-    SendFailure(502, "upstream_error");
-    return;
-  }
+  EndAttempt(attempt_outcome::kFailed, now);
+  if (request_.matched_route->MayRepeat() && Retry("upstream_error", now)) return;
+  // The upstream did not state that it has not run the request.
+  if (promises_not_run) return SendFailure(502, "upstream_error");
   ForwardAnswer(head, std::move(body));
 }
 
@@ -366,7 +363,7 @@
   EndAttempt(misdirected ? attempt_outcome::kMisdirected : attempt_outcome::kRefused, now);
   if (misdirected) listener_.OnMisdirectedAttempt();
   if (Retry(reason, now) || Requeue(upstream, now)) return;
-  SendFailure(503, reason);
+  Refuse(reason, kUnreachableRetryAfter);
 }
 
 bool relayed_request::AcquireRetryBudget(time_point now) {
@@ -420,10 +417,7 @@
     const std::string upstream = attempt_->upstream_id;
     EndAttempt(attempt_outcome::kUnreachable, now);
     if (Retry("unreachable", now) || Requeue(upstream, now)) return;
-    // Nothing was sent, so the request has not run.
-    if (possible_runs_ == 0) return Refuse("unreachable", kUnreachableRetryAfter);
-    SendFailure(502, "unreachable");
-    return;
+    return Refuse("unreachable", kUnreachableRetryAfter);
   }
   ++possible_runs_;
   const bool is_broken = failure == link_failure::kNoAnswer || failure == link_failure::kCutShort;
@@ -521,32 +515,27 @@
   Finish(head.status < 400 ? "served" : "upstream_failure", head.status);
 }
 
-void relayed_request::SendFailure(unsigned status, std::string_view reason) {
+void relayed_request::SendFailure(unsigned status, std::string_view reason, duration retry_after) {
   if (AbortStream(reason)) return;
-  if (status == 503 && possible_runs_ > 0 && !request_.matched_route->MayRepeat()) status = 502;
-  std::optional<duration> retry_after;
-  if (status == 503) retry_after = kUnreachableRetryAfter;
+  if (PromisesNotRun(status) && MayHaveRun()) {
+    context_.counts.Count("withheld_promises", {.service = request_.service});
+    status = 502;
+    retry_after = duration::zero();
+  }
+  std::optional<duration> retry_after_field;
+  if (retry_after > duration::zero()) retry_after_field = retry_after;
   if (sink_ != nullptr) {
     std::exchange(sink_, nullptr)
         ->SendAnswer(
             {.status = status,
-             .fields = context_.dialect.RefusalFields(request_.facts.attempt_id, retry_after),
+             .fields = context_.dialect.RefusalFields(request_.facts.attempt_id, retry_after_field),
              .body = status == kCrashRefusalStatus ? kCrashRefusalBody : ""});
   }
   Finish(reason, status);
 }
 
 void relayed_request::Refuse(std::string_view reason, duration retry_after) {
-  if (AbortStream(reason)) return;
-  std::optional<duration> retry_after_field;
-  if (retry_after > duration::zero()) retry_after_field = retry_after;
-  if (sink_ != nullptr) {
-    std::exchange(sink_, nullptr)
-        ->SendAnswer({.status = 503,
-                      .fields = context_.dialect.RefusalFields(request_.facts.attempt_id,
-                                                               retry_after_field)});
-  }
-  Finish(reason, 503);
+  SendFailure(503, reason, retry_after);
 }
 
 void relayed_request::Finish(std::string_view outcome, unsigned status) {
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -68,8 +68,9 @@
   /// Sends the request if an upstream has capacity for it. Otherwise returns the obstacle, and the
   /// caller must try again later.
   dispatch_obstacle TryDispatch(time_point now);
-  /// Ends a request that has not run on any upstream: answers 503, or aborts the stream if its head
-  /// was already sent. No Retry-After is sent if `retry_after` is zero.
+  /// Ends a request that is not sent again: answers 503 if it has not run on any upstream and 502
+  /// if it may have, or aborts the stream if its head was already sent. No Retry-After is sent if
+  /// `retry_after` is zero.
   void Refuse(std::string_view reason, duration retry_after);
   /// Called regularly. Ends the request at its deadline, and retries it if the upstream is silent.
   void CheckTimeouts(time_point now);
@@ -138,7 +139,12 @@
   /// Aborts the connection to the caller if the head of a stream was already sent, because no other
   /// answer is possible then. Returns false if no head was sent.
   bool AbortStream(std::string_view reason);
-  void SendFailure(unsigned status, std::string_view reason);
+  /// Whether an upstream may have run the request, or may be running it.
+  bool MayHaveRun() const { return possible_runs_ > 0 || attempt_.has_value(); }
+  /// Answers with a failure of the gateway's own. A status that promises "not run" becomes 502 if
+  /// the request may have run.
+  void SendFailure(unsigned status, std::string_view reason,
+                   duration retry_after = duration::zero());
   void Finish(std::string_view outcome, unsigned status);
   /// Status and fields of the answer to the caller, without the fields that concern only the
   /// connection to the upstream.
