Let the soak choose the faults of upstreams

BERYLBARROW_SOAK_FAULTS names the faults by number, so that a run can show one hypothesis alone. Without it the runs are as before, seeds included.

--- a/tests/system/refusal_soak_test.cc
+++ b/tests/system/refusal_soak_test.cc
@@ -26,6 +26,22 @@
   return text == nullptr ? otherwise : std::stoull(text);
 }
 
+/// The faults of upstreams that BERYLBARROW_SOAK_FAULTS names by their numbers, separated by
+/// commas; all of them if it is not set.
+std::vector<upstream_fault> ReadFaults() {
+  constexpr int kFaults = static_cast<int>(upstream_fault::kDelayedRun) + 1;
+  std::vector<upstream_fault> faults;
+  const char* const text = std::getenv("BERYLBARROW_SOAK_FAULTS");  // NOLINT(concurrency-mt-unsafe)
+  std::istringstream numbers(text == nullptr ? "" : text);
+  for (std::string number; std::getline(numbers, number, ',');) {
+    faults.push_back(static_cast<upstream_fault>(std::stoi(number) % kFaults));
+  }
+  for (int i = 0; text == nullptr && i < kFaults; ++i) {
+    faults.push_back(static_cast<upstream_fault>(i));
+  }
+  return faults;
+}
+
 class random_source {
  public:
   explicit random_source(std::uint64_t seed) : engine_(seed) {}
@@ -159,10 +175,10 @@
   }
 
   fault_shares ChooseFaults() {
-    constexpr int kFaults = static_cast<int>(upstream_fault::kDelayedRun) + 1;
     fault_shares shares;
-    for (int i = random_.Between(0, 4); i > 0; --i) {
-      shares[static_cast<upstream_fault>(random_.Between(0, kFaults - 1))] =
+    const int last = static_cast<int>(faults_.size()) - 1;
+    for (int i = random_.Between(0, 4); i > 0 && last >= 0; --i) {
+      shares[faults_[static_cast<std::size_t>(random_.Between(0, last))]] =
           random_.Between(3, 40) / 100.0;
     }
     // Copies of refusals matter only if there are refusals.
@@ -280,6 +296,7 @@
 
   gateway_fleet& fleet_;
   random_source random_;
+  const std::vector<upstream_fault> faults_ = ReadFaults();
   std::vector<std::pair<steady_clock::time_point, action>> pending_;
   std::set<std::string> restarting_;
   std::vector<std::string> unexpected_ends_;
@@ -300,8 +317,8 @@
 
 // Guards against requests that were refused as not run and ran (issue 37), ran twice, or got the
 // answer of another request, while upstreams fail in many ways and gateways are stopped, paused,
-// killed and restarted. BERYLBARROW_SOAK_SECONDS and BERYLBARROW_SEED choose a longer or another
-// run.
+// killed and restarted. BERYLBARROW_SOAK_SECONDS, BERYLBARROW_SEED and BERYLBARROW_SOAK_FAULTS
+// choose a longer or another run.
 BOOST_AUTO_TEST_CASE(what_was_refused_as_not_run_does_not_run) {
   const std::uint64_t seed = ReadNumber("BERYLBARROW_SEED", 1);
   const milliseconds length = std::chrono::seconds(ReadNumber("BERYLBARROW_SOAK_SECONDS", 20));
