Excuse a crash of which only a paused agent could know

8961 draft-2 runs the request for entry-2, its upstream crashes at 9009 9612 draft-2 runs it again for entry-2 9650 draft-2 stands still until 12573; its upstream crashes meanwhile 11628 the caller sends it through entry-3, which knows of one crash 12030 draft-1 runs it for entry-3: the third upstream crashes

From 9650 to 12573 no running process could tell the second crash from a slow upstream. The check already excuses runs decided after a partition or the end of a process, since these take the count away; a pause of the only witness does the same. The users' rule allows more than this check: three retries after the third crash, by processes that did not stand still.

The check now leaves out crashes inside a pause of their own agent, only for runs decided before the pause ended, and still counts them afterwards. Weighed: to count an open attempt at a silent agent as a crash. It would refuse sound requests whenever an agent is paused.

CrashCheckExcusesOnlyWhatAPausedAgentAloneKnew shows that other pauses excuse nothing and that a fourth crash is reported; the schedule stays as CrashDuringAPauseOfTheAgent, which failed with the old check.

--- a/tests/process/history_checks_test.cc
+++ b/tests/process/history_checks_test.cc
@@ -81,6 +81,30 @@
   Finds("crashes", CheckCrashes, DroppingSuspects(parser), {fault_kind::kPoison});
 }
 
+// Guards against a third crash that is excused although a running process knew of both crashes
+// before it.
+BOOST_AUTO_TEST_CASE(CrashCheckExcusesOnlyWhatAPausedAgentAloneKnew) {
+  const auto at = [](int ms) { return time_point(std::chrono::milliseconds(ms)); };
+  history log;
+  log.crashes = {{.at = at(100), .started = at(50), .agent = "draft-2", .operation = 1},
+                 {.at = at(700), .started = at(600), .agent = "draft-2", .operation = 1},
+                 {.at = at(1300), .started = at(1200), .agent = "draft-1", .operation = 1}};
+  BOOST_TEST(CheckCrashes(log).size() == 1U);
+  log.pauses = {{.from = at(650), .until = at(1500), .process = "draft-2"}};
+  BOOST_TEST(CheckCrashes(log).empty());
+  for (const pause_record& other :
+       {pause_record{.from = at(650), .until = at(1500), .process = "draft-1"},
+        pause_record{.from = at(650), .until = at(1199), .process = "draft-2"},
+        pause_record{.from = at(701), .until = at(1500), .process = "draft-2"}}) {
+    log.pauses = {other};
+    BOOST_TEST(CheckCrashes(log).size() == 1U);
+  }
+  // The excuse is for one crash: a fourth one is reported.
+  log.pauses = {{.from = at(650), .until = at(1500), .process = "draft-2"}};
+  log.crashes.push_back({.at = at(1450), .started = at(1400), .agent = "draft-3", .operation = 1});
+  BOOST_TEST(CheckCrashes(log).size() == 1U);
+}
+
 // No naive part lets a revision fall or ends a request twice, so these histories are made up.
 BOOST_AUTO_TEST_CASE(ChecksFindDoctoredHistories) {
   const remembering_parser parser;
--- a/tests/process/history_test.cc
+++ b/tests/process/history_test.cc
@@ -132,6 +132,13 @@
   HoldAll({{6114060691781450278U, ReadFaults("13 5332 2868 4 4 6365 7506 2")}});
 }
 
+// Guards against a check that blames processes for a crash of which only a paused agent could know:
+// its upstream crashed while it stood still. A soak run with seed 1273412117 found this schedule.
+BOOST_FIXTURE_TEST_CASE(CrashDuringAPauseOfTheAgent, product) {
+  HoldAll({{7400266484639467153U,
+            ReadFaults("7 8886 2741 46 20 2000 6641 58 3 6977 5765 23 16 9650 2923 13")}});
+}
+
 /// One fault for half of the schedules, two to four for the others.
 std::vector<fault_kind> RandomKinds(std::mt19937_64& random) {
   const std::size_t count = random() % 2 == 0 ? 1 : 2 + random() % 3;
--- a/tests/support/fleet_run.cc
+++ b/tests/support/fleet_run.cc
@@ -209,6 +209,8 @@
 
 void fleet_run::Pause(const std::string& name, duration lasts) {
   processes_.Pause(name);
+  context_.log.pauses.push_back(
+      {.from = context_.Now(), .until = context_.Now() + lasts, .process = name});
   callers_.OnEntrySlow(name);
   network_.OnPaused(name);
   context_.After(lasts, [this, name] { processes_.Resume(name); });
--- a/tests/support/history.h
+++ b/tests/support/history.h
@@ -118,6 +118,13 @@
   time_point until;
 };
 
+/// A process stood still.
+struct pause_record {
+  time_point from;
+  time_point until;
+  std::string process;
+};
+
 struct history {
   std::vector<request_record> requests;
   std::vector<start_record> starts;
@@ -128,6 +135,7 @@
   std::vector<finish_record> finishes;
   std::vector<crash_record> crashes;
   std::vector<disruption_record> disruptions;
+  std::vector<pause_record> pauses;
   std::vector<std::string> oddities;  // outputs that no caller can use
   bool only_shutdowns = false;        // no other fault was injected
 };
@@ -161,7 +169,8 @@
 /// after which a request is refused: the first makes it a suspect, which goes to one upstream at a
 /// time, and its retry carries the count. A further crash is accepted only if its run was decided
 /// after a partition, or after the end of a process, since the first crash: both can take the count
-/// away.
+/// away. A crash during a pause of its agent counts only for runs decided after the pause, because
+/// no other process can tell it from an upstream that is slow.
 violations CheckCrashes(const history& log);
 
 /// All checks; each line begins with the guarantee.
