--- a/tests/platform/gateway_test.cc
+++ b/tests/platform/gateway_test.cc
@@ -180,6 +180,25 @@
   BOOST_TEST(!Contains(response, "fake"));
 }
 
+// Guards against passing on a body that something between the upstream and the gateway has encoded.
+BOOST_AUTO_TEST_CASE(an_encoded_success_response_is_not_forwarded) {
+  const scripted_upstream encoding([](const std::string& request) {
+    return scripted_reply{
+        .bytes = MakeSignedResponse(request, 200, "encoded", "Content-Encoding: gzip\r\n")};
+  });
+  const scripted_upstream sound = UpstreamReturning("done");
+  {
+    const gateway_fixture gateway({&encoding});
+    for (const char* route : {"pay", "draft"}) {
+      const std::string response = gateway.SendAndReceive(MakeRequest(route, "a1"));
+      BOOST_TEST(Contains(response, "HTTP/1.1 502"), route);
+      BOOST_TEST(!Contains(response, "encoded"), route);
+    }
+  }
+  const gateway_fixture gateway({&encoding, &sound});
+  BOOST_TEST(Contains(gateway.SendAndReceive(MakeRequest("read", "a2")), "\r\n\r\ndone"));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_and_truncated_responses_fail_the_request) {
   for (const std::string bytes :
        {"garbage\r\n\r\n",
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -71,12 +71,12 @@
   });
 }
 
-std::vector<std::string> gateway_fleet::LogLines(const std::string& request_id) const {
+std::vector<std::string> gateway_fleet::LogLines(const std::string& text) const {
   std::vector<std::string> found;
   for (int i = 0; i < GatewayCount(); ++i) {
     std::ifstream log(folder_ / (GatewayName(i) + ".log"));
     for (std::string line; std::getline(log, line);) {
-      if (line.find('"' + request_id + '"') != std::string::npos) found.push_back(line);
+      if (line.find(text) != std::string::npos) found.push_back(line);
     }
   }
   return found;
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -33,8 +33,8 @@
   const std::string& CallersAddress(int index) const { return Callers(GatewayName(index)); }
   /// Waits until every gateway says that it is ready.
   bool AwaitReady() const;
-  /// What the gateway has logged of a request.
-  std::vector<std::string> LogLines(const std::string& request_id) const;
+  /// The lines of the gateways' logs that contain `text`.
+  std::vector<std::string> LogLines(const std::string& text) const;
 
   store_stand_in& Store() { return store_; }
   faulty_upstream& Upstream(std::size_t index) { return *upstreams_.at(index); }
--- a/tests/system/refusal_soak_test.cc
+++ b/tests/system/refusal_soak_test.cc
@@ -310,7 +310,8 @@
   for (const request_ledger::violation& each : ledger.Violations()) {
     text << each.rule << " " << each.id << "\n";
     for (const std::string& line : each.history) text << "  " << line << "\n";
-    for (const std::string& line : fleet.LogLines(each.id)) text << "  log " << line << "\n";
+    for (const std::string& line : fleet.LogLines('"' + each.id + '"'))
+      text << "  log " << line << "\n";
   }
   return std::move(text).str();
 }
@@ -324,7 +325,10 @@
   const milliseconds length = std::chrono::seconds(ReadNumber("BERYLBARROW_SOAK_SECONDS", 20));
   request_ledger ledger;
   gateway_fleet fleet({.seed = seed}, ledger);
-  BOOST_REQUIRE(fleet.AwaitReady());
+  if (!fleet.AwaitReady()) {
+    for (const std::string& line : fleet.LogLines("")) BOOST_TEST_MESSAGE(line);
+    BOOST_FAIL("the gateways are not ready");
+  }
   std::vector<std::unique_ptr<soak_caller>> callers;
   callers.reserve(static_cast<std::size_t>(kCallersPerGateway * fleet.GatewayCount()));
   for (int i = 0; i < kCallersPerGateway * fleet.GatewayCount(); ++i) {
