Do not wait for the reader of the log

Callers saw: nothing, from then on. A gateway whose standard output is a pipe that is not read served 111 requests and then stood still for good (system.unread_log_test on the code before).

Cause: each line was written to std::cout by the thread that decides.

Change: programs that serve give std::cout a buffer (log_output) which writes what a pipe takes without waiting (a ready pipe takes 4 KiB), keeps up to 64 KiB, and drops and counts further lines. No thread, and one poll for a line; none for a regular file. Weighed: a thread with a ring, which costs a wake-up for each burst of lines.

--- a/include/berylbarrow/process/telemetry/log.h
+++ b/include/berylbarrow/process/telemetry/log.h
@@ -24,6 +24,11 @@
   static void Configure(const log_options& options, std::string process, std::string domain,
                         const runtime_clock& clock);
 
+  /// Lines go to `descriptor` from now on, and nothing waits for its reader. Lines for which there
+  /// is no room are dropped; the field "dropped" of a later line counts them. Called once, by
+  /// programs that serve.
+  static void WriteTo(int descriptor);
+
   /// `name` and the keys are constants in snake_case.
   static void Event(log_level level, std::string_view module, std::string_view name,
                     const std::vector<log_field>& fields = {});
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,3 +1,5 @@
+#include <unistd.h>
+
 #include <chrono>
 #include <cstdlib>
 #include <cxxopts.hpp>
@@ -112,6 +114,7 @@
   const auto settings = ReadProcessSettings(process_role::kEntry, path, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
+  logger::WriteTo(STDOUT_FILENO);
   logger::Configure(settings->log, settings->name, settings->domain, clock);
   const process_identity identity = MakeIdentity(*settings, clock);
   const document_parser parser;
@@ -128,6 +131,7 @@
   const auto settings = ReadProcessSettings(process_role::kAgent, path, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
+  logger::WriteTo(STDOUT_FILENO);
   logger::Configure(settings->log, settings->name, settings->domain, clock);
   const process_identity identity = MakeIdentity(*settings, clock);
   const document_parser parser;
@@ -145,6 +149,7 @@
   const auto settings = ReadSettings<gateway_settings>(path, exit_code, ParseGatewaySettings);
   if (!settings) return exit_code;
   const system_clock clock;
+  logger::WriteTo(STDOUT_FILENO);
   logger::Configure(settings->log, settings->name, settings->domain, clock);
   return RunGateway(*settings, platform::MakeGatewayPlatform(*settings, clock), clock);
 }
@@ -154,6 +159,7 @@
   const auto settings = ReadSettings<companion_settings>(path, exit_code, ParseCompanionSettings);
   if (!settings) return exit_code;
   const system_clock clock;
+  logger::WriteTo(STDOUT_FILENO);
   logger::Configure(settings->log, settings->name, settings->domain, clock);
   return RunCompanion(*settings, platform::engine_api(), clock);
 }
--- a/src/process/telemetry/log.cc
+++ b/src/process/telemetry/log.cc
@@ -6,11 +6,15 @@
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "process/telemetry/log_output.h"
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace berylbarrow {
@@ -77,6 +81,12 @@
     next_sweep_ = clock.Now() + kWindow;
   }
 
+  void WriteTo(int descriptor) {
+    if (file_) return;
+    file_ = std::make_unique<log_output>(descriptor);
+    std::cout.rdbuf(file_.get());
+  }
+
   bool Enabled(log_level level, std::string_view module) const {
     const auto found = options_.modules.find(std::string(module));
     return level >= (found == options_.modules.end() ? options_.level : found->second);
@@ -129,6 +139,9 @@
     if (suppressed > 0) {
       all.push_back({"suppressed", std::to_string(suppressed)});
     }
+    if (const std::uint64_t dropped = file_ ? file_->TakeDropped() : 0; dropped > 0) {
+      all.push_back({"dropped", std::to_string(dropped)});
+    }
     const auto line =
         options_.format == log_format::kJson ? JsonLine(event, all) : TextLine(event, all);
     switch (event.level) {
@@ -182,6 +195,7 @@
   std::string domain_;
   std::map<std::pair<std::string, std::string>, window> windows_;
   time_point next_sweep_ = time_point::min();
+  std::unique_ptr<log_output> file_;  // null: lines go to std::cout as it is
   el::Logger* output_ = nullptr;
 };
 
@@ -199,6 +213,11 @@
   State().Configure(options, std::move(process), std::move(domain), clock);
 }
 
+void logger::WriteTo(int descriptor) {
+  const std::lock_guard lock(State().Mutex());
+  State().WriteTo(descriptor);
+}
+
 void logger::Event(log_level level, std::string_view module, std::string_view name,
                    const std::vector<log_field>& fields) {
   const std::lock_guard lock(State().Mutex());
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -1,10 +1,13 @@
 #include "support/gateway_fleet.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <fstream>
-#include <sstream>
-#include <utility>
+#include <stdexcept>
 
 namespace berylbarrow {
 namespace {
@@ -46,10 +49,21 @@
   }
   for (int i = 0; i < options.gateways; ++i) {
     const std::string name = GatewayName(i);
+    if (options.leaves_logs_unread) MakeUnreadLog(name);
     Add(name, {build_ / "berylbarrow", "gateway", WriteGatewaySettings(name, i)});
   }
 }
 
+gateway_fleet::~gateway_fleet() {
+  for (const int descriptor : unread_logs_) close(descriptor);
+}
+
+void gateway_fleet::MakeUnreadLog(const std::string& name) {
+  const std::string path = folder_ / (name + ".log");
+  if (mkfifo(path.c_str(), 0600) != 0) throw std::runtime_error("cannot make " + path);
+  unread_logs_.push_back(open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
+}
+
 std::string gateway_fleet::WriteGatewaySettings(const std::string& name, int index) {
   const auto path = folder_ / (name + ".yaml");
   std::ofstream(path)
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -20,6 +20,8 @@
   int gateways = 3;
   int upstreams = 3;
   std::uint64_t seed = 1;
+  /// Standard output of the gateways is a pipe that stays open and is never read.
+  bool leaves_logs_unread = false;
 };
 
 /// Gateways as real processes on loopback, with stand-ins of the store and of the upstreams of one
@@ -27,6 +29,9 @@
 class gateway_fleet : public process_fleet {
  public:
   gateway_fleet(const gateway_fleet_options& options, request_ledger& ledger);
+  ~gateway_fleet();
+  gateway_fleet(const gateway_fleet&) = delete;
+  gateway_fleet& operator=(const gateway_fleet&) = delete;
 
   int GatewayCount() const { return static_cast<int>(ready_.size()); }
   std::string GatewayName(int index) const { return "gateway-" + std::to_string(index); }
@@ -50,12 +55,14 @@
 
  private:
   std::string WriteGatewaySettings(const std::string& name, int index);
+  void MakeUnreadLog(const std::string& name);
 
   store_stand_in store_;
   std::vector<std::unique_ptr<faulty_upstream>> upstreams_;
   std::vector<std::unique_ptr<tcp_relay>> relays_;
   std::vector<std::string> listed_addresses_;
   std::vector<std::string> ready_;  // readiness addresses
+  std::vector<int> unread_logs_;    // descriptors
   int version_ = 6;
 };
 
