--- a/tests/system/refusal_soak_test.cc
+++ b/tests/system/refusal_soak_test.cc
@@ -329,9 +329,10 @@
     for (const std::string& line : fleet.LogLines("")) BOOST_TEST_MESSAGE(line);
     BOOST_FAIL("the gateways are not ready");
   }
+  const int caller_count = kCallersPerGateway * fleet.GatewayCount();
   std::vector<std::unique_ptr<soak_caller>> callers;
-  callers.reserve(static_cast<std::size_t>(kCallersPerGateway * fleet.GatewayCount()));
-  for (int i = 0; i < kCallersPerGateway * fleet.GatewayCount(); ++i) {
+  callers.reserve(static_cast<std::size_t>(caller_count));
+  for (int i = 0; i < caller_count; ++i) {
     callers.push_back(std::make_unique<soak_caller>(i, seed * 1000 + i, fleet, ledger));
   }
   disruption_schedule schedule(fleet, seed);
