Give the fleets of different test processes different ports

With logs: of 40 starts, 20 at once, two failed, and in both a gateway ended with "cannot listen on ...: Address already in use". Each fleet took random ports of the same 6000, free when it looked.

Ports now begin at a place that depends on the process, 40 apart.

--- a/tests/support/process_fleet.cc
+++ b/tests/support/process_fleet.cc
@@ -16,7 +16,6 @@
 #include <cstdlib>
 #include <fstream>
 #include <limits>
-#include <random>
 #include <sstream>
 #include <stdexcept>
 
@@ -152,12 +151,15 @@
 
 std::string process_fleet::FreeAddress() {
   // Below the range from which the kernel takes ports of outgoing connections, and beside those of
-  // the examples.
-  static std::mt19937 random(std::random_device{}());
-  std::uniform_int_distribution<std::uint16_t> any(26000, 32000);
+  // the examples. Fleets of other processes start elsewhere: a free port is taken only when the
+  // process that gets it has started.
+  constexpr unsigned kFirstPort = 26000;
+  constexpr unsigned kPorts = 6000;
+  constexpr unsigned kPortsOfFleet = 40;
+  static unsigned next = static_cast<unsigned>(getpid()) * kPortsOfFleet;
   asio::io_context context;
   for (;;) {
-    const std::uint16_t port = any(random);
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
     error_code tcp_error;
     error_code udp_error;
     tcp::acceptor stream(context, tcp::v4());
