--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -201,7 +201,8 @@
   if (ended.facts.cold_left) {
     context_.selector.OnColdTimeLeft(ended.upstream_id, *ended.facts.cold_left, now);
   }
-  // A late repetition of an answer without id could not be told from the next answer on the link.
+  // An upstream that names no request hardly names the next one, whose answer could not be
+  // attributed on a link that has been used.
   if (ended.head_received && ended.facts.attempt_id.empty()) ended.link->Close();
   context_.links.Release(ended.upstream_id, ended.link);
   listener_.OnCapacityFreed(request_.service);
--- a/src/process/telemetry/log.cc
+++ b/src/process/telemetry/log.cc
@@ -82,9 +82,9 @@
   }
 
   void WriteTo(int descriptor) {
-    if (file_) return;
-    file_ = std::make_unique<log_output>(descriptor);
-    std::cout.rdbuf(file_.get());
+    if (buffer_) return;
+    buffer_ = std::make_unique<log_output>(descriptor);
+    std::cout.rdbuf(buffer_.get());
   }
 
   bool Enabled(log_level level, std::string_view module) const {
@@ -139,7 +139,7 @@
     if (suppressed > 0) {
       all.push_back({"suppressed", std::to_string(suppressed)});
     }
-    if (const std::uint64_t dropped = file_ ? file_->TakeDropped() : 0; dropped > 0) {
+    if (const std::uint64_t dropped = buffer_ ? buffer_->TakeDropped() : 0; dropped > 0) {
       all.push_back({"dropped", std::to_string(dropped)});
     }
     const auto line =
@@ -195,7 +195,7 @@
   std::string domain_;
   std::map<std::pair<std::string, std::string>, window> windows_;
   time_point next_sweep_ = time_point::min();
-  std::unique_ptr<log_output> file_;  // null: lines go to std::cout as it is
+  std::unique_ptr<log_output> buffer_;  // null: lines go to std::cout as it is
   el::Logger* output_ = nullptr;
 };
 
