Log what an accusation of a crash rests on, and what clears it

crash_suspects tells how many crashes count against a request, but no line told which: crash_suspected named neither the request (its fingerprint), nor the failure unit, nor how long the attempt had run, and nothing was logged when an answer cleared an accusation.

crash_suspected now has fingerprint, unit and ran_ms; crash_cleared is one line for the first answer after an accusation. The volume is bounded by the attempts that break. No decision changes.

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -91,8 +91,9 @@
   /// An attempt failed because the connection to an upstream of the failure unit broke.
   void OnCrash(const trait_list& traits, std::uint32_t unit, answer_progress progress,
                time_point now);
-  /// An event or a whole answer has arrived, so none of these traits crashes upstreams.
-  void OnAnswered(const trait_list& traits, time_point now);
+  /// An event or a whole answer has arrived, so none of these traits crashes upstreams. Returns
+  /// whether one of them was accused.
+  bool OnAnswered(const trait_list& traits, time_point now);
   /// `is_trial_owner`: whether this gateway is the one that tries refused suspects.
   crash_verdict Check(const trait_list& traits, bool is_trial_owner, time_point now) const;
   /// The last of the shared parts of a request (all traits but the first) of which no answer is
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -146,14 +146,34 @@
   const auto limit = context_.start_delays[request_.service].Limit();
   const bool has_started =
       attempt_->head_received && limit && now - *attempt_->head_received > *limit;
-  context_.crashes.OnCrash(request_.traits, context_.selector.FailureUnit(attempt_->upstream_id),
+  const std::uint32_t unit = context_.selector.FailureUnit(attempt_->upstream_id);
+  context_.crashes.OnCrash(request_.traits, unit,
                            has_started ? answer_progress::kStarted : answer_progress::kUnanswered,
                            now);
-  LogAttempt("crash_suspected", has_started ? "answer_started" : "unanswered");
+  logger::Event(log_level::kWarning, "request", "crash_suspected",
+                {{"id", request_.facts.attempt_id},
+                 {"reason", has_started ? "answer_started" : "unanswered"},
+                 {"upstream", attempt_->upstream_id},
+                 {"unit", std::to_string(unit)},
+                 {"fingerprint", std::to_string(request_.traits.front())},
+                 {"parts", PartsText(request_.facts.shared_parts)},
+                 {"ran_ms", MillisecondsText(now - attempt_->sent)},
+                 {"link_use", std::to_string(last_link_use_)},
+                 {"service", request_.service}});
+}
+
+void relayed_request::ReportSound(unsigned status, time_point now) {
+  if (!context_.crashes.OnAnswered(request_.traits, now)) return;
+  logger::Event(log_level::kInfo, "request", "crash_cleared",
+                {{"id", request_.facts.attempt_id},
+                 {"fingerprint", std::to_string(request_.traits.front())},
+                 {"parts", PartsText(request_.facts.shared_parts)},
+                 {"upstream", last_upstream_},
+                 {"status", std::to_string(status)}});
 }
 
 void relayed_request::OnFirstEvent(time_point now) {
-  context_.crashes.OnAnswered(request_.traits, now);
+  ReportSound(200, now);
   if (attempt_->head_received) {
     context_.start_delays[request_.service].Add(now - *attempt_->head_received);
   }
@@ -511,7 +531,7 @@
   if (AbortStream("no_stream_at_resumption")) return;
   http_answer answer = ToCallerAnswer(head);
   answer.body = std::move(body);
-  if (head.status < 500) context_.crashes.OnAnswered(request_.traits, context_.clock.Now());
+  if (head.status < 500) ReportSound(head.status, context_.clock.Now());
   if (sink_ != nullptr) std::exchange(sink_, nullptr)->SendAnswer(answer);
   Finish(head.status < 400 ? "served" : "upstream_failure", head.status);
 }
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -113,6 +113,8 @@
   bool EndangersLastUnit(time_point now) const;
   /// Tells the crash analysis that the attempt broke before an event was complete.
   void ReportCrash(time_point now);
+  /// Tells the crash analysis that the request has run without a crash.
+  void ReportSound(unsigned status, time_point now);
   void OnFirstEvent(time_point now);
   void Send(const dispatch_choice& choice, time_point now);
   void EndAttempt(attempt_outcome outcome, time_point now);
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -109,7 +109,7 @@
   is_outdated_ = true;
 }
 
-void crash_analysis::OnAnswered(const trait_list& traits, time_point now) {
+bool crash_analysis::OnAnswered(const trait_list& traits, time_point now) {
   bool clears = false;
   for (std::size_t i = 0; i < traits.size(); ++i) {
     // The first trait is the fingerprint, which few requests share.
@@ -120,9 +120,10 @@
     }
     clears = answers_.Record(traits[i], now) || clears;
   }
-  if (!clears) return;
+  if (!clears) return false;
   has_news_ = true;
   is_outdated_ = true;
+  return true;
 }
 
 std::vector<crash_analysis::crash_group> crash_analysis::GroupObservations() const {
