Count the crashes of a whole request that comes again one by one

Cause: ExtendSuspect counted crashes within same_cause (150 ms) of the suspect's last one as one crash, and moved the last one on each time. A request that is sent on from unit to unit ends one every 50 to 120 ms, so its crashes chained. The rule was meant for units that end together and accuse requests that merely ran there. Also, each crash extended only one suspect: of two requests on the same units the other one got no count.

Change: repeat_search counts the crashes of each whole request, by its fingerprint. Crashes further apart than same_cause count as before. Closer ones count if the request ran on each unit that ended since the last one counted, for 10 ms at least, and was sent there after that crash or was never answered before. If another unit ended in between, the units have another cause. Gateways tell each other how long an attempt had run, so the crash digest has a new version (0x62640002); processes of the version before ignore it, as do new ones theirs. For prompt parts, which sound requests share, closer crashes still count as one, but the window begins with the last crash counted.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -167,6 +167,8 @@
   /// itself.
   std::uint32_t FailureUnit(const std::string& id) const;
   bool HasFailureUnit(std::uint32_t unit) const;
+  /// Whether the failure unit of an upstream may have others. True if the upstream is not known.
+  bool IsInGroup(const std::string& id) const;
   /// Whether only one failure unit of the service can take requests, because others have failed.
   bool IsLastUnit(const std::string& service, time_point now) const;
   /// Returns the in-flight requests of this entry, by hash of the upstream id.
--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -31,6 +31,13 @@
   kRefused,
 };
 
+/// An attempt that failed because the connection to its upstream broke.
+struct broken_run {
+  duration ran = std::chrono::minutes(1);  // from its dispatch to the failure
+  bool is_group = true;  // the failure unit has other upstreams, which fail some time later
+  auto operator<=>(const broken_run&) const = default;
+};
+
 struct crash_verdict {
   crash_permission permission = crash_permission::kUnrestricted;
   std::uint32_t unit = 0;     // to which a trial is limited
@@ -40,8 +47,14 @@
 
 struct crash_analysis_options {
   std::uint64_t observer = 0;  // incarnation of this gateway
-  /// Attempts that fail within this time of each other have the same cause.
+  /// Attempts that fail within this time of each other may have the same cause.
   duration same_cause = std::chrono::milliseconds(150);
+  /// Units that end within this time of each other end together. Covers the difference between the
+  /// times at which gateways notice a crash.
+  duration same_moment = std::chrono::milliseconds(10);
+  /// An attempt that broke sooner, just after another unit had ended, was probably sent to a unit
+  /// that had ended as well.
+  duration min_run = std::chrono::milliseconds(10);
   /// The other ranks of a group fail up to this time after the one that crashed.
   duration aftermath = std::chrono::milliseconds(2500);
   /// Crashes from which a request is refused.
@@ -82,7 +95,7 @@
 /// part of it was ever answered. A suspect is the set of traits that one accused request of each of
 /// its crashes has, without those that were answered since; once all of them were answered, the
 /// suspect is cleared and its crashes accuse nobody else. A request matches a suspect if it has all
-/// its traits.
+/// its traits. The crashes of whole requests that come again are counted apart, see repeat_search.
 class crash_analysis {
  public:
   explicit crash_analysis(const crash_analysis_options& options)
@@ -90,7 +103,7 @@
 
   /// An attempt failed because the connection to an upstream of the failure unit broke.
   void OnCrash(const trait_list& traits, std::uint32_t unit, answer_progress progress,
-               time_point now);
+               time_point now, const broken_run& run = {});
   /// An event or a whole answer has arrived, so none of these traits crashes upstreams. Returns
   /// whether one of them was accused.
   bool OnAnswered(const trait_list& traits, time_point now);
@@ -136,9 +149,10 @@
  private:
   struct observation {
     std::uint32_t unit = 0;
+    bool is_group = true;
     time_point at;
-    std::vector<trait_list> started;
-    std::vector<trait_list> unanswered;
+    std::vector<accused_request> started;
+    std::vector<accused_request> unanswered;
   };
   using observation_id = std::pair<std::uint64_t, std::uint32_t>;  // observer, sequence
   using observation_entry = std::pair<const observation_id, observation>;
@@ -166,9 +180,12 @@
   };
 
   /// Returns null if there is no room for an observation of that age.
-  observation* AddObservation(const observation_id& id, std::uint32_t unit, time_point at);
+  observation* AddObservation(const observation_id& id, const observation& added);
   /// Returns whether the request is new.
-  bool AddRequest(std::vector<trait_list>& requests, const trait_list& traits, time_point at);
+  bool AddRequest(std::vector<accused_request>& requests, const accused_request& added,
+                  time_point at);
+  /// Adds the requests of a report to the observation. Returns whether one of them is new.
+  bool AddRequests(observation& observed, const crash_report& report);
   /// Removes accusations that are older than all observations.
   void ForgetOldAccusations();
   /// In the order of their times. Leaves out what other ranks of a group caused after the crash.
--- a/include/berylbarrow/request/suspect/crash_digest.h
+++ b/include/berylbarrow/request/suspect/crash_digest.h
@@ -13,17 +13,29 @@
 /// ids of the prompt parts that other requests may share.
 using trait_list = std::vector<std::uint64_t>;
 
+/// A request that was on an upstream as it crashed.
+struct accused_request {
+  trait_list traits;
+  std::uint32_t ran_ms = 0;  // since its dispatch; of several attempts the longest
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(traits, ran_ms);
+  }
+  auto operator<=>(const accused_request&) const = default;
+};
+
 /// What one gateway has observed of the crash of an upstream.
 struct crash_report {
-  std::uint64_t observer = 0;          // incarnation of the gateway
-  std::uint32_t sequence = 0;          // of the observation, unique for the observer
-  std::uint32_t unit = 0;              // hash of the failure unit: a rank group or one upstream
-  std::uint32_t age_ms = 0;            // at the time of sending
-  std::vector<trait_list> started;     // requests whose answer had started without a whole event
-  std::vector<trait_list> unanswered;  // requests of which no byte of an answer had arrived
+  std::uint64_t observer = 0;            // incarnation of the gateway
+  std::uint32_t sequence = 0;            // of the observation, unique for the observer
+  std::uint32_t unit = 0;                // hash of the failure unit: a rank group or one upstream
+  std::uint32_t age_ms = 0;              // at the time of sending
+  bool is_group = true;                  // the unit has other upstreams, which fail some time later
+  std::vector<accused_request> started;  // whose answer had started without a whole event
+  std::vector<accused_request> unanswered;  // of whose answer no byte had arrived
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(observer, sequence, unit, age_ms, started, unanswered);
+    archive(observer, sequence, unit, age_ms, is_group, started, unanswered);
   }
   auto operator<=>(const crash_report&) const = default;
 };
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -149,7 +149,9 @@
   const std::uint32_t unit = context_.selector.FailureUnit(attempt_->upstream_id);
   context_.crashes.OnCrash(request_.traits, unit,
                            has_started ? answer_progress::kStarted : answer_progress::kUnanswered,
-                           now);
+                           now,
+                           {.ran = now - attempt_->sent,
+                            .is_group = context_.selector.IsInGroup(attempt_->upstream_id)});
   logger::Event(log_level::kWarning, "request", "crash_suspected",
                 {{"id", request_.facts.attempt_id},
                  {"reason", has_started ? "answer_started" : "unanswered"},
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -482,6 +482,11 @@
   return UpstreamHash(found == upstreams_.end() ? id : GroupKey(found->second));
 }
 
+bool upstream_selector::IsInGroup(const std::string& id) const {
+  const auto found = upstreams_.find(id);
+  return found == upstreams_.end() || found->second.engine.has_value();
+}
+
 bool upstream_selector::HasFailureUnit(std::uint32_t unit) const {
   return std::any_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
     return UpstreamHash(GroupKey(entry.second)) == unit;
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <tuple>
 
+#include "request/suspect/repeat_search.h"
 #include "request/suspect/suspect_search.h"
 
 namespace berylbarrow {
@@ -40,17 +41,17 @@
 // Of all requests with unproven parts.
 constexpr std::uint64_t kCommonAffinity = 0;
 constexpr std::size_t kAnswerBytes = 12;
-constexpr std::size_t kReportBytes = 36;  // without requests
+constexpr std::size_t kReportBytes = 37;  // without requests
 
 /// Encoded size.
-std::size_t EncodedBytes(const trait_list& request) {
-  return sizeof(std::uint64_t) * (1 + request.size());
+std::size_t EncodedBytes(const accused_request& request) {
+  return sizeof(std::uint64_t) * (1 + request.traits.size()) + sizeof(request.ran_ms);
 }
 
 std::size_t EncodedBytes(const crash_report& report) {
   std::size_t bytes = kReportBytes;
   for (const auto* requests : {&report.started, &report.unanswered}) {
-    for (const trait_list& request : *requests) bytes += EncodedBytes(request);
+    for (const accused_request& request : *requests) bytes += EncodedBytes(request);
   }
   return bytes;
 }
@@ -58,23 +59,24 @@
 }  // namespace
 
 crash_analysis::observation* crash_analysis::AddObservation(const observation_id& id,
-                                                            std::uint32_t unit, time_point at) {
+                                                            const observation& added) {
   if (const auto known = observations_.find(id); known != observations_.end()) {
     // Delays only make an observation look later than it was.
-    known->second.at = std::min(known->second.at, at);
+    known->second.at = std::min(known->second.at, added.at);
     return &known->second;
   }
   if (observations_.size() >= options_.max_observations) {
     Update();
     const ranked_observation least = ranked_.back();
-    if (std::pair(least.rank, observations_.at(least.id).at) >= std::pair(relevance::kOpen, at)) {
+    if (std::pair(least.rank, observations_.at(least.id).at) >=
+        std::pair(relevance::kOpen, added.at)) {
       return nullptr;
     }
     observations_.erase(least.id);
     ForgetOldAccusations();
   }
   is_outdated_ = true;
-  return &observations_.try_emplace(id, observation{.unit = unit, .at = at}).first->second;
+  return &observations_.try_emplace(id, added).first->second;
 }
 
 void crash_analysis::ForgetOldAccusations() {
@@ -83,28 +85,49 @@
   answers_.ForgetAccusations(oldest);
 }
 
-bool crash_analysis::AddRequest(std::vector<trait_list>& requests, const trait_list& traits,
-                                time_point at) {
+bool crash_analysis::AddRequest(std::vector<accused_request>& requests,
+                                const accused_request& added, time_point at) {
+  const auto known =
+      std::find_if(requests.begin(), requests.end(),
+                   [&](const accused_request& each) { return each.traits == added.traits; });
+  if (known != requests.end()) {
+    known->ran_ms = std::max(known->ran_ms, added.ran_ms);
+    return false;
+  }
   if (requests.size() >= options_.max_requests_per_observation) return false;
-  if (std::find(requests.begin(), requests.end(), traits) != requests.end()) return false;
-  requests.push_back(traits);
-  for (const std::uint64_t trait : traits) answers_.Accuse(trait, at);
+  requests.push_back(added);
+  for (const std::uint64_t trait : added.traits) answers_.Accuse(trait, at);
   return true;
 }
 
+bool crash_analysis::AddRequests(observation& observed, const crash_report& report) {
+  bool is_any_new = false;
+  for (const accused_request& request : report.started) {
+    if (request.traits.empty()) continue;
+    is_any_new = AddRequest(observed.started, request, observed.at) || is_any_new;
+  }
+  for (const accused_request& request : report.unanswered) {
+    if (request.traits.empty()) continue;
+    is_any_new = AddRequest(observed.unanswered, request, observed.at) || is_any_new;
+  }
+  return is_any_new;
+}
+
 void crash_analysis::OnCrash(const trait_list& traits, std::uint32_t unit, answer_progress progress,
-                             time_point now) {
+                             time_point now, const broken_run& run) {
   observation* current = nullptr;
   for (auto& [id, known] : observations_) {
     const bool is_own = id.first == options_.observer && known.unit == unit;
     if (is_own && now - known.at <= options_.same_cause) current = &known;
   }
   if (current == nullptr) {
-    current = AddObservation({options_.observer, next_sequence_++}, unit, now);
+    current = AddObservation({options_.observer, next_sequence_++},
+                             {.unit = unit, .is_group = run.is_group, .at = now});
   }
   if (current == nullptr) return;
   auto& requests = progress == answer_progress::kStarted ? current->started : current->unanswered;
-  if (!AddRequest(requests, traits, current->at)) return;
+  const accused_request accused{.traits = traits, .ran_ms = AgeMs(now - run.ran, now)};
+  if (!AddRequest(requests, accused, current->at)) return;
   has_news_ = true;
   is_outdated_ = true;
 }
@@ -112,8 +135,8 @@
 bool crash_analysis::OnAnswered(const trait_list& traits, time_point now) {
   bool clears = false;
   for (std::size_t i = 0; i < traits.size(); ++i) {
-    // The first trait is the fingerprint, which few requests share.
-    if (i == 0 && !answers_.IsAccused(traits[i])) continue;
+    // The first trait is the fingerprint, which few requests with shared parts have in common.
+    if (i == 0 && traits.size() > 1 && !answers_.IsAccused(traits[i])) continue;
     const bool is_first = i > 0 && answers_.Find(traits[i]) == nullptr;
     if (is_first && first_answers_.size() < options_.max_answered) {
       first_answers_.push_back(traits[i]);
@@ -174,18 +197,28 @@
 
 std::vector<crash_suspect> crash_analysis::FindSuspects(
     const std::vector<crash_group>& groups) const {
-  suspect_search search(options_.same_cause, answers_);
+  suspect_search shared(options_.same_cause, answers_);
+  repeat_search repeated({.same_cause = options_.same_cause,
+                          .same_moment = options_.same_moment,
+                          .min_run = options_.min_run},
+                         answers_);
   for (const crash_group& group : groups) {
     observed_crash crash{.unit = group.unit, .at = group.at};
     for (const observation_entry* each : group.observations) {
-      for (const trait_list& request : each->second.started) crash.started.push_back(&request);
-      for (const trait_list& request : each->second.unanswered) {
-        if (IsOpen(request, group)) crash.unanswered.push_back(&request);
+      for (const accused_request& request : each->second.started) crash.started.push_back(&request);
+      for (const accused_request& request : each->second.unanswered) {
+        if (IsOpen(request.traits, group)) crash.unanswered.push_back(&request);
       }
     }
-    search.Add(crash);
+    shared.Add(crash);
+    repeated.Add(crash);
+  }
+  std::vector<crash_suspect> found = repeated.TakeSuspects();
+  std::set<trait_list> known;
+  for (const crash_suspect& each : found) known.insert(each.traits);
+  for (crash_suspect& each : shared.TakeSuspects()) {
+    if (known.count(each.traits) == 0) found.push_back(std::move(each));
   }
-  std::vector<crash_suspect> found = search.TakeSuspects();
   KeepMostSevere(found);
   return found;
 }
@@ -206,10 +239,11 @@
     const observation& observed, const crash_group& group,
     const std::vector<const crash_suspect*>& refused) const {
   relevance rank = relevance::kNone;
-  for (const trait_list& request : group.has_started ? observed.started : observed.unanswered) {
-    if (rank == relevance::kNone && IsOpen(request, group)) rank = relevance::kOpen;
+  for (const accused_request& request :
+       group.has_started ? observed.started : observed.unanswered) {
+    if (rank == relevance::kNone && IsOpen(request.traits, group)) rank = relevance::kOpen;
     if (refused.empty()) continue;
-    const trait_list sorted = Sorted(request);
+    const trait_list sorted = Sorted(request.traits);
     for (const crash_suspect* each : refused) {
       if (IsSubset(each->traits, sorted)) return relevance::kEvidence;
     }
@@ -335,12 +369,13 @@
   crash_report report{.observer = id.first,
                       .sequence = id.second,
                       .unit = observed.unit,
-                      .age_ms = AgeMs(observed.at, now)};
+                      .age_ms = AgeMs(observed.at, now),
+                      .is_group = observed.is_group};
   const bool has_started = !observed.started.empty();
   auto& reported = has_started ? report.started : report.unanswered;
   std::size_t bytes = kReportBytes;
-  for (const trait_list& request : has_started ? observed.started : observed.unanswered) {
-    if (!has_started && answers_.AreAllAnsweredAfter(request, observed.at)) continue;
+  for (const accused_request& request : has_started ? observed.started : observed.unanswered) {
+    if (!has_started && answers_.AreAllAnsweredAfter(request.traits, observed.at)) continue;
     bytes += EncodedBytes(request);
     if (!reported.empty() && bytes > options_.max_digest_bytes / 3) break;
     reported.push_back(request);
@@ -352,7 +387,9 @@
   std::set<std::uint64_t> traits;
   for (const crash_report& report : digest.crashes) {
     for (const auto* requests : {&report.started, &report.unanswered}) {
-      for (const trait_list& request : *requests) traits.insert(request.begin(), request.end());
+      for (const accused_request& request : *requests) {
+        traits.insert(request.traits.begin(), request.traits.end());
+      }
     }
   }
   const auto add = [&](std::uint64_t trait, time_point at) {
@@ -411,21 +448,15 @@
     const time_point at = now - milliseconds(report.age_ms);
     if (now - at > options_.retention) continue;
     const bool is_known = observations_.count({report.observer, report.sequence}) > 0;
-    observation* const merged = AddObservation({report.observer, report.sequence}, report.unit, at);
+    observation* const merged =
+        AddObservation({report.observer, report.sequence},
+                       {.unit = report.unit, .is_group = report.is_group, .at = at});
     if (merged == nullptr) continue;
-    has_changed = has_changed || !is_known;
-    for (const trait_list& request : report.started) {
-      has_changed =
-          (!request.empty() && AddRequest(merged->started, request, merged->at)) || has_changed;
-    }
-    for (const trait_list& request : report.unanswered) {
-      has_changed =
-          (!request.empty() && AddRequest(merged->unanswered, request, merged->at)) || has_changed;
-    }
+    has_changed = AddRequests(*merged, report) || !is_known || has_changed;
     // Answers to accused traits that the other gateways may not know of.
     for (const auto* requests : {&report.started, &report.unanswered}) {
-      for (const trait_list& request : *requests) {
-        has_news_ = has_news_ || (!is_known && answers_.IsAnyAnsweredBeforeCrash(request));
+      for (const accused_request& request : *requests) {
+        has_news_ = has_news_ || (!is_known && answers_.IsAnyAnsweredBeforeCrash(request.traits));
       }
     }
   }
--- a/src/request/suspect/crash_digest.cc
+++ b/src/request/suspect/crash_digest.cc
@@ -5,7 +5,7 @@
 namespace berylbarrow {
 namespace {
 
-constexpr std::uint32_t kMagic = 0x62640001;
+constexpr std::uint32_t kMagic = 0x62640002;
 constexpr std::uint32_t kAnswerMagic = 0x62650001;
 
 }  // namespace
--- a/src/request/suspect/suspect_search.cc
+++ b/src/request/suspect/suspect_search.cc
@@ -17,7 +17,9 @@
 bool IsOnlyCause(const observed_crash& crash) {
   return !crash.started.empty() &&
          std::all_of(crash.started.begin(), crash.started.end(),
-                     [&](const trait_list* request) { return *request == *crash.started.front(); });
+                     [&](const accused_request* request) {
+                       return request->traits == crash.started.front()->traits;
+                     });
 }
 
 }  // namespace
@@ -41,9 +43,9 @@
 }
 
 trait_list suspect_search::CommonTraits(const observed_crash& crash) const {
-  trait_list common = InitialTraits(*crash.started.front(), crash.at);
-  for (const trait_list* request : crash.started) {
-    const trait_list traits = InitialTraits(*request, crash.at);
+  trait_list common = InitialTraits(crash.started.front()->traits, crash.at);
+  for (const accused_request* request : crash.started) {
+    const trait_list traits = InitialTraits(request->traits, crash.at);
     std::erase_if(common, [&](std::uint64_t trait) {
       return !std::binary_search(traits.begin(), traits.end(), trait);
     });
@@ -74,17 +76,19 @@
   if (is_better) best.request = std::move(request);
 }
 
-bool suspect_search::ExtendSuspect(const std::vector<const trait_list*>& accused,
+bool suspect_search::ExtendSuspect(const std::vector<const accused_request*>& accused,
                                    const observed_crash& crash) {
   extension best;
-  for (const trait_list* request : accused) {
-    FindExtension(UnansweredTraits(*request, crash.at), best);
+  for (const accused_request* request : accused) {
+    FindExtension(UnansweredTraits(request->traits, crash.at), best);
   }
   if (best.shared == 0) return false;
   ReduceSuspect(best.suspect, best.request);
   crash_suspect& extended = suspects_[best.suspect];
-  // Several units that crash at the same moment are no independent evidence.
-  if (crash.at - extended.last_crash > same_cause_) {
+  // Sound requests share parts as well, so units that crash in quick succession are no independent
+  // evidence.
+  if (crash.at - last_counted_[best.suspect] > same_cause_) {
+    last_counted_[best.suspect] = crash.at;
     ++extended.crashes;
     if (!crash.started.empty()) ++extended.started_crashes;
   }
@@ -105,13 +109,14 @@
 
 void suspect_search::AddSuspect(crash_suspect&& added) {
   for (const std::uint64_t trait : added.traits) by_trait_[trait].push_back(suspects_.size());
+  last_counted_.push_back(added.last_crash);
   suspects_.push_back(std::move(added));
   shared_.push_back(0);
 }
 
 void suspect_search::Add(const observed_crash& crash) {
   const bool has_started = !crash.started.empty();
-  const auto& accused = has_started ? crash.started : crash.unanswered;
+  const auto& accused = crash.Accused();
   if (ExtendSuspect(accused, crash)) return;
   trait_list common = has_started ? CommonTraits(crash) : trait_list();
   const bool is_only_cause = !common.empty();
@@ -120,7 +125,9 @@
   if (is_only_cause) {
     found.push_back(std::move(common));
   } else {
-    for (const trait_list* request : accused) found.push_back(InitialTraits(*request, crash.at));
+    for (const accused_request* request : accused) {
+      found.push_back(InitialTraits(request->traits, crash.at));
+    }
   }
   for (trait_list& traits : found) {
     if (traits.empty()) continue;
@@ -145,6 +152,7 @@
   std::erase_if(suspects_, [](const crash_suspect& each) { return each.traits.empty(); });
   by_trait_.clear();
   shared_.clear();
+  last_counted_.clear();
   return std::exchange(suspects_, {});
 }
 
--- a/src/request/suspect/suspect_search.h
+++ b/src/request/suspect/suspect_search.h
@@ -9,19 +9,12 @@
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/request/suspect/answer_history.h"
 #include "berylbarrow/request/suspect/crash_suspect.h"
+#include "request/suspect/observed_crash.h"
 
 namespace berylbarrow {
 
-/// What all observers have seen of one crash.
-struct observed_crash {
-  std::uint32_t unit = 0;
-  time_point at;
-  std::vector<const trait_list*> started;
-  std::vector<const trait_list*> unanswered;
-};
-
-/// Derives the suspects from crashes, given one by one in the order of their times. There are at
-/// most as many as accused requests.
+/// Derives what requests with shared parts have in common that crash upstreams, from crashes given
+/// one by one in the order of their times. There are at most as many suspects as accused requests.
 class suspect_search {
  public:
   /// Crashes within `same_cause` of each other are no independent evidence.
@@ -51,7 +44,8 @@
   /// Replaces `best` by the extension through a request with these traits if that explains more
   /// crashes or, for as many, shares more traits.
   void FindExtension(trait_list&& request, extension& best);
-  bool ExtendSuspect(const std::vector<const trait_list*>& accused, const observed_crash& crash);
+  bool ExtendSuspect(const std::vector<const accused_request*>& accused,
+                     const observed_crash& crash);
   void AddSuspect(crash_suspect&& added);
   /// Removes the traits that are not in `kept`.
   void ReduceSuspect(std::size_t index, const trait_list& kept);
@@ -59,6 +53,7 @@
   duration same_cause_;
   const answer_history& answers_;
   std::vector<crash_suspect> suspects_;
+  std::vector<time_point> last_counted_;  // last crash that was counted, by suspect
   std::unordered_map<std::uint64_t, std::vector<std::size_t>> by_trait_;  // indices of suspects
   std::vector<std::size_t> shared_;  // traits shared with the current request, by suspect
 };
