Test which crashes of units that end together accuse a request

Three units that end within 36 ms under copies of one request lead to a refusal; attempts that broke within 3 ms, units that ended without the request, and a request that was answered before do not. A digest carries how long an attempt had run.

--- a/tests/request/crash_independence_test.cc
+++ b/tests/request/crash_independence_test.cc
@@ -80,6 +80,65 @@
   BOOST_TEST(IsRefused(analysis, kRequest, kStart + seconds(9)));
 }
 
+// Guards against a request that runs on several units at once, because its caller repeats it, and
+// ends all of them within some milliseconds.
+BOOST_AUTO_TEST_CASE(a_request_on_each_of_the_units_that_end_together_is_refused) {
+  crash_analysis analysis({});
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    analysis.OnCrash(kRequest, i, answer_progress::kUnanswered, kStart + milliseconds(18 * i),
+                     {.ran = milliseconds(80)});
+  }
+  BOOST_TEST(IsRefused(analysis, kRequest, kStart + milliseconds(36)));
+}
+
+// Guards against refusing a request that is popular, so that it is on each unit that ends, unless
+// it was sent there as another one ended.
+BOOST_AUTO_TEST_CASE(a_request_answered_before_is_not_refused_when_units_end_together) {
+  crash_analysis analysis({});
+  analysis.OnAnswered(kRequest, kStart - seconds(1));
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    analysis.OnCrash(kRequest, i, answer_progress::kUnanswered, kStart + milliseconds(30 * i),
+                     {.ran = milliseconds(140)});
+  }
+  BOOST_TEST(!IsRefused(analysis, kRequest, kStart + milliseconds(200)));
+}
+
+// Guards against refusing a sound request that is sent on to units which had ended before it came.
+BOOST_AUTO_TEST_CASE(attempts_at_units_that_have_ended_already_are_no_evidence) {
+  crash_analysis analysis({});
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    analysis.OnCrash(kRequest, i, answer_progress::kUnanswered, kStart + milliseconds(20 * i),
+                     {.ran = milliseconds(i == 0 ? 60 : 3)});
+  }
+  BOOST_TEST(!IsRefused(analysis, kRequest, kStart + milliseconds(120)));
+}
+
+// Guards against refusing a sound request that follows a failure domain whose units end one after
+// the other, with others on which it never was.
+BOOST_AUTO_TEST_CASE(units_that_end_without_the_request_show_another_cause) {
+  crash_analysis analysis({});
+  for (std::uint32_t i = 0; i < 6; ++i) {
+    const trait_list& request = i % 2 == 0 ? kRequest : kOther;
+    analysis.OnCrash(request, i, answer_progress::kUnanswered, kStart + milliseconds(25 * i),
+                     {.ran = milliseconds(24)});
+  }
+  BOOST_TEST(!IsRefused(analysis, kRequest, kStart + milliseconds(150)));
+}
+
+// Guards against gateways that judge differently because they do not know how long the attempts of
+// the others had run.
+BOOST_AUTO_TEST_CASE(a_digest_tells_how_long_an_attempt_had_run) {
+  crash_analysis observer({.observer = 1});
+  crash_analysis other({.observer = 2});
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    observer.OnCrash(kRequest, i, answer_progress::kUnanswered, kStart + milliseconds(20 * i),
+                     {.ran = milliseconds(i == 0 ? 60 : 3)});
+  }
+  const time_point now = kStart + milliseconds(60);
+  other.Merge(*DecodeCrashDigest(EncodeCrashDigest(observer.MakeDigest(now))), now);
+  BOOST_TEST(!IsRefused(other, kRequest, now));
+}
+
 // Guards against refusing a request that was on one of several units that ended together.
 BOOST_AUTO_TEST_CASE(units_that_end_together_are_one_crash_for_a_request_on_one_of_them) {
   crash_analysis analysis({});
