Count the crashes of a plain upstream that is back soon

GroupObservations left out what broke at a failure unit up to 2.5 s after a crash of it, meant for the other ranks of a group, which stall and fail later. A plain upstream has no other ranks: what breaks there later was sent to it after it had come back. A request that ends a plain upstream every 0.7 s was not refused after three crashes.

The new test failed before for the plain upstream and passes; for a group the late failures stay left out.

--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -161,7 +161,8 @@
     const auto known = latest.find(observed.unit);
     const duration since =
         known == latest.end() ? duration::max() : observed.at - groups[known->second].at;
-    if (since > options_.aftermath) {
+    const duration aftermath = observed.is_group ? options_.aftermath : options_.same_cause;
+    if (since > aftermath) {
       latest[observed.unit] = groups.size();
       groups.push_back({.unit = observed.unit, .at = observed.at});
     } else if (since > options_.same_cause) {
--- a/tests/request/crash_independence_test.cc
+++ b/tests/request/crash_independence_test.cc
@@ -139,6 +139,21 @@
   BOOST_TEST(!IsRefused(other, kRequest, now));
 }
 
+// Guards against a plain upstream that is back soon: its next crashes used to be taken for late
+// failures of the first one, as by the other ranks of a group.
+BOOST_AUTO_TEST_CASE(crashes_of_a_plain_upstream_that_restarts_quickly_count) {
+  constexpr std::uint32_t kUnit = 1;
+  for (const bool is_group : {false, true}) {
+    crash_analysis analysis({});
+    for (int i = 0; i < 3; ++i) {
+      analysis.OnCrash(kRequest, kUnit, answer_progress::kUnanswered,
+                       kStart + i * milliseconds(700),
+                       {.ran = milliseconds(80), .is_group = is_group});
+    }
+    BOOST_TEST(IsRefused(analysis, kRequest, kStart + milliseconds(1400)) == !is_group);
+  }
+}
+
 // Guards against refusing a request that was on one of several units that ended together.
 BOOST_AUTO_TEST_CASE(units_that_end_together_are_one_crash_for_a_request_on_one_of_them) {
   crash_analysis analysis({});
