Clear a suspect only by an answer that shows a run

The agents' table forgot the deaths of a request once it had completed alone at its upstream, whatever the status. A full upstream that answers 503, or one that answers 429, 421 or 408, has not run the request, and 500 may come before what crashes it; the next agent then let the request run beside others again.

OnlyACompletedRunClearsASuspect failed for 503, 429, 421, 408 and 500 and passes; 200 still clears.

--- a/src/process/agent/agent_upstream.cc
+++ b/src/process/agent/agent_upstream.cc
@@ -9,11 +9,19 @@
 
 // A broken connection counts as a death of the upstream if that is confirmed within this time.
 constexpr duration kConfirmDeath = std::chrono::seconds(10);
+
 constexpr std::size_t kMaxBroken = 256;
 // Between a decision to start work and its sending lie two thread switches; a longer time means
 // that the process was paused.
 constexpr duration kStartWindow = std::chrono::seconds(1);
 
+/// Whether the upstream has run the request that it answers with this status. Others it may have
+/// answered without running the request to its end.
+bool ShowsRun(std::uint16_t status) {
+  const bool is_refusal = status == 408 || status == 421 || status == 429;
+  return status < 500 && !is_refusal;
+}
+
 }  // namespace
 
 /// Refuses queued work that may no longer start here.
@@ -139,7 +147,7 @@
                          .first_byte = record->first_byte_at.value_or(Now()) - record->started_at,
                          .total = Now() - record->started_at,
                          .bytes = record->answer.End() - record->work.answer_offset});
-    if (record->runs_alone) {
+    if (record->runs_alone && ShowsRun(record->head->status)) {
       suspects_.OnExclusiveCompletion(record->work.fingerprint);
     }
     if (!record->IsEnded()) {
--- a/tests/process/agent/agent_core_test.cc
+++ b/tests/process/agent/agent_core_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -242,6 +243,28 @@
   BOOST_TEST(WasRefused(1, 6, refusal_reason::kSuspect));
 }
 
+// Guards against a request that is cleared by a refusal of its upstream, which did not run it: it
+// used to end one upstream after the other, with a refusal in between.
+BOOST_FIXTURE_TEST_CASE(OnlyACompletedRunClearsASuspect, fixture) {
+  Serve();
+  std::uint64_t sequence = 0;
+  for (const std::uint16_t status : {503, 429, 421, 408, 500, 200}) {
+    dispatch work = TestWork(++sequence);
+    work.fingerprint = 100 + sequence;
+    work.suspects = {{.fingerprint = work.fingerprint, .deaths = 1, .observer = 7}};
+    Receive(1, work);
+    const execution_id execution = All<upstream_start>().back().execution;
+    Input(upstream_head{.execution = execution, .status = status, .content_type = "text/plain"});
+    Input(upstream_end{.execution = execution});
+    const auto suspects = core.State()["suspects"];
+    const auto known = std::find_if(suspects.begin(), suspects.end(), [&](const auto& each) {
+      return each["fingerprint"] == work.fingerprint;
+    });
+    BOOST_TEST_REQUIRE((known != suspects.end()));
+    BOOST_TEST((*known)["cleared"] == (status == 200 ? 1U : 0U), "status " << status);
+  }
+}
+
 // Guards against queued work that starts after its time to live or after a drain.
 BOOST_FIXTURE_TEST_CASE(QueuedWorkIsCheckedBeforeItStarts, fixture) {
   Serve();
