Take only a signed answer for proof that a request is sound

ForwardAnswer told the crash analysis of each final answer under 500. An answer without the upstream's signature shows no run: whoever answers 404 or 400 in its place cleared the crashes of the request, which then ended upstreams for ever. A 2xx without signature was never taken for an answer; 429, 503, 421 and 408 are no final answers.

answers_without_signature_do_not_clear_a_request_that_crashes_upstreams failed with ten requests, five of which ended an upstream, and passes. The other new test of the gateway shows the fix of the chained crashes with a real gateway: four upstreams, three runs, then 400.

--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -351,6 +351,7 @@
   const bool promises_not_run = PromisesNotRun(head.status);
   if (head.status < 500 && !promises_not_run) {
     EndAttempt(attempt_outcome::kServed, now);
+    if (facts.is_signed) ReportSound(head.status, now);
     ForwardAnswer(head, std::move(body));
     return;
   }
@@ -533,7 +534,6 @@
   if (AbortStream("no_stream_at_resumption")) return;
   http_answer answer = ToCallerAnswer(head);
   answer.body = std::move(body);
-  if (head.status < 500) ReportSound(head.status, context_.clock.Now());
   if (sink_ != nullptr) std::exchange(sink_, nullptr)->SendAnswer(answer);
   Finish(head.status < 400 ? "served" : "upstream_failure", head.status);
 }
--- a/tests/platform/gateway_crash_test.cc
+++ b/tests/platform/gateway_crash_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -242,6 +243,53 @@
   BOOST_TEST((first_count == 0 || first_count == 6));
 }
 
+// Guards against a lookup that ends one upstream of a plain service after the other, as it is sent
+// on within milliseconds of each crash (issue 40).
+BOOST_AUTO_TEST_CASE(a_lookup_that_is_sent_on_from_crash_to_crash_is_refused_after_three) {
+  std::atomic<int> runs = 0;
+  const auto crash = [&](const std::string& request) {
+    if (!Contains(HeaderValue(request, "Request-Attempt-Id"), "dead")) {
+      return scripted_reply{.bytes = MakeSignedResponse(request, 200, "found")};
+    }
+    ++runs;
+    return scripted_reply{.action = connection_action::kReset, .delay = milliseconds(40)};
+  };
+  const scripted_upstream first(crash);
+  const scripted_upstream second(crash);
+  const scripted_upstream third(crash);
+  const scripted_upstream fourth(crash);
+  const gateway_fixture gateway({&first, &second, &third, &fourth});
+  std::string answer;
+  for (int i = 0; i < 6; ++i) {
+    answer = gateway.SendAndReceive(MakeRequest("read", "dead" + std::to_string(i)));
+  }
+  BOOST_TEST(Contains(answer, "HTTP/1.1 400"), answer);
+  BOOST_TEST(runs == 3);
+}
+
+// Guards against an answer that proves nothing: without a signature, it shows no run, so that a
+// request which ends upstreams in between is cleared of its crashes again and again.
+BOOST_AUTO_TEST_CASE(answers_without_signature_do_not_clear_a_request_that_crashes_upstreams) {
+  std::atomic<int> attempts = 0;
+  const auto answer_or_crash = [&](const std::string& request) {
+    const std::string head = "HTTP/1.1 404 Unknown\r\nRequest-Attempt-Id: " +
+                             HeaderValue(request, "Request-Attempt-Id") +
+                             "\r\nContent-Length: 0\r\n\r\n";
+    if (++attempts % 2 == 0) return scripted_reply{.bytes = head};
+    return scripted_reply{.action = connection_action::kReset};
+  };
+  const scripted_upstream first(answer_or_crash);
+  const scripted_upstream second(answer_or_crash);
+  const scripted_upstream third(answer_or_crash);
+  const gateway_fixture gateway({&first, &second, &third});
+  std::string answer;
+  for (int i = 0; i < 10 && !Contains(answer, "HTTP/1.1 400"); ++i) {
+    answer = gateway.SendAndReceive(MakeRequest("read", "a" + std::to_string(i)));
+    std::this_thread::sleep_for(milliseconds(200));
+  }
+  BOOST_TEST(Contains(answer, "HTTP/1.1 400"), answer);
+}
+
 // Guards against gateways that take the parts which others have answered for unknown risks.
 BOOST_AUTO_TEST_CASE(gateways_tell_each_other_which_parts_were_answered) {
   const scripted_upstream upstream = CrashingUpstream();
