--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -91,6 +91,7 @@
       std::find_if(requests.begin(), requests.end(),
                    [&](const accused_request& each) { return each.traits == added.traits; });
   if (known != requests.end()) {
+    is_outdated_ = is_outdated_ || added.ran_ms > known->ran_ms;
     known->ran_ms = std::max(known->ran_ms, added.ran_ms);
     return false;
   }
