Keep answers to plain requests apart from those to prompt parts

The fix of the chained crashes recorded each answered request without parts in the table of answered traits, to know which requests were sound before their first crash. At a gateway with many lookups they would have pushed out the answers to prompt parts, and filled the digests for gateways that start. They now have a bounded table of their own (1,024) that is looked up when a request is first accused.

Found in the reading of the diff, not in a run; the new test was not run on the code before. It passes, as do request.crash_analysis_test and request.crash_independence_test.

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -82,6 +82,8 @@
   std::size_t max_requests_per_observation = 16;
   std::size_t max_suspects = 64;
   std::size_t max_answered = 4096;
+  /// Whole requests without shared parts, which were answered and not accused.
+  std::size_t max_answered_requests = 1024;
   std::size_t max_digest_bytes = 1200;
   /// Digests of the latest answers for a gateway that has started.
   std::size_t max_answer_digests = 8;
@@ -99,7 +101,9 @@
 class crash_analysis {
  public:
   explicit crash_analysis(const crash_analysis_options& options)
-      : options_(options), answers_(options.max_answered) {}
+      : options_(options),
+        answers_(options.max_answered),
+        answered_requests_(options.max_answered_requests) {}
 
   /// An attempt failed because the connection to an upstream of the failure unit broke.
   void OnCrash(const trait_list& traits, std::uint32_t unit, answer_progress progress,
@@ -217,6 +221,7 @@
   crash_analysis_options options_;
   std::map<observation_id, observation> observations_;
   answer_history answers_;
+  answer_history answered_requests_;  // whole requests without shared parts, while not accused
   std::deque<std::uint64_t> first_answers_;     // of which no other gateway was told yet
   std::map<std::uint64_t, time_point> trials_;  // when the last one was sent, by suspect
   std::uint32_t next_sequence_ = 1;
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -97,6 +97,10 @@
   }
   if (requests.size() >= options_.max_requests_per_observation) return false;
   requests.push_back(added);
+  const std::uint64_t fingerprint = added.traits.front();
+  if (const answer_times* const answer = answered_requests_.Find(fingerprint)) {
+    answers_.Record(fingerprint, answer->last);
+  }
   for (const std::uint64_t trait : added.traits) answers_.Accuse(trait, at);
   return true;
 }
@@ -136,8 +140,11 @@
 bool crash_analysis::OnAnswered(const trait_list& traits, time_point now) {
   bool clears = false;
   for (std::size_t i = 0; i < traits.size(); ++i) {
-    // The first trait is the fingerprint, which few requests with shared parts have in common.
-    if (i == 0 && traits.size() > 1 && !answers_.IsAccused(traits[i])) continue;
+    // The first trait is the fingerprint, which few requests share.
+    if (i == 0 && !answers_.IsAccused(traits[i])) {
+      if (traits.size() == 1) answered_requests_.Record(traits[i], now);
+      continue;
+    }
     const bool is_first = i > 0 && answers_.Find(traits[i]) == nullptr;
     if (is_first && first_answers_.size() < options_.max_answered) {
       first_answers_.push_back(traits[i]);
@@ -508,6 +515,7 @@
   const auto removed = std::erase_if(
       observations_, [&](const auto& entry) { return now - entry.second.at > options_.retention; });
   answers_.ForgetAnswers(now - options_.retention);
+  answered_requests_.ForgetAnswers(now - options_.retention);
   if (removed == 0) return;
   ForgetOldAccusations();
   is_outdated_ = true;
--- a/tests/request/crash_independence_test.cc
+++ b/tests/request/crash_independence_test.cc
@@ -154,6 +154,23 @@
   }
 }
 
+// Guards against a gateway that forgets which prompt parts are sound, because it has answered many
+// requests without parts.
+BOOST_AUTO_TEST_CASE(answers_to_plain_requests_do_not_displace_those_to_prompt_parts) {
+  constexpr std::uint64_t kPart = 300;
+  crash_analysis analysis({.observer = 1});
+  analysis.OnAnswered({1, kPart}, kStart);
+  for (std::uint64_t i = 0; i < 20'000; ++i) {
+    analysis.OnAnswered({10'000 + i}, kStart + milliseconds(i));
+  }
+  BOOST_TEST(!analysis.UnprovenPart({2, kPart}).has_value());
+  crash_analysis started({.observer = 2});
+  for (const answer_digest& digest : analysis.LatestAnswers(kStart + seconds(20))) {
+    started.Merge(digest, kStart + seconds(20));
+  }
+  BOOST_TEST(!started.UnprovenPart({2, kPart}).has_value());
+}
+
 // Guards against refusing a request that was on one of several units that ended together.
 BOOST_AUTO_TEST_CASE(units_that_end_together_are_one_crash_for_a_request_on_one_of_them) {
   crash_analysis analysis({});
