Count the ranks of a group that end at once under a whole request

What callers may see: a draft whose copies run on several ranks of a group (other attempts, a client that repeats) ends these ranks within some tens of milliseconds, and again when the group is back.

Cause: crashes are told apart by failure unit, and a group is one. But the ranks that only stall with their group fail 1.5 s later; a rank that ends at the same time as another one has crashed itself.

Change: an accusation names the upstream and when its connection broke, and repeat_search counts the upstreams of one crash like those of several units: if the request ran there 10 ms, more than 10 ms after the one counted before. Prompt parts are judged by groups as before.

Result: ranks_of_a_group_that_end_at_once_under_the_request_count_each passes; its second half, without the names of upstreams, shows the result before.

--- a/include/berylbarrow/request/suspect/crash_analysis.h
+++ b/include/berylbarrow/request/suspect/crash_analysis.h
@@ -33,6 +33,7 @@
 
 /// An attempt that failed because the connection to its upstream broke.
 struct broken_run {
+  std::uint32_t upstream = 0;              // hash of its id
   duration ran = std::chrono::minutes(1);  // from its dispatch to the failure
   bool is_group = true;  // the failure unit has other upstreams, which fail some time later
   auto operator<=>(const broken_run&) const = default;
--- a/include/berylbarrow/request/suspect/crash_digest.h
+++ b/include/berylbarrow/request/suspect/crash_digest.h
@@ -16,10 +16,12 @@
 /// A request that was on an upstream as it crashed.
 struct accused_request {
   trait_list traits;
-  std::uint32_t ran_ms = 0;  // since its dispatch; of several attempts the longest
+  std::uint32_t upstream = 0;  // hash of its id
+  std::uint32_t ran_ms = 0;    // since its dispatch; of several attempts the longest
+  std::uint32_t after_ms = 0;  // from the time of the report to that of the failure
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(traits, ran_ms);
+    archive(traits, upstream, ran_ms, after_ms);
   }
   auto operator<=>(const accused_request&) const = default;
 };
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -150,7 +150,8 @@
   context_.crashes.OnCrash(request_.traits, unit,
                            has_started ? answer_progress::kStarted : answer_progress::kUnanswered,
                            now,
-                           {.ran = now - attempt_->sent,
+                           {.upstream = UpstreamHash(attempt_->upstream_id),
+                            .ran = now - attempt_->sent,
                             .is_group = context_.selector.IsInGroup(attempt_->upstream_id)});
   logger::Event(log_level::kWarning, "request", "crash_suspected",
                 {{"id", request_.facts.attempt_id},
--- a/src/request/suspect/crash_analysis.cc
+++ b/src/request/suspect/crash_analysis.cc
@@ -45,7 +45,8 @@
 
 /// Encoded size.
 std::size_t EncodedBytes(const accused_request& request) {
-  return sizeof(std::uint64_t) * (1 + request.traits.size()) + sizeof(request.ran_ms);
+  return sizeof(std::uint64_t) * (1 + request.traits.size()) + sizeof(request.upstream) +
+         sizeof(request.ran_ms) + sizeof(request.after_ms);
 }
 
 std::size_t EncodedBytes(const crash_report& report) {
@@ -88,8 +89,9 @@
 bool crash_analysis::AddRequest(std::vector<accused_request>& requests,
                                 const accused_request& added, time_point at) {
   const auto known =
-      std::find_if(requests.begin(), requests.end(),
-                   [&](const accused_request& each) { return each.traits == added.traits; });
+      std::find_if(requests.begin(), requests.end(), [&](const accused_request& each) {
+        return each.upstream == added.upstream && each.traits == added.traits;
+      });
   if (known != requests.end()) {
     is_outdated_ = is_outdated_ || added.ran_ms > known->ran_ms;
     known->ran_ms = std::max(known->ran_ms, added.ran_ms);
@@ -131,7 +133,10 @@
   }
   if (current == nullptr) return;
   auto& requests = progress == answer_progress::kStarted ? current->started : current->unanswered;
-  const accused_request accused{.traits = traits, .ran_ms = AgeMs(now - run.ran, now)};
+  const accused_request accused{.traits = traits,
+                                .upstream = run.upstream,
+                                .ran_ms = AgeMs(now - run.ran, now),
+                                .after_ms = AgeMs(current->at, now)};
   if (!AddRequest(requests, accused, current->at)) return;
   has_news_ = true;
   is_outdated_ = true;
@@ -214,9 +219,13 @@
   for (const crash_group& group : groups) {
     observed_crash crash{.unit = group.unit, .at = group.at};
     for (const observation_entry* each : group.observations) {
-      for (const accused_request& request : each->second.started) crash.started.push_back(&request);
-      for (const accused_request& request : each->second.unanswered) {
-        if (IsOpen(request.traits, group)) crash.unanswered.push_back(&request);
+      const observation& observed = each->second;
+      for (const accused_request& request : observed.started) {
+        crash.started.push_back({.request = &request, .observed_at = observed.at});
+      }
+      for (const accused_request& request : observed.unanswered) {
+        if (!IsOpen(request.traits, group)) continue;
+        crash.unanswered.push_back({.request = &request, .observed_at = observed.at});
       }
     }
     shared.Add(crash);
--- a/src/request/suspect/observed_crash.h
+++ b/src/request/suspect/observed_crash.h
@@ -9,17 +9,25 @@
 
 namespace berylbarrow {
 
-/// What all observers have seen of one crash.
+/// A run of a request that broke with a crash.
+struct accused_run {
+  const accused_request* request = nullptr;
+  time_point observed_at;  // time of the report
+
+  const trait_list& Traits() const { return request->traits; }
+  time_point EndedAt() const { return observed_at + std::chrono::milliseconds(request->after_ms); }
+  duration Duration() const { return std::chrono::milliseconds(request->ran_ms); }
+};
+
+/// What all observers have seen of one crash. In a group, several upstreams may have crashed.
 struct observed_crash {
   std::uint32_t unit = 0;
   time_point at;
-  std::vector<const accused_request*> started;
-  std::vector<const accused_request*> unanswered;
+  std::vector<accused_run> started;
+  std::vector<accused_run> unanswered;
 
   /// The requests whose answer had started or, if there are none, those without any answer.
-  const std::vector<const accused_request*>& Accused() const {
-    return started.empty() ? unanswered : started;
-  }
+  const std::vector<accused_run>& Accused() const { return started.empty() ? unanswered : started; }
 };
 
 }  // namespace berylbarrow
--- a/src/request/suspect/repeat_search.h
+++ b/src/request/suspect/repeat_search.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <unordered_map>
 #include <vector>
 
@@ -30,7 +31,8 @@
 /// Crashes further apart than `same_cause` are independent. Of those that follow closer, a crash
 /// counts if the request ran on each unit that ended since the last one counted: either it was sent
 /// there after that crash, or no answer to it was ever known. If other units ended in between, they
-/// have a cause other than the request.
+/// have a cause other than the request. Upstreams of a group that end together are told apart, as
+/// those that only stall with their group fail later.
 class repeat_search {
  public:
   repeat_search(const repeat_search_options& options, const answer_history& answers)
@@ -50,17 +52,12 @@
     bool is_explanation_partial = false;  // since the last crash counted, other units ended
   };
 
-  /// The longest run of the request on the unit.
-  struct accusation {
-    const trait_list* traits = nullptr;
-    duration ran{0};
-  };
-
-  /// One accusation for each accused fingerprint.
-  static std::unordered_map<std::uint64_t, accusation> AccusationsOf(const observed_crash& crash);
-  void Accuse(const accusation& accused, const observed_crash& crash, bool is_only_cause);
-  bool IsIndependent(const repeated_request& request, const accusation& accused,
-                     time_point crashed_at) const;
+  /// The runs of each accused request, one for each upstream that crashed, in the order of their
+  /// ends.
+  static std::map<std::uint64_t, std::vector<accused_run>> RunsByRequest(
+      const observed_crash& crash);
+  void Accuse(const accused_run& run, const observed_crash& crash, bool is_only_cause);
+  bool IsIndependent(const repeated_request& request, const accused_run& run) const;
 
   repeat_search_options options_;
   const answer_history& answers_;
--- a/src/request/suspect/suspect_search.cc
+++ b/src/request/suspect/suspect_search.cc
@@ -16,10 +16,9 @@
 
 bool IsOnlyCause(const observed_crash& crash) {
   return !crash.started.empty() &&
-         std::all_of(crash.started.begin(), crash.started.end(),
-                     [&](const accused_request* request) {
-                       return request->traits == crash.started.front()->traits;
-                     });
+         std::all_of(crash.started.begin(), crash.started.end(), [&](const accused_run& run) {
+           return run.Traits() == crash.started.front().Traits();
+         });
 }
 
 }  // namespace
@@ -43,9 +42,9 @@
 }
 
 trait_list suspect_search::CommonTraits(const observed_crash& crash) const {
-  trait_list common = InitialTraits(crash.started.front()->traits, crash.at);
-  for (const accused_request* request : crash.started) {
-    const trait_list traits = InitialTraits(request->traits, crash.at);
+  trait_list common = InitialTraits(crash.started.front().Traits(), crash.at);
+  for (const accused_run& run : crash.started) {
+    const trait_list traits = InitialTraits(run.Traits(), crash.at);
     std::erase_if(common, [&](std::uint64_t trait) {
       return !std::binary_search(traits.begin(), traits.end(), trait);
     });
@@ -76,11 +75,11 @@
   if (is_better) best.request = std::move(request);
 }
 
-bool suspect_search::ExtendSuspect(const std::vector<const accused_request*>& accused,
+bool suspect_search::ExtendSuspect(const std::vector<accused_run>& accused,
                                    const observed_crash& crash) {
   extension best;
-  for (const accused_request* request : accused) {
-    FindExtension(UnansweredTraits(request->traits, crash.at), best);
+  for (const accused_run& run : accused) {
+    FindExtension(UnansweredTraits(run.Traits(), crash.at), best);
   }
   if (best.shared == 0) return false;
   ReduceSuspect(best.suspect, best.request);
@@ -125,8 +124,8 @@
   if (is_only_cause) {
     found.push_back(std::move(common));
   } else {
-    for (const accused_request* request : accused) {
-      found.push_back(InitialTraits(request->traits, crash.at));
+    for (const accused_run& run : accused) {
+      found.push_back(InitialTraits(run.Traits(), crash.at));
     }
   }
   for (trait_list& traits : found) {
--- a/src/request/suspect/suspect_search.h
+++ b/src/request/suspect/suspect_search.h
@@ -44,8 +44,7 @@
   /// Replaces `best` by the extension through a request with these traits if that explains more
   /// crashes or, for as many, shares more traits.
   void FindExtension(trait_list&& request, extension& best);
-  bool ExtendSuspect(const std::vector<const accused_request*>& accused,
-                     const observed_crash& crash);
+  bool ExtendSuspect(const std::vector<accused_run>& accused, const observed_crash& crash);
   void AddSuspect(crash_suspect&& added);
   /// Removes the traits that are not in `kept`.
   void ReduceSuspect(std::size_t index, const trait_list& kept);
--- a/tests/request/crash_independence_test.cc
+++ b/tests/request/crash_independence_test.cc
@@ -171,6 +171,21 @@
   BOOST_TEST(!started.UnprovenPart({2, kPart}).has_value());
 }
 
+// Guards against a request that ends several ranks of one group at once, because its caller repeats
+// it, and counts as one crash each time.
+BOOST_AUTO_TEST_CASE(ranks_of_a_group_that_end_at_once_under_the_request_count_each) {
+  constexpr std::uint32_t kGroup = 1;
+  for (const bool are_several : {false, true}) {
+    crash_analysis analysis({});
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      analysis.OnCrash(kRequest, kGroup, answer_progress::kUnanswered,
+                       kStart + milliseconds(18 * i),
+                       {.upstream = are_several ? i : 0, .ran = milliseconds(80)});
+    }
+    BOOST_TEST(IsRefused(analysis, kRequest, kStart + milliseconds(36)) == are_several);
+  }
+}
+
 // Guards against refusing a request that was on one of several units that ended together.
 BOOST_AUTO_TEST_CASE(units_that_end_together_are_one_crash_for_a_request_on_one_of_them) {
   crash_analysis analysis({});
