Keep the limits of the crash analysis in one place

repeat_search repeated the defaults of crash_analysis_options with their reasons. It now takes them from there.

--- a/src/request/suspect/repeat_search.h
+++ b/src/request/suspect/repeat_search.h
@@ -14,14 +14,11 @@
 
 namespace berylbarrow {
 
+/// See crash_analysis_options.
 struct repeat_search_options {
-  /// Crashes that follow each other within this time may have a common cause.
-  duration same_cause = std::chrono::milliseconds(150);
-  /// Units that end within this time of each other end together. Covers the difference between the
-  /// times at which gateways notice a crash.
-  duration same_moment = std::chrono::milliseconds(10);
-  /// An attempt that broke sooner was probably sent to a unit that had ended already.
-  duration min_run = std::chrono::milliseconds(10);
+  duration same_cause{0};
+  duration same_moment{0};
+  duration min_run{0};
 };
 
 /// Counts, for each whole request, the crashes that are independent evidence against it, from
