Follow the store by era and revision, so that a restored one is noticed

Cause: the platform's store may come back from a backup some seconds old. Revisions then fall and are given out again. Gateways went by revisions alone: a watch whose revision the store had passed again was answered without 410 and missed what was written in between, pages of one read could come from two histories, late answers proved keys to be current, and evacuations and leaving upstreams reverted to what the backup holds.

Change: version/store holds the decisions (store_position, store_timeline, store_cursor, configuration_lineage, evacuation_view); store_feed reads the header Store-Era and calls them. After a new era everything is read again; the first list adds, and takes back no version, evacuation, leaving, cold start, restart or removal. Gateways name their era and version to others when they meet and when the era rises.

Gateway::OnRouting no longer compares versions: the feed decides.

--- a/include/berylbarrow/process/gateway/platform_feed.h
+++ b/include/berylbarrow/process/gateway/platform_feed.h
@@ -1,6 +1,7 @@
 #ifndef BERYLBARROW_PROCESS_GATEWAY_PLATFORM_FEED_H_
 #define BERYLBARROW_PROCESS_GATEWAY_PLATFORM_FEED_H_
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -11,6 +12,7 @@
 #include "berylbarrow/process/membership/upstream_registry.h"
 #include "berylbarrow/process/runtime/time.h"
 #include "berylbarrow/version/routing/routing_view.h"
+#include "berylbarrow/version/store/store_view.h"
 
 namespace berylbarrow {
 
@@ -19,10 +21,25 @@
   std::optional<upstream_record> record;  // none: the upstream was removed
 };
 
+/// A finding on the history of the platform's store.
+struct store_event {
+  enum class kind : std::uint8_t {
+    kRestored,             // the store came back from a backup; all is read again
+    kOutdatedAnswer,       // an answer from before the last restoration was dropped
+    kConfigurationHeld,    // the restored store holds a lower version, which is not put in force
+    kConfigurationLowered  // that version has stood for so long that it is in force now
+  };
+  kind what = kind::kRestored;
+  std::uint64_t era = 0;        // of the answer
+  std::uint64_t known_era = 0;  // before the answer
+  std::uint64_t version = 0;    // of the configuration in the store; 0: does not matter
+};
+
 /// Receives the configuration and the instance list of a platform, on the gateway's thread.
 class platform_sink {
  public:
   virtual ~platform_sink() = default;
+  /// `content` replaces the one in force. The feed decides which of two versions is newer.
   virtual void OnRouting(routing_content&& content) = 0;
   /// `domains`: all failure domains that are evacuated now.
   virtual void OnEvacuatedDomains(const std::set<std::string>& domains) = 0;
@@ -35,6 +52,7 @@
   /// A read of the instance list from the store failed, or succeeded again. `reason`: why it
   /// failed.
   virtual void OnStoreReachability(bool reachable, const std::string& reason) = 0;
+  virtual void OnStoreEvent(const store_event& event) = 0;
   /// An item was skipped because it could not be parsed.
   virtual void OnUnreadableItem(const std::string& key, const std::string& reason) = 0;
 };
@@ -46,6 +64,9 @@
   virtual void Start() = 0;
   /// Reads the changes of the instance list soon, because it was found to be out of date.
   virtual void RefreshUpstreams() = 0;
+  virtual store_view View() const { return {}; }
+  /// Another gateway has this view of the store.
+  virtual void OnPeerView(const store_view& /*view*/) {}
   /// Called on each tick of the gateway.
   virtual void Advance(time_point now) = 0;
 };
--- a/include/berylbarrow/process/membership/upstream_registry.h
+++ b/include/berylbarrow/process/membership/upstream_registry.h
@@ -31,6 +31,11 @@
   /// How long an upstream that has said that it leaves may take to end. Later its announcement is
   /// forgotten, unless it is still in the instance list.
   duration longest_leave = std::chrono::minutes(10);
+  /// After a restoration of the store: removals from before it are remembered for so long.
+  duration removal_memory = std::chrono::seconds(60);
+  /// A removed upstream that a restored store lists again is used after this time, or when its
+  /// record changes. The platform removes the record of an upstream that has ended sooner.
+  duration reappearance_delay = std::chrono::seconds(6);
 };
 
 struct known_upstream {
@@ -56,7 +61,10 @@
   void OnSourceLost();
   /// It answers again. To be called before what it answers is put in.
   void OnSourceRegained(time_point now);
-  /// Forgets the lapsed records whose grace is over, and old announcements.
+  /// The next list comes from a restored backup and may be older than what is known. It takes back
+  /// no leaving, no removal, no restart and no cold start.
+  void OnSourceRestored() { restored_ = true; }
+  /// Forgets the lapsed records whose grace is over, and old announcements and removals.
   void Advance(time_point now);
 
   const std::map<std::string, known_upstream>& Upstreams() const { return upstreams_; }
@@ -69,6 +77,23 @@
     time_point announced_at;
   };
 
+  struct removal {
+    std::uint64_t born = 0;  // of the incarnation that was removed
+    bool leaving = false;
+    time_point removed_at;
+  };
+  struct reappeared_upstream {
+    upstream_record published;
+    upstream_record record;  // as it will be used
+    time_point usable_at;
+  };
+
+  /// Puts in a record of a restored store.
+  void PutRestored(const upstream_record& published, time_point now);
+  /// Whether the record has reappeared in a restored store and has not changed since.
+  bool IsWithheld(const upstream_record& published) const;
+  void Erase(std::map<std::string, known_upstream>::iterator place, time_point now);
+  void AdvanceReappeared(time_point now);
   /// Whether this incarnation has said that it leaves. Forgets what another one has said. `is_new`:
   /// the upstream was not known.
   bool HasAnnouncedLeaving(const upstream_record& record, bool is_new);
@@ -77,8 +102,11 @@
   upstream_registry_options options_;
   std::map<std::string, known_upstream> upstreams_;
   std::map<std::string, leave_announcement> leave_announcements_;  // by id
+  std::map<std::string, removal> removals_;                        // by id
+  std::map<std::string, reappeared_upstream> reappeared_;          // by id; not in use yet
   std::uint64_t revision_ = 0;
   bool source_lost_ = false;
+  bool restored_ = false;  // the next list comes from a restored store
   time_point grace_until_ = time_point::min();
 };
 
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -253,6 +253,9 @@
   if (!limits_.IsEmpty()) {
     heartbeat_socket_->Send(EncodeLimitDigest(limits_.MakeDigest(now)), to);
   }
+  // A gateway that starts after a restoration of the store may read an older configuration.
+  const store_view view = feed_->View();
+  if (view.era > 0) heartbeat_socket_->Send(EncodeStoreView(view), to);
 }
 
 void gateway::SendLimitDigest(time_point now) {
@@ -291,6 +294,8 @@
     OnDomainDigest(*digest_of_domain, now);
   } else if (const auto limits = DecodeLimitDigest(datagram)) {
     for (const std::uint32_t upstream : limits_.Merge(*limits, now)) ApplyLimit(upstream, now);
+  } else if (const auto view = DecodeStoreView(datagram)) {
+    feed_->OnPeerView(*view);
   }
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -50,6 +50,7 @@
   void OnUpstreamList(const std::vector<upstream_record>& records) override;
   void OnUpstreamChanges(const std::vector<upstream_change>& changes) override;
   void OnStoreReachability(bool reachable, const std::string& reason) override;
+  void OnStoreEvent(const store_event& event) override;
   void OnUnreadableItem(const std::string& key, const std::string& reason) override;
 
   void OnCapacityFreed(const std::string& service) override;
@@ -81,7 +82,7 @@
   void OnEngineReport(const engine_report& report, time_point now);
   /// Tells all gateways which prompt parts were answered for the first time.
   void SendFirstAnswers(time_point now);
-  /// Tells a gateway that has started what is known of crashes and limits.
+  /// Tells a gateway that has started what is known of crashes, limits and the store.
   void SendKnowledge(const boost::asio::ip::udp::endpoint& to, time_point now);
   /// Tells other gateways of the limits that upstreams name, like SendCrashDigest().
   void SendLimitDigest(time_point now);
--- a/src/process/gateway/gateway_information.cc
+++ b/src/process/gateway/gateway_information.cc
@@ -12,6 +12,25 @@
 // many of them, so that the caller still has an address if one of them fails.
 constexpr std::size_t kMinLocalAddresses = 2;
 
+struct store_event_name {
+  const char* line;     // of the log
+  const char* counter;  // of the metrics
+};
+
+store_event_name NameOf(store_event::kind what) {
+  switch (what) {
+    case store_event::kind::kRestored:
+      return {.line = "store_restored", .counter = "store_restorations"};
+    case store_event::kind::kOutdatedAnswer:
+      return {.line = "store_answer_outdated", .counter = "outdated_store_answers"};
+    case store_event::kind::kConfigurationHeld:
+      return {.line = "lower_version_held", .counter = "held_versions"};
+    case store_event::kind::kConfigurationLowered:
+      return {.line = "version_lowered", .counter = "lowered_versions"};
+  }
+  return {.line = "store_event", .counter = "store_events"};
+}
+
 }  // namespace
 
 http_answer gateway::AnswerAddressQuery(const http_head& head) {
@@ -54,6 +73,7 @@
       {"leaving", shutdown_.has_value()},
       {"version", routing_view_ ? routing_view_->Version() : 0},
       {"configuration_age_ms", routing_view_ ? MillisecondsText(ConfigurationAge(now)) : "unknown"},
+      {"store_era", feed_->View().era},
       {"evacuated", evacuated_domains_},
       {"open_requests", requests_.size()},
       {"members", members},
@@ -64,7 +84,6 @@
 }
 
 void gateway::OnRouting(routing_content&& content) {
-  if (routing_view_ != nullptr && content.version <= routing_view_->Version()) return;
   logger::Event(
       log_level::kInfo, "configuration", "version_in_force",
       {{"version", std::to_string(content.version)},
@@ -123,6 +142,21 @@
                 reachable ? "store_regained" : "store_lost", {{"reason", reason}});
 }
 
+void gateway::OnStoreEvent(const store_event& event) {
+  const store_event_name name = NameOf(event.what);
+  metrics_.Count(name.counter, {});
+  logger::Event(
+      log_level::kWarning, "configuration", name.line,
+      {{"era", std::to_string(event.era)},
+       {"known_era", std::to_string(event.known_era)},
+       {"stored_version", std::to_string(event.version)},
+       {"version", routing_view_ ? std::to_string(routing_view_->Version()) : "none"},
+       {"age_ms", routing_view_ ? MillisecondsText(ConfigurationAge(clock_.Now())) : "unknown"}});
+  if (event.what != store_event::kind::kRestored) return;
+  registry_.OnSourceRestored();
+  SendToGateways(EncodeStoreView(feed_->View()), true, clock_.Now());
+}
+
 void gateway::OnUnreadableItem(const std::string& key, const std::string& reason) {
   metrics_.Count("unreadable_items", {});
   logger::Event(log_level::kWarning, "configuration", "item_unreadable",
--- a/tests/platform/store_feed_test.cc
+++ b/tests/platform/store_feed_test.cc
@@ -66,11 +66,14 @@
   manual_clock clock;
   const feed_timing timing = TimingFor({.key_lifetime = std::chrono::seconds(5)});
   int current = 0;
+  store_timeline timeline({});
   prefix_watcher watcher(context, {.address = store.Address(), .timing = timing},
-                         {.prefix = "op/", .wait = timing.configuration_wait}, clock,
+                         {.prefix = "op/", .wait = timing.configuration_wait}, clock, timeline,
                          {.on_full_list = [&](std::vector<store_item>&&, time_point) { ++current; },
                           .on_changes = [&](std::vector<store_item>&&, time_point) { ++current; },
-                          .on_reachability = [](bool, const std::string&) {}});
+                          .on_reachability = [](bool, const std::string&) {},
+                          .on_restoration = [](std::uint64_t, std::uint64_t) {},
+                          .on_outdated_answer = [](std::uint64_t, std::uint64_t) {}});
   watcher.Start();
   BOOST_TEST(store.Request(0) == "GET /kv-range?prefix=op/ HTTP/1.1");
   const std::size_t first_bytes = store.BytesReceived(0);
@@ -99,6 +102,7 @@
   void OnUpstreamList(const std::vector<upstream_record>&) override {}
   void OnUpstreamChanges(const std::vector<upstream_change>&) override {}
   void OnStoreReachability(bool, const std::string&) override {}
+  void OnStoreEvent(const store_event&) override {}
   void OnUnreadableItem(const std::string&, const std::string&) override { ++unreadable_items; }
 
   std::uint64_t version = 0;
--- a/tests/process/membership/upstream_registry_test.cc
+++ b/tests/process/membership/upstream_registry_test.cc
@@ -118,5 +118,70 @@
   BOOST_TEST((registry.Upstreams().at("a").cold_until == kStart + std::chrono::seconds(1)));
 }
 
+// Guards against requests to a leaving upstream that an older copy of the list calls ready, and
+// against cold starts and restarts that the copy does not know of.
+BOOST_AUTO_TEST_CASE(a_restored_list_takes_nothing_back) {
+  upstream_registry registry({});
+  upstream_record leaving = Record("a");
+  leaving.leaving = true;
+  registry.Put(leaving, kStart);
+  upstream_record cold = Record("b");
+  cold.cold_left = std::chrono::seconds(3);
+  registry.Put(cold, kStart);
+  upstream_record restarted = Record("c");
+  restarted.born = 5;
+  restarted.address = "10.0.0.9:1";
+  registry.Put(restarted, kStart);
+  registry.OnSourceRestored();
+  registry.Replace({Record("a"), Record("b"), Record("c")}, kStart + milliseconds(100));
+  BOOST_TEST(registry.Upstreams().at("a").record.leaving);
+  BOOST_TEST((registry.Upstreams().at("b").cold_until == kStart + std::chrono::seconds(3)));
+  BOOST_TEST((registry.Upstreams().at("c").record == restarted));
+  restarted.born = 6;
+  registry.Put(restarted, kStart + milliseconds(200));
+  BOOST_TEST(registry.Upstreams().at("c").record.born == 6U);
+}
+
+// Guards against lost capacity: live upstreams that the copy lacks were dropped until they had
+// registered again.
+BOOST_AUTO_TEST_CASE(upstreams_that_a_restored_list_lacks_have_the_grace) {
+  upstream_registry registry({.lapse_grace = milliseconds(1800)});
+  registry.Put(Record("a"), kStart);
+  registry.Put(Record("b"), kStart);
+  registry.OnSourceRestored();
+  registry.Replace({}, kStart);
+  BOOST_TEST(registry.Upstreams().size() == 2U);
+  // The store is lost a second time.
+  registry.OnSourceRestored();
+  registry.Replace({}, kStart + milliseconds(1000));
+  registry.Advance(kStart + milliseconds(2700));
+  BOOST_TEST(registry.Upstreams().size() == 2U);
+  registry.Put(Record("b"), kStart + milliseconds(2700));
+  registry.Advance(kStart + milliseconds(2800));
+  BOOST_TEST(registry.Upstreams().size() == 1U);
+}
+
+// Guards against requests to an upstream that has ended and reappears from the copy.
+BOOST_AUTO_TEST_CASE(a_removed_upstream_that_a_restored_list_has_is_not_used_at_once) {
+  const auto now = [](int ms) { return kStart + milliseconds(ms); };
+  upstream_registry registry({.reappearance_delay = std::chrono::seconds(6)});
+  for (const char* id : {"a", "b", "c"}) {
+    registry.Put(Record(id), now(0));
+    registry.Remove(id, now(100));
+  }
+  registry.OnSourceRestored();
+  registry.Replace({Record("a"), Record("b"), Record("c"), Record("d")}, now(200));
+  BOOST_TEST(registry.Upstreams().size() == 1U);
+  registry.Replace({Record("a"), Record("b"), Record("c"), Record("d")}, now(300));
+  BOOST_TEST(registry.Upstreams().size() == 1U);
+  registry.Put(Record("b"), now(400));  // it has registered again
+  registry.Remove("c", now(500));
+  registry.Advance(now(6100));
+  BOOST_TEST(registry.Upstreams().size() == 2U);
+  registry.Advance(now(6200));
+  BOOST_TEST(registry.Upstreams().size() == 3U);
+  BOOST_TEST(registry.Upstreams().count("c") == 0U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/support/store_stand_in.cc
+++ b/tests/support/store_stand_in.cc
@@ -43,10 +43,11 @@
   return "0";
 }
 
-std::string MakeAnswer(unsigned status, const std::string& body) {
-  return "HTTP/1.1 " + std::to_string(status) +
-         " Any\r\nContent-Type: application/json\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+std::string MakeAnswer(unsigned status, const std::string& body, std::uint64_t era = 0) {
+  return "HTTP/1.1 " + std::to_string(status) + " Any\r\n" +
+         (era > 0 ? "Store-Era: " + std::to_string(era) + "\r\n" : "") +
+         "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
 }
 
 }  // namespace
@@ -72,7 +73,20 @@
   changed_.notify_all();
 }
 
-json store_stand_in::Range(const std::string& prefix) {
+std::size_t store_stand_in::MakeBackup() {
+  const std::lock_guard lock(mutex_);
+  return history_.size();
+}
+
+void store_stand_in::Restore(std::size_t backup) {
+  const std::lock_guard lock(mutex_);
+  revision_ -= history_.size() - backup;
+  history_.resize(backup);
+  ++era_;
+  changed_.notify_all();
+}
+
+store_stand_in::stated_answer store_stand_in::Range(const std::string& prefix) {
   const std::lock_guard lock(mutex_);
   std::map<std::string, const change*> last;
   for (const change& each : history_) {
@@ -87,11 +101,11 @@
                      {"created", item->revision},
                      {"lease", 0}});
   }
-  return {{"items", items}, {"hasMore", false}, {"currentRev", revision_}};
+  return {.body = {{"items", items}, {"hasMore", false}, {"currentRev", revision_}}, .era = era_};
 }
 
-json store_stand_in::Watch(const std::string& prefix, std::uint64_t after,
-                           std::chrono::milliseconds wait) {
+store_stand_in::stated_answer store_stand_in::Watch(const std::string& prefix, std::uint64_t after,
+                                                    std::chrono::milliseconds wait) {
   json events = json::array();
   const auto collect = [&] {
     for (const change& each : history_) {
@@ -107,16 +121,19 @@
     return !events.empty() || stopping_;
   };
   std::unique_lock lock(mutex_);
+  if (after > revision_) return {.status = 410, .era = era_};
   changed_.wait_for(lock, wait, collect);
-  return {{"events", events}, {"currentRev", revision_}};
+  return {.body = {{"events", events}, {"currentRev", revision_}}, .era = era_};
 }
 
 std::string store_stand_in::Answer(const std::string& target) {
   const std::string prefix = QueryValue(target, "prefix");
-  if (target.starts_with("/kv-range")) return MakeAnswer(200, Range(prefix).dump());
-  if (!target.starts_with("/kv-watch")) return MakeAnswer(404, "");
+  const bool is_range = target.starts_with("/kv-range");
+  if (!is_range && !target.starts_with("/kv-watch")) return MakeAnswer(404, "");
   const std::chrono::milliseconds wait(std::stoll(QueryValue(target, "waitMs")));
-  return MakeAnswer(200, Watch(prefix, std::stoull(QueryValue(target, "after")), wait).dump());
+  const stated_answer answer =
+      is_range ? Range(prefix) : Watch(prefix, std::stoull(QueryValue(target, "after")), wait);
+  return MakeAnswer(answer.status, answer.body.dump(), answer.era);
 }
 
 void store_stand_in::Serve(loopback_stream& stream) {
--- a/tests/support/store_stand_in.h
+++ b/tests/support/store_stand_in.h
@@ -14,7 +14,7 @@
 namespace berylbarrow {
 
 /// Stand-in of the platform's store: range reads and watches over items with one revision counter.
-/// It keeps all of its history.
+/// It keeps all of its history. It states its era once it has been restored from a backup.
 class store_stand_in {
  public:
   enum class fault : std::uint8_t { kNone, kSilent, kRefusing };
@@ -26,6 +26,10 @@
   void Put(const std::string& key, const nlohmann::json& value);
   void Remove(const std::string& key);
   void SetFault(fault mode) { fault_ = mode; }
+  /// The number of changes so far, for Restore().
+  std::size_t MakeBackup();
+  /// Loses all changes since the backup. Their revisions are given out again.
+  void Restore(std::size_t backup);
 
  private:
   struct change {
@@ -38,13 +42,21 @@
   void Record(change&& made);
   void Serve(loopback_stream& stream);
   std::string Answer(const std::string& target);
-  nlohmann::json Range(const std::string& prefix);
-  nlohmann::json Watch(const std::string& prefix, std::uint64_t after,
-                       std::chrono::milliseconds wait);
+  /// What a call is answered, with the era in which the answer is true.
+  struct stated_answer {
+    unsigned status = 200;
+    nlohmann::json body;
+    std::uint64_t era = 0;
+  };
+
+  stated_answer Range(const std::string& prefix);
+  stated_answer Watch(const std::string& prefix, std::uint64_t after,
+                      std::chrono::milliseconds wait);
 
   std::mutex mutex_;
   std::condition_variable changed_;
   std::uint64_t revision_ = 100;
+  std::uint64_t era_ = 0;
   std::vector<change> history_;
   std::atomic<fault> fault_{fault::kNone};
   std::atomic<bool> stopping_{false};
