Let a restarted gateway wait for the version that others have in force

Cause: a gateway that starts after the store was restored reads the older configuration there, counts it as current for the lifetime of keys, and accepts keys that the lost version had taken away.

Change: a store view that names a higher version voids the age of the configuration in force, so that keyed requests are refused (stale_keys) until that version is read, for 30 s at most.

--- a/include/berylbarrow/process/gateway/platform_feed.h
+++ b/include/berylbarrow/process/gateway/platform_feed.h
@@ -24,15 +24,16 @@
 /// A finding on the history of the platform's store.
 struct store_event {
   enum class kind : std::uint8_t {
-    kRestored,             // the store came back from a backup; all is read again
-    kOutdatedAnswer,       // an answer from before the last restoration was dropped
-    kConfigurationHeld,    // the restored store holds a lower version, which is not put in force
-    kConfigurationLowered  // that version has stood for so long that it is in force now
+    kRestored,              // the store came back from a backup; all is read again
+    kOutdatedAnswer,        // an answer from before the last restoration was dropped
+    kConfigurationHeld,     // the restored store holds a lower version, which is not put in force
+    kConfigurationLowered,  // that version has stood for so long that it is in force now
+    kNewerVersionNamed,     // another gateway has a higher version than the store holds
   };
   kind what = kind::kRestored;
   std::uint64_t era = 0;        // of the answer
   std::uint64_t known_era = 0;  // before the answer
-  std::uint64_t version = 0;    // of the configuration in the store; 0: does not matter
+  std::uint64_t version = 0;    // held, lowered or named; 0 with the other kinds
 };
 
 /// Receives the configuration and the instance list of a platform, on the gateway's thread.
--- a/include/berylbarrow/version/store/configuration_lineage.h
+++ b/include/berylbarrow/version/store/configuration_lineage.h
@@ -49,8 +49,9 @@
   void OnReadFailed();
   /// The store was restored from a backup. What it holds is not known until the next OnStored().
   void OnStoreRestored(time_point now);
-  /// Another process has, or had, this version in force.
-  void OnNamed(std::uint64_t version, time_point now);
+  /// Another process has, or had, this version in force. Returns whether it is newer than the one
+  /// here, which is then known to be out of date.
+  bool OnNamed(std::uint64_t version, time_point now);
 
   /// Whether an answer to a request of `requested_at` proves that the version in force is current.
   bool ProvesCurrent(time_point requested_at, time_point now) const;
--- a/src/process/gateway/gateway_information.cc
+++ b/src/process/gateway/gateway_information.cc
@@ -27,6 +27,8 @@
       return {.line = "lower_version_held", .counter = "held_versions"};
     case store_event::kind::kConfigurationLowered:
       return {.line = "version_lowered", .counter = "lowered_versions"};
+    case store_event::kind::kNewerVersionNamed:
+      return {.line = "newer_version_named", .counter = "newer_versions_named"};
   }
   return {.line = "store_event", .counter = "store_events"};
 }
@@ -149,9 +151,13 @@
       log_level::kWarning, "configuration", name.line,
       {{"era", std::to_string(event.era)},
        {"known_era", std::to_string(event.known_era)},
-       {"stored_version", std::to_string(event.version)},
+       {"other_version", std::to_string(event.version)},
        {"version", routing_view_ ? std::to_string(routing_view_->Version()) : "none"},
        {"age_ms", routing_view_ ? MillisecondsText(ConfigurationAge(clock_.Now())) : "unknown"}});
+  // The one in force is out of date, however lately it was read.
+  if (event.what == store_event::kind::kNewerVersionNamed) {
+    configuration_current_at_ = time_point::min();
+  }
   if (event.what != store_event::kind::kRestored) return;
   registry_.OnSourceRestored();
   SendToGateways(EncodeStoreView(feed_->View()), true, clock_.Now());
--- a/tests/version/store/configuration_lineage_test.cc
+++ b/tests/version/store/configuration_lineage_test.cc
@@ -61,7 +61,7 @@
 BOOST_AUTO_TEST_CASE(a_version_that_another_process_names_is_waited_for) {
   configuration_lineage lineage({.named_version_lifetime = seconds(30)});
   lineage.OnStored(4, kStart);
-  lineage.OnNamed(7, kStart);
+  BOOST_TEST(lineage.OnNamed(7, kStart));
   BOOST_TEST(!lineage.ProvesCurrent(kStart + seconds(1), kStart + seconds(1)));
   lineage.OnNamed(5, kStart + seconds(1));
   BOOST_TEST(!lineage.ProvesCurrent(kStart + seconds(2), kStart + seconds(2)));
@@ -77,7 +77,7 @@
   lineage.OnStored(7, kStart);
   lineage.OnStoreRestored(kStart);
   lineage.OnStored(4, kStart);
-  lineage.OnNamed(7, kSettled + seconds(1));
+  BOOST_TEST(!lineage.OnNamed(7, kSettled + seconds(1)));
   BOOST_TEST(!lineage.ProvesCurrent(kSettled + seconds(1), kSettled + seconds(1)));
   BOOST_TEST(lineage.InForce() == 7U);
 }
