--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -42,19 +42,19 @@
   }
 };
 
-enum class order_kind : std::uint8_t { kPrepare, kHold, kArm, kGo };
+enum class order_kind : std::uint8_t { kPrepare, kHold, kArm, kGo, kDisarm };
 
 /// An order to a rank, usually the one beside this process.
 struct rank_order {
   order_kind kind = order_kind::kPrepare;
   std::uint32_t rank = 0;
   std::uint64_t epoch = 0;
-  std::uint64_t version = 0;  // kPrepare, kArm
+  std::uint64_t version = 0;  // kPrepare, kArm, kDisarm
   std::uint64_t step = 0;     // kHold, kArm, kGo
   auto operator<=>(const rank_order&) const = default;
 };
 
-/// What each companion tells the coordinator of its rank.
+/// What each companion reports of its rank to the process that leads a switch.
 struct member_state {
   std::uint64_t incarnation = 0;  // of the sender
   std::uint64_t heard = 0;        // incarnation of the coordinator that the sender follows
@@ -67,10 +67,16 @@
   std::uint64_t known = 0;     // the layout that the sender has been asked for and has; 0: not yet
   armed_map armed;             // version 0: none
   armed_map committed;         // an order to arm was sent; version 0: none
+  std::uint64_t held = 0;      // the engine does not begin this pass; 0: none
+  // The following are versions of maps; 0: none.
+  std::uint64_t announced = 0;  // this run of the sender has known of the switch since before it
+                                // was decided
+  std::uint64_t refused = 0;    // the rank is not armed for it and never will be
+  std::uint64_t sealed = 0;     // the sender will never refuse it
   template <class Archive>
   void serialize(Archive& archive) {
     archive(incarnation, heard, group, epoch, rank, step, mapping, prepared, known, armed,
-            committed);
+            committed, held, announced, refused, sealed);
   }
   auto operator<=>(const member_state&) const = default;
 };
@@ -79,21 +85,27 @@
   kIdle,
   kRecovering,  // a hold of an earlier coordinator was found
   kPreparing,   // the ranks copy experts
+  kAnnouncing,  // all companions confirm that they know of the switch
   kHolding,     // the coordinator stops the group before the step
-  kArming,      // the ranks are armed for the step
+  kArming,      // all ranks but the coordinator's are armed for the step
+  kSealing,     // a sealer rules out that the switch is undone; then the last rank is armed
   kReleasing,   // all are armed: the group goes on
+  kUndoing,     // ranks are disarmed, and the group goes on with the map in use
 };
 
-/// What the coordinator wants of the members.
+/// What the process that leads a switch wants of the members.
 struct switch_plan {
   std::uint64_t incarnation = 0;  // of the coordinator
   std::string group;
   std::uint64_t epoch = 0;
   switch_stage stage = switch_stage::kIdle;
   armed_map target;
+  std::uint64_t sequence = 0;  // of the coordinator's plans: datagrams may overtake each other
+  bool from_holder = false;    // sent by the holder in the place of the coordinator
+  bool is_sealed = false;      // some companion has sealed the switch, so it is not undone any more
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(incarnation, group, epoch, stage, target);
+    archive(incarnation, group, epoch, stage, target, sequence, from_holder, is_sealed);
   }
   auto operator<=>(const switch_plan&) const = default;
 };
@@ -112,24 +124,30 @@
   /// `silence` is so much longer by the factor of the group's size and this number, because the
   /// messages of a larger group take longer.
   std::uint32_t ranks_per_silence = 48;
-  /// The members hear of a hold so much earlier than the engine, so that the deputy knows of it.
-  duration announcement = std::chrono::milliseconds(6);
+  /// The holder gets the plan of a held group every 32 ms, so it notices a silent coordinator
+  /// after four lost messages.
+  duration coordinator_silence = std::chrono::milliseconds(150);
+  /// A switch whose hold cannot be placed, or that not all companions confirm, is given up.
+  duration longest_stage_before_arming = std::chrono::seconds(1);
 };
 
 /// Changes the map of a rank group so that no pass begins while two ranks have different maps.
 ///
-/// The companion of rank 0 coordinates. Its hold on its own rank stops the whole group before the
-/// step of the switch; only when the hold shows in the engine's report are the ranks armed, and
-/// only when every rank reports to be armed is the hold released. Orders may be lost, or carried
-/// out seconds later: every order names the epoch, takes effect only before its step begins, and
-/// is repeated until the engine's report shows its effect. Once an order to arm was sent nobody
-/// gives up; a new epoch ends everything. A coordinator that restarts finds its hold in the report
-/// and asks all members whether they are committed before it goes on.
+/// The companion of rank 0 coordinates. Once every companion has confirmed to know of the switch,
+/// it places a hold on the engine of the holder, rank 1, which stops the whole group before the
+/// step of the switch. Only when the holder reports the hold are the other ranks armed, then rank
+/// 0, and only when every rank reports to be armed does the holder release the group. Orders may be
+/// lost, or carried out seconds later: every order names the epoch, takes effect only before its
+/// step begins, and is repeated until a report shows its effect.
 ///
-/// A companion that falls silent while the group is held would stop the group. Its rank is then
-/// armed from afar, and if it is the coordinator, the companion of rank 1 carries the same switch
-/// to its end: who places the orders is of no importance, only that none is placed before its
-/// condition holds.
+/// The engine of a frozen instance answers nobody, so the process that stops the group and the
+/// engine that can release it are on different instances, and the rank of the first one is armed
+/// last. If the coordinator is silent, the holder undoes the switch: every other rank disarms and
+/// refuses the map from then on, and only when all have refused is the group released. Before rank
+/// 0 or a rank with a silent companion is armed, one of the sealers promises never to refuse, so
+/// that nobody can undo the switch any more; it is finished then, by the coordinator or by the
+/// holder. A companion that has restarted has forgotten what it had promised: it refuses and seals
+/// only what it has known of since before the decision, unless the coordinator wants to undo.
 class map_switch {
  public:
   map_switch(const map_switch_options& options, std::uint64_t incarnation)
@@ -141,17 +159,25 @@
   void OnPlan(const switch_plan& plan, time_point now);
   /// A report of another rank, read from afar.
   void OnRemoteStatus(std::uint32_t rank, const rank_status& status, time_point asked);
+  /// The engine has answered an order to this rank, so it will not be carried out later.
+  void OnOrderAnswered(const rank_order& order, time_point now);
   /// Ranks whose reports are wanted, because their companions are silent during a switch.
   std::vector<std::uint32_t> SilentRanks(time_point now) const;
   /// Ranks that are to prepare the target of the switch and have not got its layout.
   std::vector<std::uint32_t> RanksWithoutLayout() const;
   /// Ranks that have not yet reported the effect of a stage in which the group may be held. The
-  /// deputy is always among them, because it has to notice a silent coordinator.
+  /// holder is always among them, because it has to notice a silent coordinator.
   std::vector<std::uint32_t> RanksAwaited() const;
   /// The layout of `version` has been received completely.
   void OnLayoutKnown(std::uint64_t version);
 
   bool IsCoordinator() const;
+  /// Whether the hold of a switch is placed on the engine of this rank.
+  bool IsHolder() const { return status_ && IsHolderRank(status_->rank); }
+  /// Whether this process ends a switch in the place of the coordinator.
+  bool LeadsAsHolder() const { return duty_ != holder_duty::kNone; }
+  /// Rank of the holder in a group of this size: the coordinator's own if there is no other.
+  static constexpr std::uint32_t HolderRank(std::uint32_t size) { return size > 1 ? 1 : 0; }
   /// All ranks are heard, agree on the map in use, and nothing is under way.
   bool CanBegin(time_point now) const;
   /// Begins a change to the map of this version. Coordinator only.
@@ -169,29 +195,55 @@
   const std::optional<rank_status>& Status() const { return status_; }
   /// For the coordinator; nothing while the rank is in no group.
   std::optional<member_state> State() const;
-  /// For the members; only from the coordinator and its deputy.
+  /// For the members; only from the coordinator, and from the holder while it leads.
   std::optional<switch_plan> Plan() const;
   std::uint64_t Finished() const { return finished_; }
+  /// Switches that this process has ended without a new map after the group was stopped.
+  std::uint64_t Undone() const { return undone_; }
 
  private:
   struct member {
     member_state state;
     time_point at;      // of the newest news
     time_point direct;  // of the newest news from its companion
-    bool held = false;  // for rank 0: the report shows the hold of the switch
   };
+  /// How the holder ends a switch whose coordinator is silent or has restarted.
+  enum class holder_duty : std::uint8_t { kNone, kUndo, kFinish };
 
   void Reset();
   duration Silence() const;
+  duration CoordinatorSilence() const;
+  bool IsHolderRank(std::uint32_t rank) const { return rank == HolderRank(status_->size); }
   bool AllFresh(time_point now) const;
   template <typename Condition>
   bool AllMembers(time_point now, Condition condition) const;
+  /// The member state of the holder; its own if this process is the holder.
+  std::optional<member_state> HolderState() const;
+  /// The map and step that this process wants the ranks to be armed for.
+  const armed_map& Target() const;
+  bool IsArmed(const member_state& state) const;
+  bool IsArmed(const rank_status& status) const;
+  bool AreAllArmed(time_point now) const;
+  /// A few companions besides the coordinator's; one of them is enough.
+  static constexpr std::uint32_t kLastSealer = 2;
+  bool IsSealedByAny(std::uint64_t version) const;
+  /// Whether this process arms ranks whose companions do not do it.
+  bool MayArmFromAfar() const;
+  bool IsUnattended(std::uint32_t rank, const member& member, time_point now) const;
   void AdvanceCoordinator(time_point now, std::vector<rank_order>& orders);
   void AdvanceRecovery(time_point now, std::vector<rank_order>& orders);
+  void AdvanceUndoing(time_point now, std::vector<rank_order>& orders);
+  void AdvanceReleasing(time_point now, std::vector<rank_order>& orders);
+  void AdvanceHolder(time_point now, std::vector<rank_order>& orders);
+  void BeginDuty(std::uint64_t step, time_point now);
   void AdvanceMember(time_point now, std::vector<rank_order>& orders);
-  void AdvanceDeputy(time_point now, std::vector<rank_order>& orders);
-  void ArmSilentRanks(time_point now, std::vector<rank_order>& orders);
-  bool IsArmed(std::uint64_t mapping, const armed_map& armed) const;
+  void Arm(const armed_map& target, time_point now, std::vector<rank_order>& orders);
+  void Refuse(std::uint64_t version, time_point now, std::vector<rank_order>& orders);
+  void Seal(std::uint64_t version);
+  /// Whether this rank is not armed and no order to arm it can still arrive at its engine.
+  bool IsSurelyUnarmed() const;
+  void ArmFromAfar(time_point now, std::vector<rank_order>& orders);
+  void Release(std::uint64_t step, time_point now, std::vector<rank_order>& orders);
   void Order(const rank_order& order, duration pause, time_point now,
              std::vector<rank_order>& orders);
   void Enter(switch_stage stage, time_point now);
@@ -208,18 +260,33 @@
   switch_stage stage_ = switch_stage::kIdle;
   time_point stage_since_;
   armed_map target_;
-  std::uint64_t released_to_ = 0;  // holds up to this step may be released
+  std::uint64_t sequence_ = 0;
+  std::uint64_t holder_incarnation_ = 0;  // that has confirmed the announcement
+  bool is_sealed_ = false;                // rank 0 and silent ranks may be armed
+  std::uint64_t released_to_ = 0;         // holds up to this step may be released
   std::uint64_t finished_ = 0;
+  std::uint64_t undone_ = 0;
 
   // Member, which the coordinator is too.
   std::uint64_t followed_ = 0;           // incarnation of the coordinator
   std::set<std::uint64_t> left_behind_;  // coordinators of before
   std::optional<switch_plan> plan_;
-  time_point plan_at_;
-  bool deputising_ = false;
   std::optional<armed_map> committed_;
+  std::uint32_t open_arm_orders_ = 0;  // to this rank, not answered
+  time_point last_arm_answer_;
+  std::uint64_t announced_ = 0;
+  std::uint64_t refused_ = 0;
   std::set<std::uint64_t> known_layouts_;
   std::uint64_t highest_version_ = 0;
+
+  // Holder.
+  std::optional<switch_plan> coordinator_plan_;  // the latest
+  time_point coordinator_plan_at_;
+  std::uint64_t announced_by_ = 0;  // incarnation of the coordinator
+  std::uint64_t sealed_ = 0;
+  holder_duty duty_ = holder_duty::kNone;
+  time_point duty_since_;
+  armed_map duty_target_;
 };
 
 }  // namespace berylbarrow
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -212,6 +212,7 @@
                    {"rank", std::to_string(status->rank.rank)}});
     ranks_.clear();
     coordinator_address_.reset();
+    leading_holder_.reset();
     next_discovery_ = time_point::min();
     relay_address_.reset();
     layout_plan_.reset();
@@ -282,12 +283,11 @@
       return entry.second.engine_call_pending;
     });
     if (pending >= kMaxSilentRankCalls) return;
-    if (!peer.engine_caller) {
-      peer.engine_caller =
-          std::make_unique<http_caller>(context_, peer.engine_address, kOrderTimeout, clock_);
+    if (!std::exchange(peer.is_stood_in_for, true)) {
       logger::Event(log_level::kWarning, "engine", "rank_stood_in_for",
                     {{"rank", std::to_string(rank)}});
     }
+    RemoteEngine(rank);
     peer.engine_call_pending = true;
     peer.engine_caller->Call(dialect_.StatusCall(), [this, rank, now](const http_result& result) {
       if (const auto called = ranks_.find(rank); called != ranks_.end()) {
@@ -299,17 +299,27 @@
   }
 }
 
+http_caller* companion::RemoteEngine(std::uint32_t rank) {
+  const auto found = ranks_.find(rank);
+  if (found == ranks_.end() || found->second.engine_address.empty()) return nullptr;
+  peer_rank& peer = found->second;
+  if (!peer.engine_caller) {
+    peer.engine_caller =
+        std::make_unique<http_caller>(context_, peer.engine_address, kOrderTimeout, clock_);
+  }
+  return peer.engine_caller.get();
+}
+
 void companion::SendOrder(const rank_order& order) {
   const bool is_prepare = order.kind == order_kind::kPrepare;
   http_caller* caller = &order_caller_;
   if (order.rank != switch_.Status()->rank) {
-    const auto found_rank = ranks_.find(order.rank);
-    if (found_rank == ranks_.end() || !found_rank->second.engine_caller) return;
-    caller = found_rank->second.engine_caller.get();
+    caller = RemoteEngine(order.rank);
+    if (caller == nullptr) return;
   }
   metrics_.Count("orders", {});
   caller->Call(dialect_.OrderCall(order, is_prepare ? &target_->layout : nullptr),
-               [order](const http_result& result) {
+               [this, order](const http_result& result) {
                  logger::Event(log_level::kInfo, "engine", "order_answered",
                                {{"order", std::to_string(static_cast<int>(order.kind))},
                                 {"rank", std::to_string(order.rank)},
@@ -317,6 +327,11 @@
                                 {"step", std::to_string(order.step)},
                                 {"epoch", std::to_string(order.epoch)},
                                 {"status", std::to_string(result.status)}});
+                 if (result.status == 0) return;
+                 const time_point now = clock_.Now();
+                 switch_.OnOrderAnswered(order, now);
+                 // The others wait for the effect to show in this rank's report.
+                 if (switch_.MayBeHeld()) PollEngine(now);
                });
 }
 
@@ -330,6 +345,19 @@
     finished_switches_ = switch_.Finished();
     metrics_.Count("map_switches", {});
   }
+  if (switch_.Undone() != undone_switches_) {
+    undone_switches_ = switch_.Undone();
+    metrics_.Count("map_switches_undone", {});
+  }
+  if (switch_.LeadsAsHolder() != led_as_holder_) {
+    led_as_holder_ = switch_.LeadsAsHolder();
+    const auto plan = switch_.Plan();
+    logger::Event(log_level::kWarning, "engine",
+                  led_as_holder_ ? "holder_ends_switch" : "holder_ended_switch",
+                  {{"version", std::to_string(plan ? plan->target.version : 0)},
+                   {"step", std::to_string(status_ ? status_->rank.step : 0)}});
+    next_plan_ = now;
+  }
   if (switch_.Stage() != last_stage_) {
     last_stage_ = switch_.Stage();
     next_plan_ = now;
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -50,8 +50,9 @@
   struct peer_rank {
     endpoint address;
     std::string engine_address;
-    std::unique_ptr<http_caller> engine_caller;  // used while its companion is silent
+    std::unique_ptr<http_caller> engine_caller;  // for orders, and while its companion is silent
     bool engine_call_pending = false;
+    bool is_stood_in_for = false;  // logged
     std::uint64_t epoch = 0;
     std::uint64_t lists_version = 0;
     std::optional<rank_layout> lists;  // of this rank only, as a layout of one rank
@@ -86,6 +87,8 @@
   void PollSilentRanks(time_point now);
   /// Sends an order to the engine of its rank; a prepare order needs the complete `target_`.
   void SendOrder(const rank_order& order);
+  /// Sends orders to the engine of another rank; nullptr if its address is not known.
+  http_caller* RemoteEngine(std::uint32_t rank);
   void FetchProfile(time_point now);
   void SendDueOrders(time_point now);
   void OnDatagram(std::string_view datagram, const endpoint& from);
@@ -93,6 +96,9 @@
   /// asks for it.
   void OnCrashDigest(const crash_digest& digest, const endpoint& from);
   void OnRankMessage(const rank_message& message, const endpoint& from);
+  void OnAddresses(const std::vector<rank_address>& addresses);
+  /// Sends the holder the addresses of all ranks, as long as it does not know them.
+  void SendAddresses(time_point now);
   void OnTargetLayout(const layout_part& part, time_point now);
   void OnTargetDelta(const layout_delta& part, time_point now);
   /// Ranks that this process passes a new target layout on to.
@@ -165,6 +171,7 @@
   expert_load long_term_load_;     // long-term average of the group's load
   std::map<std::uint32_t, peer_rank> ranks_;  // by rank, without this one
   std::optional<endpoint> coordinator_address_;
+  std::optional<endpoint> leading_holder_;      // ends a switch in the place of the coordinator
   std::optional<endpoint> relay_address_;       // takes the load of this rank
   std::optional<switch_plan> layout_plan_;      // with which the target layout arrived
   std::vector<std::uint32_t> unrelayed_ranks_;  // have still to be sent `target_` by this process
@@ -177,6 +184,8 @@
   std::optional<switch_plan> last_sent_plan_;
   std::uint64_t heartbeat_sequence_ = 0;
   std::uint64_t finished_switches_ = 0;  // counted in the metrics
+  std::uint64_t undone_switches_ = 0;    // counted in the metrics
+  bool led_as_holder_ = false;           // at the last look
   bool status_call_pending_ = false;
   bool counts_call_pending_ = false;
   bool lists_call_pending_ = false;
@@ -194,6 +203,7 @@
   time_point next_plan_ = time_point::min();
   time_point next_awaited_plan_ = time_point::min();
   time_point next_evaluation_ = time_point::min();
+  time_point next_addresses_ = time_point::min();
   switch_stage last_stage_ = switch_stage::kIdle;
 };
 
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -31,7 +31,9 @@
 constexpr std::uint32_t kRanksPerPlanResend = 8;
 // A relay has passed a layout on to its ranks within this time.
 constexpr duration kRelayTime = milliseconds(150);
-constexpr std::uint32_t kDeputyRank = 1;
+constexpr duration kAddressesInterval = milliseconds(500);
+// Addresses that fit into one datagram.
+constexpr std::size_t kAddressesPerMessage = 18;
 
 std::size_t TotalSize(const std::vector<std::string>& datagrams) {
   return std::accumulate(
@@ -88,7 +90,12 @@
 
 void companion::OnPlan(const rank_message& message, const endpoint& from, time_point now) {
   const switch_plan& plan = message.plan.front();
-  if (!message.relayed) {
+  if (plan.from_holder) {
+    if (switch_.IsCoordinator()) return;
+    leading_holder_ = from;
+    next_state_ = now;
+  } else if (!message.relayed) {
+    leading_holder_.reset();
     coordinator_address_ = from;
     if (message.target_layout.empty() && message.target_delta.empty()) {
       relay_address_.reset();
@@ -98,6 +105,7 @@
     }
   }
   switch_.OnPlan(plan, now);
+  OnAddresses(message.addresses);
   for (const layout_part& part : message.target_layout) OnTargetLayout(part, now);
   for (const layout_delta& part : message.target_delta) OnTargetDelta(part, now);
   if (!message.target_layout.empty() || !message.target_delta.empty()) layout_plan_ = plan;
@@ -106,6 +114,39 @@
   SendState(now);
 }
 
+void companion::OnAddresses(const std::vector<rank_address>& addresses) {
+  for (const rank_address& each : addresses) {
+    if (each.rank >= GroupSize() || each.rank == status_->rank.rank) continue;
+    peer_rank& peer = ranks_[each.rank];
+    peer.epoch = status_->rank.epoch;
+    peer.address = ParseUdpEndpoint(each.companion);
+    if (!each.engine.empty()) peer.engine_address = each.engine;
+  }
+}
+
+void companion::SendAddresses(time_point now) {
+  const std::uint32_t holder = map_switch::HolderRank(GroupSize());
+  const auto receiver = ranks_.find(holder);
+  const bool is_wanted =
+      switch_.IsCoordinator() && switch_.Stage() != switch_stage::kIdle && receiver != ranks_.end();
+  if (!is_wanted || now < next_addresses_) return;
+  next_addresses_ = now + kAddressesInterval;
+  const auto plan = switch_.Plan();
+  rank_message message{.plan = {*plan}};
+  const auto flush = [&] {
+    if (message.addresses.empty()) return;
+    Send(EncodeRankMessage(message), receiver->second.address);
+    message.addresses.clear();
+  };
+  for (const auto& [rank, peer] : ranks_) {
+    if (rank == holder) continue;
+    message.addresses.push_back(
+        {.rank = rank, .companion = EndpointText(peer.address), .engine = peer.engine_address});
+    if (message.addresses.size() >= kAddressesPerMessage) flush();
+  }
+  flush();
+}
+
 void companion::OnTargetLayout(const layout_part& part, time_point now) {
   const auto shape = Shape();
   if (!shape || switch_.IsCoordinator()) return;
@@ -209,6 +250,7 @@
   rank_message message{.state = {*state}, .engine_address = settings_.upstream_address};
   if (!coordinator_address_ && state->rank != 0) FindCoordinator(message, now);
   if (state->rank == 0 || !coordinator_address_) return;
+  if (leading_holder_) Send(EncodeRankMessage(message), *leading_holder_);
   // During a switch of a large group the links are left to its messages.
   const bool is_load_paused = IsLargeGroup() && switch_.IsActive();
   const bool is_load_due = status_ && now >= next_load_ && !is_load_paused;
@@ -288,6 +330,7 @@
   const auto plan = switch_.Plan();
   if (!plan) return;
   SendLayout(*plan, now);
+  SendAddresses(now);
   const rank_message announcement{.plan = {*plan}};
   const std::uint32_t size = GroupSize();
   if (now < next_plan_ && plan == last_sent_plan_) {
@@ -323,9 +366,8 @@
   for (const std::uint32_t rank : ranks) {
     const auto receiver = ranks_.find(rank);
     if (receiver == ranks_.end()) continue;
-    if (rank == kDeputyRank && switch_.IsCoordinator()) {
-      // The deputy gets the address of the coordinator's engine, for a switch that it has to
-      // finish.
+    if (rank == map_switch::HolderRank(GroupSize()) && switch_.IsCoordinator()) {
+      // The holder gets the address of the coordinator's engine, for a switch that it has to end.
       rank_message message = announcement;
       message.state = {*switch_.State()};
       message.engine_address = settings_.upstream_address;
--- a/src/process/companion/rank_message.h
+++ b/src/process/companion/rank_message.h
@@ -67,8 +67,20 @@
   auto operator<=>(const covered_rank&) const = default;
 };
 
-/// One datagram between the companions of a rank group. Each list but `covered` holds at most one
-/// item.
+/// Where the processes of a rank are found.
+struct rank_address {
+  std::uint32_t rank = 0;
+  std::string companion;
+  std::string engine;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(rank, companion, engine);
+  }
+  auto operator<=>(const rank_address&) const = default;
+};
+
+/// One datagram between the companions of a rank group. Each list but `covered` and `addresses`
+/// holds at most one item.
 struct rank_message {
   std::vector<member_state> state;
   std::vector<switch_plan> plan;
@@ -80,10 +92,11 @@
   std::string engine_address;  // engine of the sender's rank; may be empty
   std::string relay_address;   // where the receiver is to send its load; empty: to the coordinator
   bool relayed = false;        // sent by a relay in the place of the coordinator
+  std::vector<rank_address> addresses;  // for the holder, which may have to end a switch
   template <class Archive>
   void serialize(Archive& archive) {
     archive(state, plan, target_layout, target_delta, sender_lists, sender_load, covered,
-            engine_address, relay_address, relayed);
+            engine_address, relay_address, relayed, addresses);
   }
   auto operator<=>(const rank_message&) const = default;
 };
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -5,9 +5,11 @@
 namespace berylbarrow {
 namespace {
 
+/// Whether the group may be held in this stage.
 bool IsHeldStage(switch_stage stage) {
   return stage == switch_stage::kHolding || stage == switch_stage::kArming ||
-         stage == switch_stage::kReleasing;
+         stage == switch_stage::kSealing || stage == switch_stage::kReleasing ||
+         stage == switch_stage::kUndoing;
 }
 
 }  // namespace
@@ -17,11 +19,17 @@
   sent_.clear();
   stage_ = switch_stage::kIdle;
   target_ = {};
+  is_sealed_ = false;
   released_to_ = 0;
   plan_.reset();
   committed_.reset();
+  open_arm_orders_ = 0;
+  announced_ = 0;
+  refused_ = 0;
   known_layouts_.clear();
-  deputising_ = false;
+  coordinator_plan_.reset();
+  sealed_ = 0;
+  duty_ = holder_duty::kNone;
 }
 
 void map_switch::OnStatus(const rank_status& status, time_point asked) {
@@ -31,7 +39,10 @@
   highest_version_ = std::max({highest_version_, status.mapping, status.prepared.value_or(0),
                                status.armed ? status.armed->version : 0});
   // The pass has begun: what the rank was armed for is in use, or can no longer come into use.
-  if (committed_ && status.step >= committed_->step && !status.armed) committed_.reset();
+  if (committed_ && status.step >= committed_->step && !status.armed) {
+    committed_.reset();
+    open_arm_orders_ = 0;
+  }
   if (status.armed && !committed_) committed_ = *status.armed;
 }
 
@@ -48,13 +59,25 @@
 
 void map_switch::OnPlan(const switch_plan& plan, time_point now) {
   if (!status_ || plan.group != status_->group || plan.epoch != status_->epoch) return;
-  if (IsCoordinator() && plan.incarnation != incarnation_) return;
   if (left_behind_.count(plan.incarnation) > 0) return;
+  if (plan.from_holder) {
+    if (IsCoordinator() || IsHolder()) return;
+  } else {
+    if (IsCoordinator() && plan.incarnation != incarnation_) return;
+    const bool is_overtaken = coordinator_plan_ &&
+                              coordinator_plan_->incarnation == plan.incarnation &&
+                              coordinator_plan_->sequence > plan.sequence;
+    if (is_overtaken) return;
+    coordinator_plan_ = plan;
+    coordinator_plan_at_ = now;
+    if (plan.stage == switch_stage::kAnnouncing) {
+      announced_ = plan.target.version;
+      announced_by_ = plan.incarnation;
+    }
+  }
   if (followed_ != 0 && followed_ != plan.incarnation) left_behind_.insert(followed_);
   followed_ = plan.incarnation;
   plan_ = plan;
-  plan_at_ = now;
-  deputising_ = false;
 }
 
 void map_switch::OnRemoteStatus(std::uint32_t rank, const rank_status& status, time_point asked) {
@@ -68,25 +91,77 @@
   known.state.mapping = status.mapping;
   known.state.prepared = status.prepared.value_or(0);
   known.state.armed = status.armed.value_or(armed_map{});
+  known.state.held = status.held.value_or(0);
   known.state.heard = followed_;
   known.at = std::max(known.at, asked);
-  known.held = status.held && plan_ && *status.held == plan_->target.step;
+}
+
+void map_switch::OnOrderAnswered(const rank_order& order, time_point now) {
+  if (!status_ || order.kind != order_kind::kArm || order.rank != status_->rank) return;
+  if (order.epoch != status_->epoch || open_arm_orders_ == 0) return;
+  --open_arm_orders_;
+  last_arm_answer_ = now;
+}
+
+duration map_switch::CoordinatorSilence() const {
+  return options_.coordinator_silence * std::max(1U, status_->size / options_.ranks_per_silence);
 }
 
 duration map_switch::Silence() const {
   return options_.silence * std::max(1U, status_->size / options_.ranks_per_silence);
 }
 
+const armed_map& map_switch::Target() const {
+  return duty_ == holder_duty::kNone ? target_ : duty_target_;
+}
+
+bool map_switch::IsArmed(const member_state& state) const {
+  return state.mapping == Target().version || state.armed == Target();
+}
+
+bool map_switch::IsArmed(const rank_status& status) const {
+  return status.mapping == Target().version || status.armed == Target();
+}
+
+bool map_switch::AreAllArmed(time_point now) const {
+  return IsArmed(*status_) &&
+         AllMembers(now, [&](const member_state& state) { return IsArmed(state); });
+}
+
+bool map_switch::IsSealedByAny(std::uint64_t version) const {
+  return sealed_ == version || std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+           return each.second.state.sealed == version;
+         });
+}
+
+bool map_switch::MayArmFromAfar() const {
+  if (duty_ == holder_duty::kFinish) return true;
+  return IsCoordinator() && stage_ == switch_stage::kSealing && is_sealed_;
+}
+
+bool map_switch::IsUnattended(std::uint32_t rank, const member& member, time_point now) const {
+  if (IsArmed(member.state)) return false;
+  if (rank == 0) return duty_ == holder_duty::kFinish;
+  if (member.state.announced != Target().version) return true;
+  const bool is_new_to_holder = duty_ != holder_duty::kNone && now - duty_since_ <= Silence() / 2;
+  return now - member.direct > Silence() && !is_new_to_holder;
+}
+
 std::vector<std::uint32_t> map_switch::SilentRanks(time_point now) const {
   std::vector<std::uint32_t> silent;
-  const bool arming = deputising_ || (IsCoordinator() && stage_ == switch_stage::kArming);
-  if (!arming) return silent;
-  for (const auto& [rank, each] : members_) {
-    // Of an armed rank it only has to be known that it still is. The deputy also has to see the
-    // hold on rank 0.
-    const bool is_settled = rank != 0 && IsArmed(each.state.mapping, each.state.armed) &&
-                            now - each.at <= options_.member_lifetime / 2;
-    if (now - each.direct > Silence() && !is_settled) silent.push_back(rank);
+  const bool is_arming =
+      IsCoordinator() && (stage_ == switch_stage::kArming || stage_ == switch_stage::kSealing);
+  const bool is_holding = IsCoordinator() && stage_ == switch_stage::kHolding;
+  if (!is_arming && !is_holding && duty_ != holder_duty::kFinish) return silent;
+  static const member kUnknown;
+  for (std::uint32_t rank = 0; rank < status_->size; ++rank) {
+    if (rank == status_->rank || (is_holding && !IsHolderRank(rank))) continue;
+    const auto found = members_.find(rank);
+    const member& each = found == members_.end() ? kUnknown : found->second;
+    // Of an armed rank it only has to be known that it still is.
+    const bool is_settled = IsArmed(each.state) && now - each.at <= options_.member_lifetime / 2;
+    const bool is_silent = now - each.direct > Silence() && !is_settled;
+    if (is_silent || (!is_holding && IsUnattended(rank, each, now))) silent.push_back(rank);
   }
   return silent;
 }
@@ -105,13 +180,31 @@
 
 std::vector<std::uint32_t> map_switch::RanksAwaited() const {
   std::vector<std::uint32_t> awaited;
-  if (!IsCoordinator() || !IsHeldStage(stage_)) return awaited;
-  for (const auto& [rank, each] : members_) {
-    const member_state& state = each.state;
-    const bool is_lacking =
-        (stage_ == switch_stage::kArming && !IsArmed(state.mapping, state.armed)) ||
-        (stage_ == switch_stage::kReleasing && state.mapping != target_.version);
-    if (rank == 1 || is_lacking) awaited.push_back(rank);
+  const auto plan = Plan();
+  if (!plan || (!IsHeldStage(plan->stage) && plan->stage != switch_stage::kAnnouncing)) {
+    return awaited;
+  }
+  const auto is_lacking = [&](const member_state& state) {
+    switch (plan->stage) {
+      case switch_stage::kAnnouncing:
+        return state.announced != plan->target.version;
+      case switch_stage::kArming:
+      case switch_stage::kSealing:
+        return !IsArmed(state);
+      case switch_stage::kReleasing:
+        return state.mapping != plan->target.version;
+      case switch_stage::kUndoing:
+        return state.refused != plan->target.version;
+      default:
+        return false;
+    }
+  };
+  for (std::uint32_t rank = 0; rank < status_->size; ++rank) {
+    if (rank == status_->rank) continue;
+    const auto found = members_.find(rank);
+    if (IsHolderRank(rank) || found == members_.end() || is_lacking(found->second.state)) {
+      awaited.push_back(rank);
+    }
   }
   return awaited;
 }
@@ -125,13 +218,16 @@
 bool map_switch::IsActive() const {
   const bool planned = plan_ && plan_->stage != switch_stage::kIdle;
   return stage_ != switch_stage::kIdle || planned || committed_.has_value() ||
-         (status_ && status_->held);
+         duty_ != holder_duty::kNone || (status_ && status_->held);
 }
 
 bool map_switch::MayBeHeld() const {
-  const bool is_planned = plan_ && IsHeldStage(plan_->stage);
-  return IsHeldStage(stage_) || stage_ == switch_stage::kRecovering || is_planned ||
-         committed_.has_value() || (status_ && status_->held);
+  const auto may_be_held = [](switch_stage stage) {
+    return IsHeldStage(stage) || stage == switch_stage::kRecovering ||
+           stage == switch_stage::kAnnouncing;
+  };
+  return may_be_held(stage_) || (plan_ && may_be_held(plan_->stage)) || committed_.has_value() ||
+         duty_ != holder_duty::kNone || (status_ && status_->held);
 }
 
 bool map_switch::AllFresh(time_point now) const {
@@ -153,26 +249,34 @@
   if (status_->held || status_->armed || committed_) return false;
   return AllMembers(now, [&](const member_state& state) {
     return state.mapping == status_->mapping && state.armed.version == 0 &&
-           state.committed.version == 0;
+           state.committed.version == 0 && state.held == 0;
   });
 }
 
+std::optional<member_state> map_switch::HolderState() const {
+  if (IsHolder()) return State();
+  const auto found = members_.find(HolderRank(status_->size));
+  return found == members_.end() ? std::nullopt : std::optional(found->second.state);
+}
+
 void map_switch::Enter(switch_stage stage, time_point now) {
   stage_ = stage;
   stage_since_ = now;
+  ++sequence_;
 }
 
 void map_switch::Begin(std::uint64_t version, time_point now) {
   target_ = {.version = version, .step = 0};
+  is_sealed_ = false;
   highest_version_ = std::max(highest_version_, version);
   Enter(switch_stage::kPreparing, now);
 }
 
 void map_switch::ChooseStep() {
-  std::uint64_t latest = status_->step;
+  std::uint64_t latest = std::max({status_->step, target_.step, released_to_});
   for (const auto& [rank, each] : members_) latest = std::max(latest, each.state.step);
-  target_.step = std::max(latest, target_.step) + options_.lead_steps +
-                 status_->size / options_.ranks_per_lead_step;
+  target_.step = latest + options_.lead_steps + status_->size / options_.ranks_per_lead_step;
+  ++sequence_;
 }
 
 void map_switch::Order(const rank_order& order, duration pause, time_point now,
@@ -186,38 +290,80 @@
   orders.push_back(order);
 }
 
+void map_switch::Release(std::uint64_t step, time_point now, std::vector<rank_order>& orders) {
+  released_to_ = std::max(released_to_, step);
+  Order({.kind = order_kind::kGo,
+         .rank = HolderRank(status_->size),
+         .epoch = status_->epoch,
+         .step = step},
+        options_.resend_after, now, orders);
+}
+
 void map_switch::AdvanceRecovery(time_point now, std::vector<rank_order>& orders) {
-  const std::uint64_t held = *status_->held;
+  const auto holder = HolderState();
+  if (!holder || holder->held == 0) return Enter(switch_stage::kIdle, now);
   if (!AllMembers(now, [](const member_state&) { return true; })) return;
   std::optional<armed_map> committed = committed_;
   for (const auto& [rank, each] : members_) {
     if (each.state.committed.version != 0) committed = each.state.committed;
+    if (each.state.armed.version != 0) committed = each.state.armed;
+  }
+  if (!committed || committed->step < holder->held) return Release(holder->held, now, orders);
+  target_ = *committed;
+  // Rank 0 may have been armed only if somebody has sealed the switch.
+  is_sealed_ = IsSealedByAny(target_.version);
+  Enter(is_sealed_ ? switch_stage::kSealing : switch_stage::kUndoing, now);
+}
+
+void map_switch::AdvanceUndoing(time_point now, std::vector<rank_order>& orders) {
+  if (IsSealedByAny(target_.version)) {
+    is_sealed_ = true;
+    return Enter(switch_stage::kSealing, now);
   }
-  if (committed && committed->step >= held) {
-    target_ = *committed;
-    Enter(switch_stage::kArming, now);
+  const auto holder = HolderState();
+  const bool has_begun = status_->step >= target_.step && !status_->armed;
+  const bool is_refused = IsSurelyUnarmed() && AllMembers(now, [&](const member_state& state) {
+                            return state.refused == target_.version;
+                          });
+  if (!is_refused && !has_begun) return;
+  if (holder && holder->held != 0 && holder->held <= target_.step) {
+    // The pass begins at once then, which leaves no time for an order of a companion that has
+    // ended.
+    if (status_->step + 1 >= holder->held) Release(holder->held, now, orders);
     return;
   }
-  released_to_ = std::max(released_to_, held);
-  Order({.kind = order_kind::kGo, .rank = status_->rank, .epoch = status_->epoch, .step = held},
-        options_.resend_after, now, orders);
+  released_to_ = std::max(released_to_, target_.step);
+  ++undone_;
+  Enter(switch_stage::kIdle, now);
+}
+
+void map_switch::AdvanceReleasing(time_point now, std::vector<rank_order>& orders) {
+  const auto holder = HolderState();
+  const bool is_held = holder && holder->held != 0 && holder->held <= released_to_;
+  // The holder releases the group itself. This is for a holder whose companion has ended.
+  const bool is_overdue = now - stage_since_ > options_.resend_after;
+  if (is_held && (IsHolder() || is_overdue)) return Release(holder->held, now, orders);
+  const bool is_used =
+      status_->mapping == target_.version &&
+      AllMembers(now, [&](const member_state& state) { return state.mapping == target_.version; });
+  if (!is_used) return;
+  ++finished_;
+  Enter(switch_stage::kIdle, now);
 }
 
 void map_switch::AdvanceCoordinator(time_point now, std::vector<rank_order>& orders) {
   const rank_status& own = *status_;
-  const auto go = [&](std::uint64_t step) {
-    Order({.kind = order_kind::kGo, .rank = own.rank, .epoch = own.epoch, .step = step},
-          options_.resend_after, now, orders);
-  };
+  const auto holder = HolderState();
+  const bool is_holder_the_same =
+      IsHolder() || (holder && holder->incarnation == holder_incarnation_);
+  const bool is_refused = !IsHolder() && holder && holder->refused == target_.version;
   switch (stage_) {
     case switch_stage::kIdle:
-      if (!own.held) return;
+      if (!holder || holder->held == 0) return;
       // An order of before may be carried out late.
-      if (*own.held <= released_to_) return go(*own.held);
-      Enter(switch_stage::kRecovering, now);
-      return;
+      if (holder->held <= released_to_) return Release(holder->held, now, orders);
+      return Enter(switch_stage::kRecovering, now);
     case switch_stage::kRecovering:
-      if (!own.held) return Enter(switch_stage::kIdle, now);
       return AdvanceRecovery(now, orders);
     case switch_stage::kPreparing: {
       const bool ready =
@@ -225,128 +371,235 @@
             return state.prepared == target_.version;
           });
       if (ready) {
-        ChooseStep();
-        Enter(switch_stage::kHolding, now);
+        Enter(switch_stage::kAnnouncing, now);
       } else if (now - stage_since_ > options_.longest_prepare) {
         Enter(switch_stage::kIdle, now);  // nobody holds, nobody is armed
       }
       return;
     }
-    case switch_stage::kHolding:
-      if (own.held == target_.step && own.step < target_.step) {
-        Enter(switch_stage::kArming, now);
-        return;
-      }
-      // The pass has begun, so that the hold cannot take effect any more.
-      if (own.step >= target_.step) {
+    case switch_stage::kAnnouncing:
+      if (AllMembers(
+              now, [&](const member_state& state) { return state.announced == target_.version; })) {
+        holder_incarnation_ = holder->incarnation;
         ChooseStep();
         Enter(switch_stage::kHolding, now);
+      } else if (now - stage_since_ > options_.longest_stage_before_arming) {
+        Enter(switch_stage::kIdle, now);  // nobody holds, nobody is armed
+      }
+      return;
+    case switch_stage::kHolding:
+      if (is_refused || !is_holder_the_same) return Enter(switch_stage::kUndoing, now);
+      if (holder->held == target_.step && holder->step < target_.step && own.step < target_.step) {
+        return Enter(switch_stage::kArming, now);
       }
-      if (now - stage_since_ < options_.announcement) return;
-      if (own.held && *own.held <= released_to_) go(*own.held);
-      Order({.kind = order_kind::kHold, .rank = own.rank, .epoch = own.epoch, .step = target_.step},
+      if (now - stage_since_ > options_.longest_stage_before_arming) {
+        return Enter(switch_stage::kUndoing, now);
+      }
+      // The pass has begun, so that the hold cannot take effect any more.
+      if (own.step >= target_.step) ChooseStep();
+      Order({.kind = order_kind::kHold,
+             .rank = HolderRank(own.size),
+             .epoch = own.epoch,
+             .step = target_.step},
             options_.resend_after, now, orders);
       return;
     case switch_stage::kArming: {
-      ArmSilentRanks(now, orders);
-      const bool all = IsArmed(own.mapping, own.armed.value_or(armed_map{})) &&
-                       AllMembers(now, [&](const member_state& state) {
-                         return IsArmed(state.mapping, state.armed);
-                       });
-      if (!all) return;
-      released_to_ = target_.step;
-      Enter(switch_stage::kReleasing, now);
-      return go(target_.step);
-    }
-    case switch_stage::kReleasing: {
-      if (own.held && *own.held <= released_to_) return go(*own.held);
-      const bool used =
-          own.mapping == target_.version && AllMembers(now, [&](const member_state& state) {
-            return state.mapping == target_.version;
-          });
-      if (!used) return;
-      ++finished_;
-      Enter(switch_stage::kIdle, now);
+      if (is_refused || !is_holder_the_same) return Enter(switch_stage::kUndoing, now);
+      const bool others_armed =
+          AllMembers(now, [&](const member_state& state) { return IsArmed(state); });
+      const bool is_unattended = std::any_of(
+          members_.begin(), members_.end(),
+          [&](const auto& entry) { return IsUnattended(entry.first, entry.second, now); });
+      if (others_armed || is_unattended) Enter(switch_stage::kSealing, now);
       return;
     }
+    case switch_stage::kSealing:
+      if (!is_sealed_) {
+        if (IsSealedByAny(target_.version) || IsHolder()) {
+          is_sealed_ = true;
+          ++sequence_;
+        } else if (is_refused || !is_holder_the_same) {
+          Enter(switch_stage::kUndoing, now);
+        }
+        return;
+      }
+      ArmFromAfar(now, orders);
+      if (!AreAllArmed(now)) return;
+      released_to_ = std::max(released_to_, target_.step);
+      return Enter(switch_stage::kReleasing, now);
+    case switch_stage::kReleasing:
+      return AdvanceReleasing(now, orders);
+    case switch_stage::kUndoing:
+      return AdvanceUndoing(now, orders);
   }
 }
 
-bool map_switch::IsArmed(std::uint64_t mapping, const armed_map& armed) const {
-  return mapping == plan_->target.version || armed == plan_->target;
-}
-
-void map_switch::ArmSilentRanks(time_point now, std::vector<rank_order>& orders) {
+void map_switch::ArmFromAfar(time_point now, std::vector<rank_order>& orders) {
+  if (!MayArmFromAfar()) return;
   for (const std::uint32_t rank : SilentRanks(now)) {
     const member_state& state = members_[rank].state;
-    const bool can_arm = state.prepared == plan_->target.version && state.step < plan_->target.step;
-    if (IsArmed(state.mapping, state.armed) || !can_arm) continue;
+    const bool can_arm = state.prepared == Target().version && state.step < Target().step;
+    if (IsArmed(state) || !can_arm) continue;
     Order({.kind = order_kind::kArm,
            .rank = rank,
            .epoch = status_->epoch,
-           .version = plan_->target.version,
-           .step = plan_->target.step},
+           .version = Target().version,
+           .step = Target().step},
           options_.resend_after, now, orders);
   }
 }
 
-void map_switch::AdvanceDeputy(time_point now, std::vector<rank_order>& orders) {
-  if (!IsHeldStage(plan_->stage) || now - plan_at_ <= Silence()) {
-    deputising_ = false;
-    return;
-  }
-  deputising_ = true;
-  const auto coordinator = members_.find(0);
-  if (coordinator == members_.end()) return;
-  const member& first = coordinator->second;
-  const bool holds =
-      first.held && now - first.at <= Silence() && first.state.step < plan_->target.step;
-  if (!holds) return;
-  plan_->stage = switch_stage::kArming;
-  ArmSilentRanks(now, orders);
-  const bool all = IsArmed(status_->mapping, status_->armed.value_or(armed_map{})) &&
-                   AllMembers(now, [&](const member_state& state) {
-                     return IsArmed(state.mapping, state.armed);
-                   });
-  if (!all) return;
-  Order({.kind = order_kind::kGo, .rank = 0, .epoch = status_->epoch, .step = plan_->target.step},
-        options_.resend_after, now, orders);
+void map_switch::BeginDuty(std::uint64_t step, time_point now) {
+  duty_target_ = {.version = announced_, .step = step};
+  duty_ = holder_duty::kUndo;
+  duty_since_ = now;
+  if (sealed_ != announced_) refused_ = announced_;
 }
 
-void map_switch::AdvanceMember(time_point now, std::vector<rank_order>& orders) {
+void map_switch::AdvanceHolder(time_point now, std::vector<rank_order>& orders) {
+  if (!coordinator_plan_) return;
+  const switch_plan& plan = *coordinator_plan_;
+  const bool is_known = announced_ != 0 && plan.incarnation == announced_by_;
+  const bool is_announced = is_known && plan.target.version == announced_;
   const rank_status& own = *status_;
-  const armed_map& target = plan_->target;
-  if (plan_->stage == switch_stage::kPreparing) {
-    const bool done = own.prepared == target.version || own.mapping == target.version;
-    if (done || known_layouts_.count(target.version) == 0 || own.armed) return;
-    Order({.kind = order_kind::kPrepare,
-           .rank = own.rank,
-           .epoch = own.epoch,
-           .version = target.version},
-          options_.prepare_resend, now, orders);
+  if (!own.held) {
+    if (duty_ == holder_duty::kUndo) ++undone_;
+    duty_ = holder_duty::kNone;
+    return;
+  }
+  const std::uint64_t step = *own.held;
+  if (step <= released_to_) return Release(step, now, orders);
+  if (duty_ == holder_duty::kNone) {
+    // A holder that has restarted leaves the decision to the coordinator.
+    if (announced_ == 0) return;
+    // The status is newer than the end of the silence, so that what has arrived meanwhile at a
+    // process that stood still has been read.
+    const bool is_silent = status_asked_ - coordinator_plan_at_ > CoordinatorSilence();
+    if (is_known && !is_silent) {
+      const bool is_over =
+          plan.stage == switch_stage::kIdle || plan.stage == switch_stage::kPreparing;
+      const bool is_older = IsHeldStage(plan.stage) && plan.target.step > step;
+      const bool is_ready =
+          is_announced && plan.stage == switch_stage::kReleasing && plan.target.step == step;
+      if (is_over || is_older || is_ready) Release(step, now, orders);
+      return;
+    }
+    BeginDuty(step, now);
+  }
+  const bool is_sealed = is_announced && plan.is_sealed;
+  if (duty_ == holder_duty::kUndo && (is_sealed || IsSealedByAny(announced_))) {
+    duty_ = holder_duty::kFinish;
+    refused_ = 0;
+  }
+  if (duty_ == holder_duty::kFinish) {
+    ArmFromAfar(now, orders);
+    if (AreAllArmed(now)) Release(step, now, orders);
     return;
   }
-  if (plan_->stage != switch_stage::kArming) return;
-  if (committed_ && *committed_ != target) return;
+  // Rank 0 is armed only once the switch is sealed.
+  std::uint32_t refusals = IsSurelyUnarmed() ? 2 : 0;
+  for (const auto& [rank, each] : members_) {
+    if (rank != 0 && each.state.refused == announced_) ++refusals;
+  }
+  // The pass begins at once then, which leaves no time for an order of a companion that has ended.
+  const bool is_waiting = own.step + 1 >= step;
+  if (refusals >= own.size && is_waiting) Release(step, now, orders);
+}
+
+bool map_switch::IsSurelyUnarmed() const {
+  return !status_->armed && open_arm_orders_ == 0 && status_asked_ >= last_arm_answer_;
+}
+
+void map_switch::Arm(const armed_map& target, time_point now, std::vector<rank_order>& orders) {
+  const rank_status& own = *status_;
+  if (refused_ == target.version || (committed_ && *committed_ != target)) return;
+  if (!IsCoordinator() && announced_ != target.version) return;
   if (own.armed == target || own.mapping == target.version) return;
   if (own.prepared != target.version || own.step >= target.step) return;
   committed_ = target;
+  const std::size_t before = orders.size();
   Order({.kind = order_kind::kArm,
          .rank = own.rank,
          .epoch = own.epoch,
          .version = target.version,
          .step = target.step},
         options_.resend_after, now, orders);
+  open_arm_orders_ += orders.size() > before ? 1 : 0;
+}
+
+void map_switch::Refuse(std::uint64_t version, time_point now, std::vector<rank_order>& orders) {
+  if (sealed_ == version) return;
+  // A companion that has restarted does not know what it has sealed before. Only the coordinator
+  // knows whether rank 0 has been armed after that.
+  if (plan_->from_holder && announced_ != version) return;
+  // An order to arm without an answer may be carried out at any time, so the rank cannot promise to
+  // stay unarmed. The switch has to be finished.
+  if (committed_ && committed_->version == version && open_arm_orders_ > 0) {
+    sealed_ = version;
+    refused_ = 0;
+    return;
+  }
+  refused_ = version;
+  if (committed_ && committed_->version == version && IsSurelyUnarmed()) committed_.reset();
+  if (!status_->armed || status_->armed->version != version) return;
+  Order({.kind = order_kind::kDisarm,
+         .rank = status_->rank,
+         .epoch = status_->epoch,
+         .version = version},
+        options_.resend_after, now, orders);
+}
+
+void map_switch::Seal(std::uint64_t version) {
+  const bool is_sealer = status_->rank != 0 && status_->rank <= kLastSealer;
+  if (is_sealer && announced_ == version && refused_ != version) sealed_ = version;
+  if (plan_->is_sealed && refused_ == version) refused_ = 0;
+}
+
+void map_switch::AdvanceMember(time_point now, std::vector<rank_order>& orders) {
+  const rank_status& own = *status_;
+  if (duty_ == holder_duty::kUndo) return Refuse(duty_target_.version, now, orders);
+  if (duty_ == holder_duty::kFinish) return Arm(duty_target_, now, orders);
+  const armed_map target = plan_->target;
+  // The coordinator may be silent after the holder has ended the switch.
+  if (!IsCoordinator() && IsHeldStage(plan_->stage) && own.step >= target.step && !own.armed) {
+    plan_->stage = switch_stage::kIdle;
+  }
+  switch (plan_->stage) {
+    case switch_stage::kPreparing: {
+      const bool done = own.prepared == target.version || own.mapping == target.version;
+      if (done || known_layouts_.count(target.version) == 0 || own.armed) return;
+      Order({.kind = order_kind::kPrepare,
+             .rank = own.rank,
+             .epoch = own.epoch,
+             .version = target.version},
+            options_.prepare_resend, now, orders);
+      return;
+    }
+    case switch_stage::kArming:
+      if (!IsCoordinator()) Arm(target, now, orders);
+      return;
+    case switch_stage::kSealing:
+      Seal(target.version);
+      if (!IsCoordinator() || is_sealed_) Arm(target, now, orders);
+      return;
+    case switch_stage::kUndoing:
+      return Refuse(target.version, now, orders);
+    default:
+      return;
+  }
 }
 
 std::vector<rank_order> map_switch::Advance(time_point now) {
   std::vector<rank_order> orders;
   if (!status_ || status_->group.empty()) return orders;
+  // What a process that stood still knows of its rank is too old to act on.
+  if (now - status_asked_ > options_.member_lifetime) return orders;
   if (IsCoordinator()) {
     AdvanceCoordinator(now, orders);
     if (const auto plan = Plan()) OnPlan(*plan, now);
+  } else if (IsHolder()) {
+    AdvanceHolder(now, orders);
   }
-  if (plan_ && status_->rank == 1) AdvanceDeputy(now, orders);
   if (plan_) AdvanceMember(now, orders);
   return orders;
 }
@@ -364,17 +617,33 @@
                       .prepared = status_->prepared.value_or(0),
                       .known = wanted != 0 && known_layouts_.count(wanted) > 0 ? wanted : 0,
                       .armed = status_->armed.value_or(armed_map{}),
-                      .committed = committed_.value_or(armed_map{})};
+                      .committed = committed_.value_or(armed_map{}),
+                      .held = status_->held.value_or(0),
+                      .announced = announced_,
+                      .refused = IsSurelyUnarmed() ? refused_ : 0,
+                      .sealed = sealed_};
 }
 
 std::optional<switch_plan> map_switch::Plan() const {
-  if (deputising_ && plan_->stage == switch_stage::kArming) return plan_;
+  if (!status_) return std::nullopt;
+  if (duty_ != holder_duty::kNone) {
+    return switch_plan{
+        .incarnation = followed_,
+        .group = status_->group,
+        .epoch = status_->epoch,
+        .stage = duty_ == holder_duty::kUndo ? switch_stage::kUndoing : switch_stage::kSealing,
+        .target = duty_target_,
+        .from_holder = true,
+        .is_sealed = duty_ == holder_duty::kFinish};
+  }
   if (!IsCoordinator()) return std::nullopt;
   return switch_plan{.incarnation = incarnation_,
                      .group = status_->group,
                      .epoch = status_->epoch,
                      .stage = stage_,
-                     .target = target_};
+                     .target = target_,
+                     .sequence = sequence_,
+                     .is_sealed = is_sealed_};
 }
 
 }  // namespace berylbarrow
--- a/tests/version/expert/large_group_test.cc
+++ b/tests/version/expert/large_group_test.cc
@@ -23,14 +23,18 @@
     return {.group = "g", .size = kRanks, .open = true, .step = kStep, .prepared = kVersion};
   }
   void Report(const rank_status& status) { decisions.OnStatus(status, now); }
+  /// The holder reports the hold in time.
   void ReportMember(std::uint32_t rank, const armed_map& armed) {
+    const std::uint64_t step = decisions.Plan()->target.step;
     decisions.OnMember({.incarnation = 100 + rank,
                         .heard = kCoordinator,
                         .group = "g",
                         .rank = rank,
                         .step = kStep,
                         .prepared = kVersion,
-                        .armed = armed},
+                        .armed = armed,
+                        .held = rank == map_switch::HolderRank(kRanks) ? step : 0,
+                        .announced = kVersion},
                        now);
   }
   void ReportAll() {
@@ -42,14 +46,16 @@
     decisions.Begin(kVersion, now);
     decisions.Advance(now);
     ReportAll();
-    decisions.Advance(now);
+    decisions.Advance(now);  // all have prepared
+    ReportAll();
+    decisions.Advance(now);  // all confirm the announcement
     now += milliseconds(10);
-    decisions.Advance(now);
-    rank_status held = Status();
-    held.held = decisions.Plan()->target.step;
+    Report(Status());
+    decisions.Advance(now);  // the hold is ordered
     now += milliseconds(10);
-    Report(held);
-    decisions.Advance(now);
+    Report(Status());
+    ReportAll();
+    decisions.Advance(now);  // the holder reports it
   }
 };
 
--- a/tests/version/expert/map_switch_test.cc
+++ b/tests/version/expert/map_switch_test.cc
@@ -12,7 +12,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t kRanks = 4;
-constexpr std::uint32_t kNoRank = kRanks;
 
 /// A rank group as its engines behave: all ranks begin each pass together.
 class engine_group {
@@ -58,6 +57,9 @@
       case order_kind::kGo:
         if (rank.held == order.step) rank.held.reset();
         return;
+      case order_kind::kDisarm:
+        if (rank.armed && rank.armed->version == order.version) rank.armed.reset();
+        return;
     }
   }
 
@@ -93,6 +95,7 @@
 
   void IgnoreHolds() { ignore_holds_ = true; }
   std::uint64_t HeldPasses() const { return held_passes_; }
+  bool Holds(std::uint32_t rank) const { return ranks_[rank].held.has_value(); }
   std::uint64_t Mapping() const { return ranks_[0].mapping; }
 
  private:
@@ -110,6 +113,16 @@
   double freeze = 0;
   double epoch = 0;
   bool ignore_holds = false;  // engines report holds, but do not stop for them
+  bool mute_engines = false;  // the engine of a frozen instance answers nobody
+};
+
+/// What becomes of one instance at one moment of a switch.
+enum class mishap : std::uint8_t { kNone, kFreeze, kKill };
+struct planned_mishap {
+  mishap kind = mishap::kNone;
+  std::uint32_t rank = 0;
+  switch_stage stage = switch_stage::kIdle;  // of the coordinator
+  duration after = duration::zero();         // its begin
 };
 
 /// Four companions, their group and the network between them, in steps of a millisecond.
@@ -128,10 +141,17 @@
       Deliver();
       for (std::uint32_t rank = 0; rank < kRanks; ++rank) Tick(rank);
       if ((now_ - kStart) % milliseconds(23) == duration::zero() && !group_.Pass()) return false;
+      longest_held_ = std::max(longest_held_, group_.HeldPasses());
     }
     return true;
   }
 
+  /// Once, in the first switch that begins after the first second.
+  void Plan(const planned_mishap& planned) { planned_ = planned; }
+  duration LongestHeld() const { return longest_held_ * milliseconds(23); }
+  /// Whether the planned mishap has come about.
+  bool HasStruck() const { return planned_.kind == mishap::kNone; }
+
   void StopFaults() { faults_ = {}; }
   const engine_group& Group() const { return group_; }
   std::uint64_t Finished() const { return finished_; }
@@ -142,7 +162,9 @@
   struct companion_state {
     std::unique_ptr<map_switch> decisions;
     time_point frozen_until = kStart;
-    std::uint32_t plan_from = kNoRank;
+    time_point dead_until = kStart;
+    std::optional<member_state> sent_state;
+    std::optional<switch_plan> sent_plan;
     std::uint64_t finished = 0;
   };
   struct message {
@@ -156,6 +178,7 @@
     time_point at;
     rank_order order;
   };
+  static constexpr duration kMishapLength = std::chrono::seconds(4);
 
   bool Chance(double share) {
     return std::uniform_real_distribution<double>(0, 1)(random_) < share;
@@ -163,10 +186,36 @@
 
   void Restart(std::uint32_t rank) {
     companions_[rank] = {.decisions = std::make_unique<map_switch>(map_switch_options{}, random_()),
-                         .frozen_until = now_};
+                         .frozen_until = now_,
+                         .dead_until = companions_[rank].dead_until};
+    // What was sent to a process that has ended does not reach the next one.
+    std::erase_if(messages_, [&](const message& each) { return each.to == rank; });
+  }
+
+  void Strike() {
+    const switch_stage stage = companions_[0].decisions->Stage();
+    if (stage != last_stage_) stage_since_ = now_;
+    last_stage_ = stage;
+    if (planned_.kind == mishap::kNone || now_ - kStart < std::chrono::seconds(1)) return;
+    if (stage != planned_.stage || now_ - stage_since_ != planned_.after) return;
+    companion_state& struck = companions_[planned_.rank];
+    if (planned_.kind == mishap::kFreeze) {
+      struck.frozen_until = now_ + kMishapLength;
+    } else {
+      struck.dead_until = now_ + kMishapLength;
+      Restart(planned_.rank);
+    }
+    planned_.kind = mishap::kNone;
+  }
+  bool IsDown(std::uint32_t rank) const {
+    return companions_[rank].frozen_until > now_ || companions_[rank].dead_until > now_;
+  }
+  bool IsMute(std::uint32_t rank) const {
+    return faults_.mute_engines && companions_[rank].frozen_until > now_;
   }
 
   void Break() {
+    Strike();
     const std::uint32_t rank = static_cast<std::uint32_t>(random_() % kRanks);
     if (Chance(faults_.kill)) Restart(rank);
     if (Chance(faults_.freeze)) {
@@ -184,6 +233,7 @@
   void Deliver() {
     std::deque<message> later;
     for (message& each : messages_) {
+      if (companions_[each.to].dead_until > now_) continue;
       // A frozen process reads its datagrams when it wakes.
       if (each.at > now_ || companions_[each.to].frozen_until > now_) {
         later.push_back(std::move(each));
@@ -192,7 +242,6 @@
       companion_state& receiver = companions_[each.to];
       if (each.state) receiver.decisions->OnMember(*each.state, now_);
       if (each.plan) {
-        receiver.plan_from = each.from;
         receiver.decisions->OnPlan(*each.plan, now_);
         receiver.decisions->OnLayoutKnown(each.plan->target.version);
       }
@@ -208,22 +257,24 @@
     }
   }
 
-  void Place(rank_order order) {
+  void Place(std::uint32_t from, const rank_order& order) {
+    if (from != order.rank && IsMute(order.rank)) return;
     if (Chance(faults_.late_order)) {
       late_.push_back({.at = now_ + milliseconds(2000 + random_() % 10'000), .order = order});
       return;
     }
     group_.Carry(order);
+    companions_[from].decisions->OnOrderAnswered(order, now_);
   }
 
   void Tick(std::uint32_t rank) {
     companion_state& self = companions_[rank];
-    if (self.frozen_until > now_) return;
+    if (IsDown(rank)) return;
     map_switch& decisions = *self.decisions;
     if ((now_ - kStart) % milliseconds(4) == duration::zero()) {
       decisions.OnStatus(group_.Report(rank), now_);
       for (const std::uint32_t silent : decisions.SilentRanks(now_)) {
-        decisions.OnRemoteStatus(silent, group_.Report(silent), now_);
+        if (!IsMute(silent)) decisions.OnRemoteStatus(silent, group_.Report(silent), now_);
       }
     }
     if (decisions.CanBegin(now_)) {
@@ -232,17 +283,20 @@
       decisions.OnLayoutKnown(version);
       decisions.Begin(version, now_);
     }
-    for (const rank_order& order : decisions.Advance(now_)) Place(order);
+    for (const rank_order& order : decisions.Advance(now_)) Place(rank, order);
     finished_ += decisions.Finished() - std::exchange(self.finished, decisions.Finished());
-    if ((now_ - kStart) % milliseconds(8) != duration::zero()) return;
-    const std::uint32_t leader = self.plan_from == kNoRank ? 0 : self.plan_from;
-    if (const auto state = decisions.State()) {
-      if (leader != rank) Send({.from = rank, .to = leader, .state = state});
+    // News are sent at once, and everything is repeated.
+    const auto state = decisions.State();
+    const auto plan = decisions.Plan();
+    const bool is_repeated = (now_ - kStart) % milliseconds(8) == duration::zero();
+    if (state && (is_repeated || state != std::exchange(self.sent_state, state))) {
+      for (const std::uint32_t leader : {0U, 1U}) {
+        if (leader != rank) Send({.from = rank, .to = leader, .state = state});
+      }
     }
-    if (const auto plan = decisions.Plan()) {
+    if (plan && (is_repeated || plan != std::exchange(self.sent_plan, plan))) {
       for (std::uint32_t other = 0; other < kRanks; ++other) {
-        if (other == rank) continue;
-        Send({.from = rank, .to = other, .state = decisions.State(), .plan = plan});
+        if (other != rank) Send({.from = rank, .to = other, .state = state, .plan = plan});
       }
     }
   }
@@ -255,6 +309,10 @@
   std::deque<message> messages_;
   std::deque<late_order> late_;
   std::uint64_t finished_ = 0;
+  planned_mishap planned_;
+  switch_stage last_stage_ = switch_stage::kIdle;
+  time_point stage_since_ = kStart;
+  std::uint64_t longest_held_ = 0;
 };
 
 BOOST_AUTO_TEST_CASE(a_calm_group_switches_again_and_again_without_waiting) {
@@ -274,7 +332,8 @@
                               .late_order = 0.3,
                               .kill = 0.002,
                               .freeze = 0.001,
-                              .epoch = seed % 3 == 0 ? 0.0005 : 0});
+                              .epoch = seed % 3 == 0 ? 0.0005 : 0,
+                              .mute_engines = seed % 2 == 0});
     BOOST_TEST_REQUIRE(world.Run(std::chrono::seconds(15)), "two maps with seed " << seed);
     world.StopFaults();
     BOOST_TEST_REQUIRE(world.Run(std::chrono::seconds(15)), "two maps with seed " << seed);
@@ -303,5 +362,44 @@
   }
 }
 
+// The process that stops the group stands still right after that, and its engine answers nobody:
+// the group was held for as long as the freeze.
+BOOST_AUTO_TEST_CASE(a_frozen_coordinator_does_not_hold_its_group) {
+  for (const switch_stage stage :
+       {switch_stage::kPreparing, switch_stage::kAnnouncing, switch_stage::kHolding,
+        switch_stage::kArming, switch_stage::kReleasing}) {
+    for (int after = 0; after < 12; ++after) {
+      switch_world world(7, {.mute_engines = true});
+      world.Plan(
+          {.kind = mishap::kFreeze, .rank = 0, .stage = stage, .after = milliseconds(after)});
+      const int where = 100 * static_cast<int>(stage) + after;
+      BOOST_TEST_REQUIRE(world.Run(std::chrono::seconds(7)), "two maps, case " << where);
+      BOOST_TEST((world.LongestHeld() < milliseconds(500)), "held, case " << where);
+      BOOST_TEST(world.Finished() > 0U);
+    }
+  }
+}
+
+// One companion ends and is started again seconds later, at any stage; its engine goes on.
+BOOST_AUTO_TEST_CASE(a_companion_that_ends_does_not_hold_its_group) {
+  int struck = 0;
+  for (std::uint32_t rank = 0; rank < kRanks; ++rank) {
+    for (int stage = 0; stage <= static_cast<int>(switch_stage::kUndoing); ++stage) {
+      for (int after = 0; after < 12; after += 3) {
+        switch_world world(7, {});
+        world.Plan({.kind = mishap::kKill,
+                    .rank = rank,
+                    .stage = static_cast<switch_stage>(stage),
+                    .after = milliseconds(after)});
+        const int where = 10000 * static_cast<int>(rank) + 100 * stage + after;
+        BOOST_TEST_REQUIRE(world.Run(std::chrono::seconds(7)), "two maps, case " << where);
+        BOOST_TEST((world.LongestHeld() < milliseconds(500)), "held, case " << where);
+        struck += world.HasStruck() ? 1 : 0;
+      }
+    }
+  }
+  BOOST_TEST(struck > 40);
+}
+
 }  // namespace
 }  // namespace berylbarrow
