Release a hold that an earlier version has left on the engine of rank 0

A companion that is replaced during a switch may find the hold of its predecessor on its own engine.

--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -219,6 +219,9 @@
   bool AllMembers(time_point now, Condition condition) const;
   /// The member state of the holder; its own if this process is the holder.
   std::optional<member_state> HolderState() const;
+  /// Pass before which a hold stops the group; 0: none is known. Earlier versions placed it on the
+  /// engine of rank 0.
+  std::uint64_t HeldStep() const;
   /// The map and step that this process wants the ranks to be armed for.
   const armed_map& Target() const;
   bool IsArmed(const member_state& state) const;
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -259,6 +259,12 @@
   return found == members_.end() ? std::nullopt : std::optional(found->second.state);
 }
 
+std::uint64_t map_switch::HeldStep() const {
+  if (status_->held) return *status_->held;
+  const auto holder = HolderState();
+  return holder ? holder->held : 0;
+}
+
 void map_switch::Enter(switch_stage stage, time_point now) {
   stage_ = stage;
   stage_since_ = now;
@@ -293,22 +299,22 @@
 void map_switch::Release(std::uint64_t step, time_point now, std::vector<rank_order>& orders) {
   released_to_ = std::max(released_to_, step);
   Order({.kind = order_kind::kGo,
-         .rank = HolderRank(status_->size),
+         .rank = status_->held == step ? status_->rank : HolderRank(status_->size),
          .epoch = status_->epoch,
          .step = step},
         options_.resend_after, now, orders);
 }
 
 void map_switch::AdvanceRecovery(time_point now, std::vector<rank_order>& orders) {
-  const auto holder = HolderState();
-  if (!holder || holder->held == 0) return Enter(switch_stage::kIdle, now);
+  const std::uint64_t held = HeldStep();
+  if (held == 0) return Enter(switch_stage::kIdle, now);
   if (!AllMembers(now, [](const member_state&) { return true; })) return;
   std::optional<armed_map> committed = committed_;
   for (const auto& [rank, each] : members_) {
     if (each.state.committed.version != 0) committed = each.state.committed;
     if (each.state.armed.version != 0) committed = each.state.armed;
   }
-  if (!committed || committed->step < holder->held) return Release(holder->held, now, orders);
+  if (!committed || committed->step < held) return Release(held, now, orders);
   target_ = *committed;
   // Rank 0 may have been armed only if somebody has sealed the switch.
   is_sealed_ = IsSealedByAny(target_.version);
@@ -320,16 +326,16 @@
     is_sealed_ = true;
     return Enter(switch_stage::kSealing, now);
   }
-  const auto holder = HolderState();
+  const std::uint64_t held = HeldStep();
   const bool has_begun = status_->step >= target_.step && !status_->armed;
   const bool is_refused = IsSurelyUnarmed() && AllMembers(now, [&](const member_state& state) {
                             return state.refused == target_.version;
                           });
   if (!is_refused && !has_begun) return;
-  if (holder && holder->held != 0 && holder->held <= target_.step) {
+  if (held != 0 && held <= target_.step) {
     // The pass begins at once then, which leaves no time for an order of a companion that has
     // ended.
-    if (status_->step + 1 >= holder->held) Release(holder->held, now, orders);
+    if (status_->step + 1 >= held) Release(held, now, orders);
     return;
   }
   released_to_ = std::max(released_to_, target_.step);
@@ -338,11 +344,11 @@
 }
 
 void map_switch::AdvanceReleasing(time_point now, std::vector<rank_order>& orders) {
-  const auto holder = HolderState();
-  const bool is_held = holder && holder->held != 0 && holder->held <= released_to_;
+  const std::uint64_t held = HeldStep();
+  const bool is_held = held != 0 && held <= released_to_;
   // The holder releases the group itself. This is for a holder whose companion has ended.
   const bool is_overdue = now - stage_since_ > options_.resend_after;
-  if (is_held && (IsHolder() || is_overdue)) return Release(holder->held, now, orders);
+  if (is_held && (status_->held || is_overdue)) return Release(held, now, orders);
   const bool is_used =
       status_->mapping == target_.version &&
       AllMembers(now, [&](const member_state& state) { return state.mapping == target_.version; });
@@ -359,9 +365,9 @@
   const bool is_refused = !IsHolder() && holder && holder->refused == target_.version;
   switch (stage_) {
     case switch_stage::kIdle:
-      if (!holder || holder->held == 0) return;
+      if (HeldStep() == 0) return;
       // An order of before may be carried out late.
-      if (holder->held <= released_to_) return Release(holder->held, now, orders);
+      if (HeldStep() <= released_to_) return Release(HeldStep(), now, orders);
       return Enter(switch_stage::kRecovering, now);
     case switch_stage::kRecovering:
       return AdvanceRecovery(now, orders);
