Admit streams of different priority by the room of their groups

All streams of a rank group share its pass time, so a burst of the least urgent kind made the most urgent one late. The room of a group now follows from the predicted and measured pass time, less urgent requests leave part of it free, and requests without a place in time are refused at once with a Retry-After that spreads returns. Applies only where streaming routes to a service differ in priority. Not measured yet.

--- a/include/berylbarrow/request/admission/request_queue.h
+++ b/include/berylbarrow/request/admission/request_queue.h
@@ -26,11 +26,14 @@
 
 /// Bounded queue of the requests of one service that wait in the gateway for an upstream with free
 /// capacity. Requests are ordered by priority; within a priority, those that can still meet their
-/// latency objective go before those that have missed it, and accounts are served round-robin.
+/// latency objective go before those that have missed it, and accounts are served round-robin. If
+/// late requests yield, lateness goes before priority.
 class request_queue {
  public:
   explicit request_queue(std::size_t capacity) : capacity_(capacity) {}
 
+  /// Whether requests that can no longer meet their latency objective go after all others.
+  void SetLateYields(bool late_yields) { late_yields_ = late_yields; }
   /// Returns false if the queue is full.
   bool Push(const queued_request& request);
   /// The request to dispatch next, leaving out those in `skipped`. It stays in the queue.
@@ -43,6 +46,8 @@
   std::vector<queued_request_id> TakeExpired(time_point now);
 
   std::size_t Size() const { return requests_.size(); }
+  /// Requests of this priority or a more urgent one.
+  std::size_t CountUpTo(std::uint32_t priority) const;
 
  private:
   std::size_t capacity_;
@@ -50,6 +55,7 @@
   // Value of `dispatches_` at the last dispatch of each account.
   std::map<std::string, std::uint64_t> last_dispatch_;
   std::uint64_t dispatches_ = 0;  // requests dispatched so far
+  bool late_yields_ = false;
 };
 
 }  // namespace berylbarrow
--- a/include/berylbarrow/request/dispatch/pass_time_model.h
+++ b/include/berylbarrow/request/dispatch/pass_time_model.h
@@ -14,6 +14,10 @@
 /// requests, multiplied by its pace. The expert work for all requests is divided among the ranks in
 /// proportion to their speed, provided that the expert map is balanced. A pass takes the longest of
 /// the ranks' own times plus the time of the expert work.
+///
+/// Prompts are read in chunks, one chunk per token step and rank. A step in which any rank reads is
+/// longer for the whole group. Each request that runs stands for a usual number of reading steps in
+/// the time of a usual answer, so the reading is derived from the number of requests.
 class pass_time_model {
  public:
   explicit pass_time_model(const engine_profile& engine);
@@ -27,6 +31,12 @@
   /// Milliseconds per pass without requests.
   double EmptyPassMs() const { return max_pace_ * all_steps_ms_; }
   double MeanRequestsPerRank() const { return rank_count_ > 0 ? request_count_ / rank_count_ : 0; }
+  /// Milliseconds per pass with this number of requests on each rank, reading of prompts included.
+  double PassMs(double requests_per_rank) const;
+  /// The requests per rank with which a pass takes `pass_ms`, at most `max_requests_per_rank`.
+  double FittingRequestsPerRank(double pass_ms, double max_requests_per_rank) const;
+  double RankCount() const { return rank_count_; }
+  double RequestCount() const { return request_count_; }
   /// Milliseconds per pass at nominal speed, with the same number of requests on each rank.
   double NominalPassMs(double requests_per_rank) const {
     return all_steps_ms_ + ms_per_request_ * requests_per_rank;
@@ -40,6 +50,9 @@
   double all_steps_ms_ = 0;       // fixed time of all token steps of a pass
   double ms_per_request_ = 0;     // added to a pass by each request
   double expert_work_share_ = 0;  // of the work for a request
+  double steps_ = 0;              // token steps of a pass
+  double chunk_ms_ = 0;           // to read one chunk of a prompt
+  double reads_per_request_ = 0;  // chunks read in a token step for each request that runs
   double rank_count_ = 0;
   double request_count_ = 0;
   double total_speed_ = 0;  // sum of 1 / pace
--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -64,6 +64,9 @@
   std::uint32_t tokens = 0;  // expected number in prompt and response
   bool late = false;         // the request can no longer meet its latency target
   double tie_break = 0;      // random, uniform in [0, 1)
+  /// Requests that the groups of the service must still have room for afterwards. If it is not set,
+  /// the request is not limited by the room of the groups.
+  std::optional<double> headroom;
 };
 
 /// Why no upstream could be chosen. The values are compared in this order and logged as numbers.
@@ -74,6 +77,7 @@
   kColdRateLimit,  // an upstream is cold and has reached its request rate limit
   kNoRetryBudget,  // a retry has to wait until the retry budget allows it
   kAllLimited,     // all upstreams are paused, or have named a rate limit whose shares are used up
+  kNoRoom,         // more requests would make the streams of every group late
 };
 
 struct dispatch_choice {
@@ -119,6 +123,12 @@
   std::uint32_t min_engine_capacity = 2;
   /// Age up to which measured pass times are used.
   duration pass_time_lifetime = std::chrono::milliseconds(600);
+  /// Passes are planned so that the mean ratio of measured to predicted pass time, plus this many
+  /// mean deviations, stays within the event gap limit: one long pass makes a stream late.
+  double pass_time_deviations = 2.0;
+  /// Share of the slots of a group that can always be used. With fewer requests the fixed part of a
+  /// pass dominates, and limiting them further hardly shortens it.
+  double min_room_share = 0.5;
   /// Share of the request rate limit of a cold upstream that all entries together use.
   double cold_rate_share = 0.8;
   /// Lower limit of the request rate of a limited upstream, in requests per second from all
@@ -126,6 +136,17 @@
   double min_limited_rate = 0.1;
 };
 
+/// What is known of a group whose room is limited.
+struct group_room {
+  std::string group;
+  double requests = 0;      // that run or wait
+  double room = 0;          // requests that it can run within the event gap limit
+  double predicted_ms = 0;  // per pass, by the model alone
+  double measured_ms = 0;   // mean event gap; zero: not measured lately
+  double late_ratio = 1;    // of long measured passes to predicted ones
+  auto operator<=>(const group_room&) const = default;
+};
+
 /// Tracks the load and health of the upstreams as seen by this entry, and chooses one for each
 /// attempt.
 class upstream_selector {
@@ -183,6 +204,8 @@
   /// Returns the used share of a service's slots in [0, 1]; 1 if it has no slots.
   double Utilization(const std::string& service, time_point now) const;
   nlohmann::json State(time_point now) const;
+  /// The groups of a service whose requests of different priority compete for room.
+  std::vector<group_room> Rooms(const std::string& service, time_point now) const;
 
  private:
   struct upstream_state {
@@ -190,6 +213,7 @@
     std::uint32_t id_hash = 0;
     std::optional<engine_profile> engine;
     duration event_gap_limit = duration::zero();  // shortest of the service's routes; zero: none
+    bool is_room_limited = false;                 // its service has streams of different priority
     duration cold_start = duration::zero();
     double cold_requests_per_second = 0;
     time_point cold_until = time_point::min();
@@ -212,6 +236,11 @@
     double mean_ms = 0;
     double deviation_ms = 0;  // mean absolute deviation
     time_point updated_at;
+    // Relative to the prediction, of services with a limited room.
+    double ratio = 1;
+    double ratio_deviation = 0;
+    double predicted_ms = 0;
+    time_point predicted_at = time_point::min();
   };
   /// Whether a rank group can run passes, by the reports of its latest epoch.
   struct group_state {
@@ -221,12 +250,24 @@
   };
   /// Predicted pass times by group key, valid for one choice.
   using group_models = std::map<std::string, pass_time_model>;
+  using group_rooms = std::map<std::string, group_room>;
 
   std::uint32_t Load(const upstream_state& state, time_point now) const;
   std::uint32_t Capacity(const upstream_state& state, const group_models& groups,
                          time_point now) const;
   bool HasCapacity(const upstream_state& state, const group_models& groups, bool late,
                    time_point now) const;
+  /// The room of each group, if the query is limited by it.
+  group_rooms LimitingRooms(const dispatch_query& query, const group_models& groups,
+                            time_point now) const;
+  group_room RoomOf(const std::string& key, const pass_time_model& group,
+                    const upstream_state& rank, time_point now) const;
+  /// Whether the group of the upstream has room for the query and its headroom.
+  bool HasRoom(const upstream_state& state, const dispatch_query& query, const group_rooms& rooms,
+               double total_room) const;
+  /// Compares a measured pass with the prediction.
+  void UpdateRatio(pass_time_stats& pass_times, const upstream_state& state, double ms,
+                   bool is_outdated, time_point now);
   /// The group of an upstream, or its id if it has none.
   std::string GroupKey(const upstream_state& state) const;
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -20,6 +20,7 @@
 constexpr duration kTickInterval = milliseconds(20);
 constexpr duration kHeartbeatInterval = milliseconds(250);
 constexpr duration kPeriodicCheckInterval = milliseconds(200);
+constexpr duration kRoomLogInterval = std::chrono::seconds(1);
 // Characters of a state in the log; all of it is in /state.
 constexpr std::size_t kMaxLoggedState = 400;
 // Gateways that a crash digest without news goes to, and companions that any goes to.
@@ -72,7 +73,9 @@
                      .counts = metrics_,
                      .random_engine = random_,
                      .start_delays = start_delays_,
-                     .retry_budgets = retry_budgets_},
+                     .retry_budgets = retry_budgets_,
+                     .admissions = admissions_,
+                     .share = share_},
       members_({.seeds = settings.seeds}, MakeSelf(settings, incarnation_)),
       admission_gate_({.strict_keys = settings.bounds.strict_keys,
                        .key_lifetime = settings.bounds.key_lifetime}),
@@ -152,6 +155,7 @@
     UpdateRetryBudgets(now);
     crashes_.Expire(now);
   }
+  if (!admissions_.empty() && now >= next_room_log_) LogRooms(now);
   CheckShutdown(now);
   ScheduleTick();
 }
@@ -363,6 +367,34 @@
   }
 }
 
+void gateway::UpdateAdmissions() {
+  std::erase_if(admissions_, [&](const auto& entry) {
+    return !stream_admission::AppliesTo(entry.first, *routing_view_);
+  });
+  for (const service_profile& service : routing_view_->Content().services) {
+    if (!service.engine || !stream_admission::AppliesTo(service.name, *routing_view_)) continue;
+    admissions_.try_emplace(service.name, stream_admission_options{});
+    QueueOf(service.name).SetLateYields(true);
+  }
+}
+
+void gateway::LogRooms(time_point now) {
+  next_room_log_ = now + kRoomLogInterval;
+  for (const auto& [service, admission] : admissions_) {
+    for (const group_room& room : selector_.Rooms(service, now)) {
+      logger::Event(log_level::kInfo, "fleet", "group_room",
+                    {{"service", service},
+                     {"group", room.group},
+                     {"requests", std::to_string(room.requests)},
+                     {"room", std::to_string(room.room)},
+                     {"predicted_ms", std::to_string(room.predicted_ms)},
+                     {"measured_ms", std::to_string(room.measured_ms)},
+                     {"late_ratio", std::to_string(room.late_ratio)},
+                     {"headroom", admission.HeadroomText(share_.GatewayCount(), now)}});
+    }
+  }
+}
+
 void gateway::WaitForShutdownSignal() {
   shutdown_signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
     if (!error) BeginShutdown();
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -116,6 +116,12 @@
   /// wait for the retry budget.
   void DispatchQueued(const std::string& service, time_point now);
   duration BusyRetryAfter();
+  /// Queues a request that its service has no room for, or refuses it at once if no place can be
+  /// expected in time.
+  void WaitForRoom(relayed_request& request, time_point now);
+  /// Keeps an admission for each service whose streams have different priorities.
+  void UpdateAdmissions();
+  void LogRooms(time_point now);
   /// Time until the rate limits of the upstreams allow a request that is queued now.
   duration ExpectedLimitedWait(const relayed_request& request, time_point now);
   /// Refuses queued requests that can no longer be served in time.
@@ -140,8 +146,9 @@
   fleet_share share_;
   metrics metrics_;
   link_pool upstream_links_;
-  std::map<std::string, start_delay> start_delays_;    // by service
-  std::map<std::string, retry_budget> retry_budgets_;  // by service
+  std::map<std::string, start_delay> start_delays_;     // by service
+  std::map<std::string, retry_budget> retry_budgets_;   // by service
+  std::map<std::string, stream_admission> admissions_;  // by service
   relay_context relay_context_;
   fleet_members members_;
   admission_gate admission_gate_;
@@ -172,6 +179,7 @@
   std::uint64_t crashes_revision_ = 0;  // for which EndRefusedRequests() was done
   bool repeat_limit_news_ = false;
   time_point next_periodic_check_ = time_point::min();
+  time_point next_room_log_ = time_point::min();
   time_point last_tick_;  // start of the process before the first one
   time_point previous_tick_;
   std::optional<shutdown_window> shutdown_;  // set when the process has been told to end
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -103,7 +103,36 @@
   return queues_.try_emplace(service, kMaxQueuedRequests).first->second;
 }
 
+void gateway::WaitForRoom(relayed_request& request, time_point now) {
+  const admitted_request& admitted = request.Request();
+  const auto admission = admissions_.find(admitted.service);
+  if (admission == admissions_.end()) return request.Refuse("no_room", BusyRetryAfter());
+  request_queue& queue = QueueOf(admitted.service);
+  const stream_wait_decision decision =
+      admission->second.OnNoRoom(request.Candidate(), queue.CountUpTo(admitted.priority), now);
+  const queued_request queued{.id = admitted.id,
+                              .account = admitted.account,
+                              .priority = admitted.priority,
+                              .arrival = admitted.arrival,
+                              .on_time_until = LatestOnTimeDispatch(admitted),
+                              .dispatch_deadline = LatestOnTimeDispatch(admitted)};
+  const bool waits = decision.may_wait && queue.Push(queued);
+  metrics_.Count("streams_without_room",
+                 {.service = admitted.service, .outcome = waits ? "waits" : "refused"});
+  logger::Event(log_level::kInfo, "request", waits ? "request_waits" : "request_finds_no_room",
+                {{"id", admitted.facts.attempt_id},
+                 {"obstacle", std::to_string(static_cast<int>(dispatch_obstacle::kNoRoom))},
+                 {"priority", std::to_string(admitted.priority)},
+                 {"taken", std::to_string(selector_.Utilization(admitted.service, now))},
+                 {"waiting", std::to_string(queue.Size())}});
+  if (waits) return;
+  request.Refuse("no_room", decision.may_wait ? admission->second.RetryAfter(request.Candidate(),
+                                                                             queue.Size(), now)
+                                              : decision.retry_after);
+}
+
 void gateway::Enqueue(relayed_request& request, dispatch_obstacle obstacle, time_point now) {
+  if (obstacle == dispatch_obstacle::kNoRoom) return WaitForRoom(request, now);
   const admitted_request& admitted = request.Request();
   const bool streaming = admitted.matched_route->kind == request_kind::kStreaming;
   if (obstacle == dispatch_obstacle::kNoUpstream && has_upstream_list_ && !streaming) {
@@ -178,7 +207,12 @@
       const auto found = requests_.find(id);
       if (found == requests_.end() || !found->second->IsWaiting()) continue;
       const auto request = found->second;
-      request->Refuse("no_place_in_time", BusyRetryAfter());
+      const auto admission = admissions_.find(service);
+      const bool is_stream = request->Request().matched_route->kind == request_kind::kStreaming;
+      request->Refuse("no_place_in_time",
+                      admission != admissions_.end() && is_stream
+                          ? admission->second.RetryAfter(request->Candidate(), queue.Size(), now)
+                          : BusyRetryAfter());
     }
   }
 }
@@ -196,8 +230,9 @@
 void gateway::OnRequeueNeeded(relayed_request& request) {
   const time_point now = clock_.Now();
   const dispatch_obstacle obstacle = request.ChooseUpstream(std::nullopt, now).obstacle;
-  const bool is_limited = obstacle == dispatch_obstacle::kAllLimited;
-  Enqueue(request, is_limited ? obstacle : dispatch_obstacle::kAllBusy, now);
+  const bool is_known =
+      obstacle == dispatch_obstacle::kAllLimited || obstacle == dispatch_obstacle::kNoRoom;
+  Enqueue(request, is_known ? obstacle : dispatch_obstacle::kAllBusy, now);
 }
 
 void gateway::OnMisdirectedAttempt() { feed_->RefreshUpstreams(); }
--- a/src/process/gateway/relay_context.h
+++ b/src/process/gateway/relay_context.h
@@ -11,7 +11,9 @@
 #include "berylbarrow/process/gateway/gateway_settings.h"
 #include "berylbarrow/process/telemetry/metrics.h"
 #include "berylbarrow/request/admission/request_queue.h"
+#include "berylbarrow/request/admission/stream_admission.h"
 #include "berylbarrow/request/dispatch/upstream_selector.h"
+#include "berylbarrow/request/routing/fleet_share.h"
 #include "berylbarrow/request/routing/retry_budget.h"
 #include "berylbarrow/request/stream/start_delay.h"
 #include "berylbarrow/request/suspect/crash_analysis.h"
@@ -34,6 +36,9 @@
   std::map<std::string, start_delay>& start_delays;  // by service
   /// By service. Each budget is this gateway's share of the retries of the service.
   std::map<std::string, retry_budget>& retry_budgets;
+  /// By service; only of services whose streams compete for room.
+  std::map<std::string, stream_admission>& admissions;
+  const fleet_share& share;
 
   /// Random number, uniform in [0, 1).
   double UniformRandom() { return std::uniform_real_distribution<double>(0.0, 1.0)(random_engine); }
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -66,7 +66,34 @@
       context_(context),
       listener_(listener),
       sink_(&sink),
-      splitter_(request_.facts.last_event) {}
+      splitter_(request_.facts.last_event) {
+  if (stream_admission* const admission = Admission()) {
+    admission_draw_ = context_.UniformRandom();
+    admission->OnArrival(request_.priority, request_.matched_route->goal, request_.arrival);
+  }
+}
+
+stream_admission* relayed_request::Admission() const {
+  if (request_.matched_route->kind != request_kind::kStreaming) return nullptr;
+  const auto found = context_.admissions.find(request_.service);
+  return found == context_.admissions.end() ? nullptr : &found->second;
+}
+
+stream_candidate relayed_request::Candidate() const {
+  return {.priority = request_.priority,
+          .on_time_until = LatestOnTimeDispatch(request_),
+          .deadline = request_.deadline,
+          .draw = admission_draw_};
+}
+
+std::optional<double> relayed_request::Headroom(time_point now) const {
+  const stream_admission* const admission = Admission();
+  // A stream that has run already is continued at once, because its caller waits for the next
+  // event.
+  if (admission == nullptr || possible_runs_ > 0) return std::nullopt;
+  return admission->Headroom(request_.priority, admission_draw_, context_.share.GatewayCount(),
+                             now);
+}
 
 std::uint32_t relayed_request::ExpectedTokens() const {
   return request_.facts.prompt_tokens + request_.facts.answer_tokens;
@@ -86,7 +113,8 @@
                                    .affinity = context_.crashes.RiskAffinity(request_.traits),
                                    .tokens = ExpectedTokens(),
                                    .late = IsLate(now),
-                                   .tie_break = context_.UniformRandom()},
+                                   .tie_break = context_.UniformRandom(),
+                                   .headroom = Headroom(now)},
                                   now);
 }
 
@@ -209,6 +237,10 @@
                         request_.head.method == "PUT" || request_.head.method == "PATCH";
   if (has_body) fields.push_back({"Content-Length", std::to_string(request_.body.size())});
   context_.selector.OnSent(choice.upstream_id, ExpectedTokens(), now);
+  if (stream_admission* const admission = Admission();
+      admission != nullptr && sent_attempts_ == 1) {
+    admission->OnAdmitted(request_.priority, now);
+  }
   is_last_answer_tagged_ = false;
   attempt_->link->Exchange(RequestHeadText(request_.head, fields) + request_.body,
                            request_.head.method == "HEAD", this);
@@ -228,6 +260,7 @@
   // attributed on a link that has been used.
   if (ended.head_received && ended.facts.attempt_id.empty()) ended.link->Close();
   context_.links.Release(ended.upstream_id, ended.link);
+  if (stream_admission* const admission = Admission()) admission->OnPlaceFreed(now);
   listener_.OnCapacityFreed(request_.service);
 }
 
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -61,6 +61,8 @@
   const admitted_request& Request() const { return request_; }
   bool IsDone() const { return state_ == state::kDone; }
   bool IsWaiting() const { return state_ == state::kWaiting; }
+  /// What the admission of the service needs to know of the request.
+  stream_candidate Candidate() const;
 
   /// The upstream that the request would be sent to now. `unit`: if set, the failure unit to which
   /// the choice is limited.
@@ -106,6 +108,10 @@
   std::uint32_t ExpectedTokens() const;
   /// Whether the request can no longer meet its latency objective.
   bool IsLate(time_point now) const;
+  /// The admission that decides on the request; null if it needs none.
+  stream_admission* Admission() const;
+  /// Room that the request has to leave free; nothing if its dispatch is not limited by room.
+  std::optional<double> Headroom(time_point now) const;
   crash_verdict CheckCrashes(time_point now) const;
   /// Answers a request that the crash analysis does not let run now. Returns false if it may run.
   bool EndIfSuspected(const crash_verdict& verdict);
@@ -160,6 +166,7 @@
   void RetryIfSilent(time_point now);
 
   admitted_request request_;
+  double admission_draw_ = 0;  // uniform in [0, 1)
   relay_context& context_;
   relay_listener& listener_;
   answer_sink* sink_;  // null: the answer is complete, or the caller has disconnected
--- a/src/request/admission/request_queue.cc
+++ b/src/request/admission/request_queue.cc
@@ -15,7 +15,8 @@
     time_point now, const std::set<queued_request_id>& skipped) const {
   const auto sort_key = [&](const queued_request& request) {
     const auto last = last_dispatch_.find(request.account);
-    return std::make_tuple(request.priority, now > request.on_time_until,
+    const bool is_late = now > request.on_time_until;
+    return std::make_tuple(late_yields_ && is_late, request.priority, is_late,
                            last == last_dispatch_.end() ? std::uint64_t{0} : last->second,
                            request.arrival, request.id);
   };
@@ -35,6 +36,12 @@
   if (requests_.empty()) last_dispatch_.clear();
 }
 
+std::size_t request_queue::CountUpTo(std::uint32_t priority) const {
+  return static_cast<std::size_t>(
+      std::count_if(requests_.begin(), requests_.end(),
+                    [&](const auto& entry) { return entry.second.priority <= priority; }));
+}
+
 void request_queue::Remove(queued_request_id id) { requests_.erase(id); }
 
 std::vector<queued_request_id> request_queue::TakeExpired(time_point now) {
--- /dev/null
+++ b/src/request/admission/stream_admission.cc
@@ -0,0 +1,133 @@
+#include "berylbarrow/request/admission/stream_admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace berylbarrow {
+namespace {
+
+double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
+
+duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+void stream_admission::event_rate::Add(duration averaging_time, time_point now) {
+  weight_ = PerSecond(averaging_time, now) * Seconds(averaging_time) + 1;
+  at_ = now;
+}
+
+double stream_admission::event_rate::PerSecond(duration averaging_time, time_point now) const {
+  if (weight_ <= 0) return 0;
+  const double decay = std::exp(-Seconds(now - at_) / Seconds(averaging_time));
+  return weight_ * decay / Seconds(averaging_time);
+}
+
+bool stream_admission::AppliesTo(const std::string& service, const routing_view& view) {
+  std::set<std::uint32_t> priorities;
+  for (const route& each : view.Content().routes) {
+    if (each.kind != request_kind::kStreaming) continue;
+    const bool leads_there =
+        std::any_of(each.services.begin(), each.services.end(),
+                    [&](const weighted_service& target) { return target.service == service; });
+    if (leads_there) priorities.insert(each.priority);
+  }
+  return priorities.size() > 1;
+}
+
+void stream_admission::OnArrival(std::uint32_t priority, duration goal, time_point now) {
+  priority_state& state = priorities_[priority];
+  state.arrivals.Add(options_.averaging_time, now);
+  state.goal = state.goal == duration::zero() ? goal : std::min(state.goal, goal);
+}
+
+void stream_admission::OnAdmitted(std::uint32_t priority, time_point now) {
+  priorities_[priority].admissions.Add(options_.averaging_time, now);
+}
+
+void stream_admission::OnPlaceFreed(time_point now) { freed_.Add(options_.averaging_time, now); }
+
+double stream_admission::ArrivalsPerSecond(const priority_state& state, time_point now) const {
+  return state.arrivals.PerSecond(options_.averaging_time, now);
+}
+
+double stream_admission::AdmissionsPerSecond(const priority_state& state, time_point now) const {
+  return state.admissions.PerSecond(options_.averaging_time, now);
+}
+
+bool stream_admission::IsStarved(const priority_state& state, time_point now) const {
+  double all_arrivals = 0;
+  double all_admissions = 0;
+  for (const auto& [priority, each] : priorities_) {
+    all_arrivals += ArrivalsPerSecond(each, now);
+    all_admissions += AdmissionsPerSecond(each, now);
+  }
+  return AdmissionsPerSecond(state, now) * all_arrivals <
+         options_.min_relative_admission * all_admissions * ArrivalsPerSecond(state, now);
+}
+
+double stream_admission::Headroom(std::uint32_t priority, double draw, double gateways,
+                                  time_point now) const {
+  double admissions = 0;
+  double urgent = 0;
+  for (const auto& [other, state] : priorities_) {
+    admissions += AdmissionsPerSecond(state, now);
+    // Only requests that arrive within this time compete with one that is admitted now: the later
+    // ones find the places that come free meanwhile.
+    if (other < priority) urgent += ArrivalsPerSecond(state, now) * Seconds(state.goal);
+  }
+  const double unseen = admissions * Seconds(options_.load_age);
+  const auto own = priorities_.find(priority);
+  if (own != priorities_.end() && IsStarved(own->second, now)) urgent = 0;
+  return gateways * (urgent + draw * unseen);
+}
+
+std::string stream_admission::HeadroomText(double gateways, time_point now) const {
+  std::string text;
+  for (const auto& [priority, state] : priorities_) {
+    if (!text.empty()) text += ',';
+    text += std::to_string(priority) + ':' +
+            std::to_string(std::lround(Headroom(priority, 0, gateways, now)));
+  }
+  return text;
+}
+
+double stream_admission::PlacesPerSecond(std::uint32_t priority, time_point now) const {
+  double places = freed_.PerSecond(options_.averaging_time, now);
+  for (const auto& [other, state] : priorities_) {
+    if (other < priority) places -= ArrivalsPerSecond(state, now);
+  }
+  const auto own = priorities_.find(priority);
+  const double admitted = own == priorities_.end() ? 0 : AdmissionsPerSecond(own->second, now);
+  return std::max(places, admitted);
+}
+
+stream_wait_decision stream_admission::OnNoRoom(const stream_candidate& candidate,
+                                                std::size_t ahead, time_point now) {
+  const double places = PlacesPerSecond(candidate.priority, now);
+  const double expected = places * Seconds(candidate.on_time_until - now);
+  if (static_cast<double>(ahead) < expected) return {.may_wait = true};
+  return {.may_wait = false, .retry_after = RetryAfter(candidate, ahead, now)};
+}
+
+duration stream_admission::RetryAfter(const stream_candidate& candidate, std::size_t ahead,
+                                      time_point now) {
+  const duration longest =
+      std::max(options_.min_retry_after,
+               FromSeconds(options_.max_retry_share * Seconds(candidate.deadline - now)));
+  const double places = std::max(PlacesPerSecond(candidate.priority, now), 1 / Seconds(longest));
+  const duration interval = FromSeconds(1 / places);
+  const duration shortest =
+      std::clamp(interval * static_cast<int>(ahead), options_.min_retry_after, longest);
+  time_point& next = priorities_[candidate.priority].next_return;
+  // Beyond the longest time the schedule starts over, so that returns stay spread.
+  if (next < now + shortest || next > now + longest) next = now + shortest;
+  const time_point returns_at = next + FromSeconds(candidate.draw * Seconds(interval));
+  next += interval;
+  return std::min(returns_at - now, longest);
+}
+
+}  // namespace berylbarrow
--- a/src/request/dispatch/pass_time_model.cc
+++ b/src/request/dispatch/pass_time_model.cc
@@ -1,14 +1,29 @@
 #include "berylbarrow/request/dispatch/pass_time_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace berylbarrow {
+namespace {
+
+constexpr double kPartialChunks = 0.5;  // per prompt
+constexpr int kBisections = 12;         // leave an error of 1/4000 of the range
+
+}  // namespace
 
 pass_time_model::pass_time_model(const engine_profile& engine)
     : all_steps_ms_(engine.stride * engine.step_ms),
-      expert_work_share_(engine.expert_layers > 0 ? engine.expert_share : 0) {
+      expert_work_share_(engine.expert_layers > 0 ? engine.expert_share : 0),
+      steps_(engine.stride) {
   const double context_k = (engine.usual_prompt + engine.usual_answer / 2.0) / 1000.0;
   ms_per_request_ = engine.stride * (engine.per_sequence_ms + engine.per_context_k_ms * context_k);
+  if (engine.chunk_tokens == 0 || engine.read_tokens_per_ms <= 0) return;
+  // The last chunk of a prompt is half full on average, but takes a step like the others.
+  const double chunk_count =
+      static_cast<double>(engine.usual_prompt) / engine.chunk_tokens + kPartialChunks;
+  const double chunk_tokens = engine.usual_prompt / chunk_count;
+  chunk_ms_ = chunk_tokens / engine.read_tokens_per_ms;
+  reads_per_request_ = chunk_count / (chunk_count + engine.usual_answer);
 }
 
 void pass_time_model::AddRank(double requests, double pace) {
@@ -24,4 +39,28 @@
   return max_rank_ms + expert_work_share_ * ms_per_request_ * (request_count_ + 1) / total_speed_;
 }
 
+double pass_time_model::PassMs(double requests_per_rank) const {
+  if (rank_count_ <= 0) return 0;
+  const double requests = requests_per_rank * rank_count_;
+  const double reads = requests * reads_per_request_;
+  const double read_probability = 1 - std::exp(-reads);  // that any rank reads in a step
+  const double own_ms =
+      RankMs(requests_per_rank, max_pace_) +
+      max_pace_ * (1 - expert_work_share_) * steps_ * chunk_ms_ * read_probability;
+  const double expert_ms =
+      expert_work_share_ * (ms_per_request_ * requests + steps_ * chunk_ms_ * reads) / total_speed_;
+  return own_ms + expert_ms;
+}
+
+double pass_time_model::FittingRequestsPerRank(double pass_ms, double max_requests_per_rank) const {
+  double fitting = 0;
+  double excessive = max_requests_per_rank;
+  if (PassMs(excessive) <= pass_ms) return excessive;
+  for (int i = 0; i < kBisections; ++i) {
+    const double middle = (fitting + excessive) / 2;
+    (PassMs(middle) <= pass_ms ? fitting : excessive) = middle;
+  }
+  return fitting;
+}
+
 }  // namespace berylbarrow
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -6,6 +6,9 @@
 #include <cmath>
 #include <limits>
 #include <nlohmann/json.hpp>
+#include <numeric>
+
+#include "berylbarrow/request/admission/stream_admission.h"
 
 namespace berylbarrow {
 namespace {
@@ -15,6 +18,8 @@
 constexpr double kLoadWeight = 0.3;
 constexpr double kPassTimeWeight = 0.05;       // of the latest event gap in the moving averages
 constexpr double kFailurePenaltySlots = 0.35;  // per recent failure
+// Age up to which a predicted pass time is compared with measured ones.
+constexpr duration kPredictionLifetime = std::chrono::milliseconds(100);
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -62,6 +67,7 @@
         view == nullptr ? nullptr : view->FindService(registered.record.service);
     if (profile == nullptr) continue;
     state.event_gap_limit = view->ShortestPause(registered.record.service);
+    state.is_room_limited = stream_admission::AppliesTo(registered.record.service, *view);
     state.engine = profile->engine;
     state.cold_start = profile->cold_start;
     state.cold_requests_per_second = profile->cold_requests_per_second;
@@ -143,6 +149,60 @@
   return Load(state, now) < share * Capacity(state, groups, now);
 }
 
+group_room upstream_selector::RoomOf(const std::string& key, const pass_time_model& group,
+                                     const upstream_state& rank, time_point now) const {
+  const double max_per_rank = std::max(1U, rank.record.slots);
+  const double gap_limit_ms = Seconds(rank.event_gap_limit) * 1000.0;
+  group_room room{.group = key,
+                  .requests = group.RequestCount(),
+                  .room = max_per_rank * group.RankCount(),
+                  .predicted_ms = group.PassMs(group.MeanRequestsPerRank())};
+  const auto measured = pass_times_.find(key);
+  if (measured != pass_times_.end() &&
+      now - measured->second.updated_at <= options_.pass_time_lifetime) {
+    const pass_time_stats& stats = measured->second;
+    room.measured_ms = stats.mean_ms;
+    room.late_ratio = stats.ratio + options_.pass_time_deviations * stats.ratio_deviation;
+  }
+  if (gap_limit_ms <= 0) return room;
+  const double fitting = group.FittingRequestsPerRank(gap_limit_ms / room.late_ratio, max_per_rank);
+  const double fitting_share = std::max(options_.min_room_share, fitting / max_per_rank);
+  room.room *= fitting_share;
+  return room;
+}
+
+upstream_selector::group_rooms upstream_selector::LimitingRooms(const dispatch_query& query,
+                                                                const group_models& groups,
+                                                                time_point now) const {
+  group_rooms rooms;
+  if (!query.headroom) return rooms;
+  for (const auto& [id, state] : upstreams_) {
+    if (!state.engine || !IsUsable(state, query) || IsBlocked(state, now)) continue;
+    const std::string key = GroupKey(state);
+    if (rooms.count(key) == 0) rooms[key] = RoomOf(key, groups.at(key), state, now);
+  }
+  return rooms;
+}
+
+bool upstream_selector::HasRoom(const upstream_state& state, const dispatch_query& query,
+                                const group_rooms& rooms, double total_room) const {
+  const auto found = rooms.find(GroupKey(state));
+  if (found == rooms.end()) return true;
+  const group_room& room = found->second;
+  const double headroom = *query.headroom * room.room / total_room;
+  const double share = query.late ? options_.late_capacity_share : 1.0;
+  return room.requests + headroom < share * room.room;
+}
+
+std::vector<group_room> upstream_selector::Rooms(const std::string& service, time_point now) const {
+  std::vector<group_room> rooms;
+  const group_models groups = BuildGroupModels(service, now);
+  for (auto& [key, room] : LimitingRooms({.service = service, .headroom = 0}, groups, now)) {
+    rooms.push_back(room);
+  }
+  return rooms;
+}
+
 bool upstream_selector::IsUsable(const upstream_state& state, const dispatch_query& query) const {
   return state.record.service == query.service && !state.record.leaving &&
          evacuated_domains_.count(state.record.domain) == 0 &&
@@ -262,6 +322,11 @@
 dispatch_choice upstream_selector::Choose(const dispatch_query& query, time_point now) const {
   const group_models groups = BuildGroupModels(query.service, now);
   const std::optional<std::string> preferred_unit = PreferredUnit(query, now);
+  const group_rooms rooms = LimitingRooms(query, groups, now);
+  const double total_room =
+      std::accumulate(rooms.begin(), rooms.end(), 0.0,
+                      [](double sum, const auto& entry) { return sum + entry.second.room; });
+  bool lacks_room = false;
   dispatch_choice choice;
   const upstream_state* best = nullptr;
   const upstream_state* least_blocked = nullptr;
@@ -277,10 +342,16 @@
       continue;
     }
     all_limited = all_limited && state.rate_limit && !IsWithinRate(state, now);
-    if (!HasCapacity(state, groups, query.late, now)) {
+    if (rooms.empty() ? !HasCapacity(state, groups, query.late, now)
+                      : Load(state, now) >= state.record.slots + options_.engine_queue_limit) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
       continue;
     }
+    if (!HasRoom(state, query, rooms, total_room)) {
+      lacks_room = lacks_room || !IsBlocked(state, now);
+      choice.obstacle = std::max(choice.obstacle, dispatch_obstacle::kAllBusy);
+      continue;
+    }
     if (!IsWithinRate(state, now)) {
       choice.obstacle = std::max(choice.obstacle, dispatch_obstacle::kColdRateLimit);
       if (state.rate_limit) AddLimited(*state.rate, now, choice);
@@ -315,6 +386,9 @@
     if (all_limited && choice.obstacle != dispatch_obstacle::kNoUpstream) {
       choice.obstacle = dispatch_obstacle::kAllLimited;
     }
+    if (lacks_room && choice.obstacle == dispatch_obstacle::kAllBusy) {
+      choice.obstacle = dispatch_obstacle::kNoRoom;
+    }
     return choice;
   }
   return {.upstream_id = best->record.id,
@@ -446,6 +520,26 @@
       kPassTimeWeight * (std::abs(ms - pass_times.mean_ms) - pass_times.deviation_ms);
   pass_times.mean_ms += kPassTimeWeight * (ms - pass_times.mean_ms);
   pass_times.updated_at = now;
+  if (found->second.is_room_limited) UpdateRatio(pass_times, found->second, ms, is_outdated, now);
+}
+
+void upstream_selector::UpdateRatio(pass_time_stats& pass_times, const upstream_state& state,
+                                    double ms, bool is_outdated, time_point now) {
+  if (!state.engine) return;
+  if (is_outdated || now - pass_times.predicted_at > kPredictionLifetime) {
+    const pass_time_model group = BuildGroupModels(state.record.service, now).at(GroupKey(state));
+    pass_times.predicted_ms = group.PassMs(group.MeanRequestsPerRank());
+    pass_times.predicted_at = now;
+  }
+  const double ratio = ms / std::max(1.0, pass_times.predicted_ms);
+  if (is_outdated) {
+    pass_times.ratio = ratio;
+    pass_times.ratio_deviation = ratio / 8;
+    return;
+  }
+  pass_times.ratio_deviation +=
+      kPassTimeWeight * (std::abs(ratio - pass_times.ratio) - pass_times.ratio_deviation);
+  pass_times.ratio += kPassTimeWeight * (ratio - pass_times.ratio);
 }
 
 void upstream_selector::AddToTotalPeerLoad(const load_by_upstream& in_flight) {
--- a/tests/request/dispatch/pass_time_model_test.cc
+++ b/tests/request/dispatch/pass_time_model_test.cc
@@ -54,5 +54,36 @@
   BOOST_TEST(model.EmptyPassMs() == 4 * kAllStepsMs, boost::test_tools::tolerance(1e-9));
 }
 
+// Prompts that are read lengthen the passes of all streams, the more the more requests run.
+BOOST_AUTO_TEST_CASE(reading_of_prompts_lengthens_every_pass) {
+  engine_profile reading = EngineProfile(0.85);
+  reading.chunk_tokens = 512;
+  reading.read_tokens_per_ms = 60;
+  pass_time_model with_reading(reading);
+  pass_time_model without_reading(EngineProfile(0.85));
+  for (int i = 0; i < 16; ++i) {
+    with_reading.AddRank(8, 1);
+    without_reading.AddRank(8, 1);
+  }
+  BOOST_TEST(without_reading.PassMs(8) == kAllStepsMs + 8 * kMsPerRequest,
+             boost::test_tools::tolerance(1e-9));
+  const double chunk_ms = 800 / (800 / 512.0 + 0.5) / 60;
+  const double reading_ms = with_reading.PassMs(8) - without_reading.PassMs(8);
+  BOOST_TEST(reading_ms > 4 * 0.15 * chunk_ms * 0.8);
+  BOOST_TEST(reading_ms < 4 * chunk_ms);
+  BOOST_TEST(with_reading.PassMs(0) == kAllStepsMs, boost::test_tools::tolerance(1e-9));
+}
+
+// The room of a group shrinks with a slow rank, because each pass waits for it.
+BOOST_AUTO_TEST_CASE(fewer_requests_fit_into_a_pass_beside_a_slow_rank) {
+  const pass_time_model sound = GroupModel({{8, 1}, {8, 1}, {8, 1}, {8, 1}});
+  const pass_time_model slowed = GroupModel({{8, 2}, {8, 1}, {8, 1}, {8, 1}});
+  const double pass_ms = sound.PassMs(6);
+  BOOST_TEST(sound.FittingRequestsPerRank(pass_ms, 12) == 6, boost::test_tools::tolerance(0.01));
+  BOOST_TEST(slowed.FittingRequestsPerRank(pass_ms, 12) < 5);
+  BOOST_TEST(sound.FittingRequestsPerRank(1000, 12) == 12);
+  BOOST_TEST(sound.FittingRequestsPerRank(1, 12) < 0.01);
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -487,5 +487,66 @@
   BOOST_TEST(fixture.SendRequests(5)["a"] == 1);
 }
 
+/// Two upstreams of one group whose streams have different priorities.
+class room_fixture : public selector_fixture {
+ public:
+  room_fixture() {
+    routing_content content = view.Content();
+    content.routes.push_back(content.routes.front());
+    content.routes.back().prefix = "/batch/";
+    content.routes.back().priority = 7;
+    view = routing_view(std::move(content));
+    for (const char* id : {"a", "b"}) {
+      AddUpstream(id, "north");
+      ReportEngine(id, "group");
+    }
+  }
+
+  dispatch_choice ChooseWithHeadroom(double headroom) {
+    return selector.Choose({.service = "model", .domain = "north", .headroom = headroom}, now);
+  }
+
+  /// Sends requests until the group has no room for another and its headroom.
+  int Fill(double headroom) {
+    for (int sent = 0;; ++sent) {
+      const dispatch_choice choice = ChooseWithHeadroom(headroom);
+      if (choice.upstream_id.empty()) return sent;
+      selector.OnSent(choice.upstream_id, 900, now);
+    }
+  }
+};
+
+// A burst of batch requests that were all admitted made every stream of the group late.
+BOOST_AUTO_TEST_CASE(batch_requests_leave_the_headroom_of_a_group_to_urgent_ones) {
+  room_fixture fixture;
+  const int batch = fixture.Fill(6);
+  BOOST_TEST((fixture.ChooseWithHeadroom(6).obstacle == dispatch_obstacle::kNoRoom));
+  BOOST_TEST(batch > 0);
+  BOOST_TEST(fixture.Fill(0) == 6);
+}
+
+// Long passes shrink the room, but not below the share of the slots that keeps the engines busy.
+BOOST_AUTO_TEST_CASE(the_room_of_a_group_follows_its_measured_passes) {
+  room_fixture fixture;
+  const int predicted = fixture.Fill(0);
+  for (int i = 0; i < 100; ++i) fixture.selector.OnEventGap("a", milliseconds(118), fixture.now);
+  const std::vector<group_room> long_passes = fixture.selector.Rooms("model", fixture.now);
+  BOOST_TEST(long_passes.size() == 1);
+  BOOST_TEST(long_passes.front().room < predicted);
+  BOOST_TEST(long_passes.front().late_ratio > 1.2);
+  for (int i = 0; i < 100; ++i) fixture.selector.OnEventGap("a", milliseconds(500), fixture.now);
+  BOOST_TEST(fixture.selector.Rooms("model", fixture.now).front().room == 12);
+  fixture.AdvanceTime(std::chrono::seconds(1));
+  BOOST_TEST(fixture.selector.Rooms("model", fixture.now).front().room >= predicted);
+}
+
+// A group that waits for a rank is blocked, which says nothing about its room.
+BOOST_AUTO_TEST_CASE(a_closed_group_is_busy_and_has_no_lack_of_room) {
+  room_fixture fixture;
+  fixture.Fill(0);
+  fixture.ReportEngine("a", "group", 1, false);
+  BOOST_TEST((fixture.ChooseWithHeadroom(0).obstacle == dispatch_obstacle::kAllBusy));
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/request/request_queue_test.cc
+++ b/tests/request/request_queue_test.cc
@@ -79,5 +79,18 @@
   BOOST_TEST(!queue.Push(Queued(2, "a", 1, milliseconds(0))));
 }
 
+// Guards against urgent requests that are late anyway taking the places of others that are not.
+BOOST_AUTO_TEST_CASE(LateRequestsYieldToLessUrgentOnesThatCanBeOnTime) {
+  request_queue queue(10);
+  queue.Push(Queued(1, "a", 0, milliseconds(0)));
+  queue.Push(Queued(2, "a", 2, milliseconds(300)));
+  const time_point now = kStart + milliseconds(400);
+  BOOST_TEST(queue.Next(now).value() == 1U);
+  queue.SetLateYields(true);
+  BOOST_TEST(queue.Next(now).value() == 2U);
+  BOOST_TEST(queue.CountUpTo(0) == 1U);
+  BOOST_TEST(queue.CountUpTo(2) == 2U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
