--- /dev/null
+++ b/include/berylbarrow/request/dispatch/pass_time_history.h
@@ -0,0 +1,40 @@
+#ifndef BERYLBARROW_REQUEST_DISPATCH_PASS_TIME_HISTORY_H_
+#define BERYLBARROW_REQUEST_DISPATCH_PASS_TIME_HISTORY_H_
+
+#include <deque>
+
+#include "berylbarrow/process/runtime/time.h"
+
+namespace berylbarrow {
+
+/// Remembers how much longer the passes of a group recently took than predicted.
+///
+/// Passes become longer at once when other experts are in demand, and shorter again when the expert
+/// map follows. The streams that run then are late, so the room of a group is planned for the long
+/// passes of the last seconds and not for the present ones.
+class pass_time_history {
+ public:
+  /// Time for which long passes are remembered.
+  static constexpr duration kWindow = std::chrono::seconds(10);
+  /// The ratios of this time are averaged, which levels out the jitter of the network.
+  static constexpr duration kSampleTime = std::chrono::milliseconds(100);
+  /// Longer passes are stalls of the group, which do not depend on its load.
+  static constexpr double kStallRatio = 2.5;
+
+  /// `ratio`: measured pass time divided by the predicted one.
+  void Add(double ratio, time_point now);
+  /// The ratio that this share of the remembered samples does not exceed; 1 without samples.
+  double Quantile(double share, time_point now) const;
+
+ private:
+  struct sample {
+    time_point begin;
+    double sum = 0;
+    double count = 0;
+  };
+  std::deque<sample> samples_;  // the oldest first
+};
+
+}  // namespace berylbarrow
+
+#endif  // BERYLBARROW_REQUEST_DISPATCH_PASS_TIME_HISTORY_H_
--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -13,6 +13,7 @@
 
 #include "berylbarrow/process/membership/upstream_registry.h"
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/request/dispatch/pass_time_history.h"
 #include "berylbarrow/request/dispatch/pass_time_model.h"
 #include "berylbarrow/request/routing/fleet_share.h"
 #include "berylbarrow/version/routing/routing_view.h"
@@ -123,9 +124,6 @@
   std::uint32_t min_engine_capacity = 2;
   /// Age up to which measured pass times are used.
   duration pass_time_lifetime = std::chrono::milliseconds(600);
-  /// Passes are planned so that the mean ratio of measured to predicted pass time, plus this many
-  /// mean deviations, stays within the event gap limit: one long pass makes a stream late.
-  double pass_time_deviations = 2.0;
   /// Share of the slots of a group that can always be used. With fewer requests the fixed part of a
   /// pass dominates, and limiting them further hardly shortens it.
   double min_room_share = 0.5;
@@ -143,7 +141,7 @@
   double room = 0;          // requests that it can run within the event gap limit
   double predicted_ms = 0;  // per pass, by the model alone
   double measured_ms = 0;   // mean event gap; zero: not measured lately
-  double late_ratio = 1;    // of long measured passes to predicted ones
+  double long_ratio = 1;    // of the longest recent passes to predicted ones, but for a few
   auto operator<=>(const group_room&) const = default;
 };
 
@@ -236,9 +234,8 @@
     double mean_ms = 0;
     double deviation_ms = 0;  // mean absolute deviation
     time_point updated_at;
-    // Relative to the prediction, of services with a limited room.
-    double ratio = 1;
-    double ratio_deviation = 0;
+    // Of services with a limited room:
+    pass_time_history history;
     double predicted_ms = 0;
     time_point predicted_at = time_point::min();
   };
@@ -266,8 +263,8 @@
   bool HasRoom(const upstream_state& state, const dispatch_query& query, const group_rooms& rooms,
                double total_room) const;
   /// Compares a measured pass with the prediction.
-  void UpdateRatio(pass_time_stats& pass_times, const upstream_state& state, double ms,
-                   bool is_outdated, time_point now);
+  void UpdateHistory(pass_time_stats& pass_times, const upstream_state& state, double ms,
+                     time_point now);
   /// The group of an upstream, or its id if it has none.
   std::string GroupKey(const upstream_state& state) const;
   bool IsUsable(const upstream_state& state, const dispatch_query& query) const;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -389,7 +389,7 @@
                      {"room", std::to_string(room.room)},
                      {"predicted_ms", std::to_string(room.predicted_ms)},
                      {"measured_ms", std::to_string(room.measured_ms)},
-                     {"late_ratio", std::to_string(room.late_ratio)},
+                     {"long_ratio", std::to_string(room.long_ratio)},
                      {"headroom", admission.HeadroomText(share_.GatewayCount(), now)}});
     }
   }
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -157,15 +157,17 @@
                   .requests = group.RequestCount(),
                   .room = max_per_rank * group.RankCount(),
                   .predicted_ms = group.PassMs(group.MeanRequestsPerRank())};
-  const auto measured = pass_times_.find(key);
-  if (measured != pass_times_.end() &&
-      now - measured->second.updated_at <= options_.pass_time_lifetime) {
+  if (const auto measured = pass_times_.find(key); measured != pass_times_.end()) {
     const pass_time_stats& stats = measured->second;
-    room.measured_ms = stats.mean_ms;
-    room.late_ratio = stats.ratio + options_.pass_time_deviations * stats.ratio_deviation;
+    const bool is_recent = now - stats.updated_at <= options_.pass_time_lifetime;
+    room.measured_ms = is_recent ? stats.mean_ms : 0;
+    // A stream is late if one of its passes is, so passes are planned to exceed the limit less than
+    // once in a stream.
+    const double passes = std::max(1.0, rank.engine->usual_answer / (1.0 * rank.engine->stride));
+    room.long_ratio = stats.history.Quantile(1 - 1 / passes, now);
   }
   if (gap_limit_ms <= 0) return room;
-  const double fitting = group.FittingRequestsPerRank(gap_limit_ms / room.late_ratio, max_per_rank);
+  const double fitting = group.FittingRequestsPerRank(gap_limit_ms / room.long_ratio, max_per_rank);
   const double fitting_share = std::max(options_.min_room_share, fitting / max_per_rank);
   room.room *= fitting_share;
   return room;
@@ -515,31 +517,26 @@
   pass_time_stats& pass_times = pass_times_[GroupKey(found->second)];
   const bool is_outdated =
       pass_times.mean_ms <= 0 || now - pass_times.updated_at > options_.pass_time_lifetime;
-  if (is_outdated) pass_times = {.mean_ms = ms, .deviation_ms = ms / 8};
+  if (is_outdated) {
+    pass_times.mean_ms = ms;
+    pass_times.deviation_ms = ms / 8;
+  }
   pass_times.deviation_ms +=
       kPassTimeWeight * (std::abs(ms - pass_times.mean_ms) - pass_times.deviation_ms);
   pass_times.mean_ms += kPassTimeWeight * (ms - pass_times.mean_ms);
   pass_times.updated_at = now;
-  if (found->second.is_room_limited) UpdateRatio(pass_times, found->second, ms, is_outdated, now);
+  if (found->second.is_room_limited) UpdateHistory(pass_times, found->second, ms, now);
 }
 
-void upstream_selector::UpdateRatio(pass_time_stats& pass_times, const upstream_state& state,
-                                    double ms, bool is_outdated, time_point now) {
+void upstream_selector::UpdateHistory(pass_time_stats& pass_times, const upstream_state& state,
+                                      double ms, time_point now) {
   if (!state.engine) return;
-  if (is_outdated || now - pass_times.predicted_at > kPredictionLifetime) {
+  if (pass_times.predicted_ms <= 0 || now - pass_times.predicted_at > kPredictionLifetime) {
     const pass_time_model group = BuildGroupModels(state.record.service, now).at(GroupKey(state));
     pass_times.predicted_ms = group.PassMs(group.MeanRequestsPerRank());
     pass_times.predicted_at = now;
   }
-  const double ratio = ms / std::max(1.0, pass_times.predicted_ms);
-  if (is_outdated) {
-    pass_times.ratio = ratio;
-    pass_times.ratio_deviation = ratio / 8;
-    return;
-  }
-  pass_times.ratio_deviation +=
-      kPassTimeWeight * (std::abs(ratio - pass_times.ratio) - pass_times.ratio_deviation);
-  pass_times.ratio += kPassTimeWeight * (ratio - pass_times.ratio);
+  pass_times.history.Add(ms / std::max(1.0, pass_times.predicted_ms), now);
 }
 
 void upstream_selector::AddToTotalPeerLoad(const load_by_upstream& in_flight) {
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -533,10 +533,15 @@
   const std::vector<group_room> long_passes = fixture.selector.Rooms("model", fixture.now);
   BOOST_TEST(long_passes.size() == 1);
   BOOST_TEST(long_passes.front().room < predicted);
-  BOOST_TEST(long_passes.front().late_ratio > 1.2);
+  BOOST_TEST(long_passes.front().long_ratio > 1.2);
+  const double room = long_passes.front().room;
+  // A stall of the group says nothing about its load.
   for (int i = 0; i < 100; ++i) fixture.selector.OnEventGap("a", milliseconds(500), fixture.now);
+  BOOST_TEST(fixture.selector.Rooms("model", fixture.now).front().room == room);
+  fixture.ReportEngine("a", "group", 9);
   BOOST_TEST(fixture.selector.Rooms("model", fixture.now).front().room == 12);
-  fixture.AdvanceTime(std::chrono::seconds(1));
+  fixture.ReportEngine("a", "group", 1);
+  fixture.AdvanceTime(std::chrono::seconds(11));
   BOOST_TEST(fixture.selector.Rooms("model", fixture.now).front().room >= predicted);
 }
 
