--- a/include/berylbarrow/request/admission/stream_admission.h
+++ b/include/berylbarrow/request/admission/stream_admission.h
@@ -11,9 +11,9 @@
 namespace berylbarrow {
 
 struct stream_admission_options {
-  /// Age that the loads of other gateways reach before they are replaced. In this time each gateway
-  /// decides without the requests that the others have sent.
-  duration load_age = std::chrono::milliseconds(250);
+  /// Mean age of the loads of other gateways, which are sent at regular intervals. Each gateway
+  /// decides without the requests that the others have sent in this time.
+  duration load_age = std::chrono::milliseconds(125);
   /// Time constant of the averaged rates.
   duration averaging_time = std::chrono::seconds(4);
   /// Priorities that are admitted less often than this, relative to all requests, keep no room free
@@ -46,7 +46,8 @@
 ///
 /// The room is the number of requests that the groups can run without exceeding the event gap
 /// limit of their streams; see `pass_time_model`. Less urgent requests leave part of it free: what
-/// the more urgent ones are expected to need while they can still be on time. Requests that find no
+/// the more urgent ones may need within their latency objective beyond the places that come free in
+/// that time. Requests that find no
 /// room wait as long as a place can be expected in time and are refused otherwise.
 class stream_admission {
  public:
@@ -63,9 +64,10 @@
   /// Called when a request that was sent has ended.
   void OnPlaceFreed(time_point now);
 
-  /// Requests per service that must still fit after a request of this priority was admitted.
+  /// Requests of the whole fleet that must still fit after a request of this priority was admitted.
   /// `gateways`: number of gateways that share the load evenly. `draw`: uniform in [0, 1), drawn
-  /// once per request, so that gateways that see the same loads do not all admit at once.
+  /// once per request. It raises or lowers the headroom by up to half of the admissions that this
+  /// gateway does not see yet, so that gateways with the same view do not all admit at once.
   double Headroom(std::uint32_t priority, double draw, double gateways, time_point now) const;
   /// The headroom by priority, without the random part, for logs.
   std::string HeadroomText(double gateways, time_point now) const;
--- a/src/request/admission/stream_admission.cc
+++ b/src/request/admission/stream_admission.cc
@@ -7,6 +7,9 @@
 namespace berylbarrow {
 namespace {
 
+// Standard deviations of the number of urgent arrivals that headroom covers.
+constexpr double kDeviations = 2;
+
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
 duration FromSeconds(double seconds) {
@@ -72,17 +75,20 @@
 double stream_admission::Headroom(std::uint32_t priority, double draw, double gateways,
                                   time_point now) const {
   double admissions = 0;
-  double urgent = 0;
+  double urgent = 0;  // requests that arrive within their latency objectives
+  double freed = 0;   // places that come free in that time
+  const double freed_per_s = freed_.PerSecond(options_.averaging_time, now);
   for (const auto& [other, state] : priorities_) {
     admissions += AdmissionsPerSecond(state, now);
-    // Only requests that arrive within this time compete with one that is admitted now: the later
-    // ones find the places that come free meanwhile.
-    if (other < priority) urgent += ArrivalsPerSecond(state, now) * Seconds(state.goal);
+    if (other >= priority) continue;
+    urgent += gateways * ArrivalsPerSecond(state, now) * Seconds(state.goal);
+    freed = std::max(freed, gateways * freed_per_s * Seconds(state.goal));
   }
-  const double unseen = admissions * Seconds(options_.load_age);
   const auto own = priorities_.find(priority);
-  if (own != priorities_.end() && IsStarved(own->second, now)) urgent = 0;
-  return gateways * (urgent + draw * unseen);
+  const bool keeps_room = own == priorities_.end() || !IsStarved(own->second, now);
+  const double kept =
+      keeps_room ? std::max(0.0, urgent - freed) + kDeviations * std::sqrt(urgent) : 0;
+  return kept + (draw - 0.5) * gateways * admissions * Seconds(options_.load_age);
 }
 
 std::string stream_admission::HeadroomText(double gateways, time_point now) const {
@@ -90,7 +96,7 @@
   for (const auto& [priority, state] : priorities_) {
     if (!text.empty()) text += ',';
     text += std::to_string(priority) + ':' +
-            std::to_string(std::lround(Headroom(priority, 0, gateways, now)));
+            std::to_string(std::lround(Headroom(priority, 0.5, gateways, now)));
   }
   return text;
 }
