--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -529,7 +529,7 @@
 BOOST_AUTO_TEST_CASE(the_room_of_a_group_follows_its_measured_passes) {
   room_fixture fixture;
   const int predicted = fixture.Fill(0);
-  for (int i = 0; i < 100; ++i) fixture.selector.OnEventGap("a", milliseconds(118), fixture.now);
+  for (int i = 0; i < 100; ++i) fixture.selector.OnEventGap("a", milliseconds(140), fixture.now);
   const std::vector<group_room> long_passes = fixture.selector.Rooms("model", fixture.now);
   BOOST_TEST(long_passes.size() == 1);
   BOOST_TEST(long_passes.front().room < predicted);
