--- a/include/berylbarrow/request/admission/request_queue.h
+++ b/include/berylbarrow/request/admission/request_queue.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/request/admission/request_urgency.h"
 
 namespace berylbarrow {
 
@@ -18,16 +19,16 @@
 struct queued_request {
   queued_request_id id = 0;
   std::string account;
-  std::uint32_t priority = 5;  // 0 is the highest
+  request_urgency urgency;
   time_point arrival;
   time_point on_time_until;      // dispatched later, it misses its latency objective
   time_point dispatch_deadline;  // dispatched from then on, it cannot end before its deadline
 };
 
 /// Bounded queue of the requests of one service that wait in the gateway for an upstream with free
-/// capacity. Requests are ordered by priority; within a priority, those that can still meet their
+/// capacity. Requests are ordered by urgency; within one urgency, those that can still meet their
 /// latency objective go before those that have missed it, and accounts are served round-robin. If
-/// late requests yield, lateness goes before priority.
+/// late requests yield, lateness goes before urgency.
 class request_queue {
  public:
   explicit request_queue(std::size_t capacity) : capacity_(capacity) {}
@@ -46,8 +47,8 @@
   std::vector<queued_request_id> TakeExpired(time_point now);
 
   std::size_t Size() const { return requests_.size(); }
-  /// Requests of this priority or a more urgent one.
-  std::size_t CountUpTo(std::uint32_t priority) const;
+  /// Requests that are at least this urgent.
+  std::size_t CountUpTo(const request_urgency& urgency) const;
 
  private:
   std::size_t capacity_;
--- a/include/berylbarrow/request/admission/stream_admission.h
+++ b/include/berylbarrow/request/admission/stream_admission.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/request/admission/request_urgency.h"
 #include "berylbarrow/version/routing/routing_view.h"
 
 namespace berylbarrow {
@@ -16,9 +17,9 @@
   duration load_age = std::chrono::milliseconds(125);
   /// Time constant of the averaged rates.
   duration averaging_time = std::chrono::seconds(4);
-  /// Priorities that are admitted less often than this, relative to all requests, keep no room free
-  /// for more urgent ones. A priority that is served less than a quarter as often counts as
-  /// starved; the rest is margin for requests that fail later.
+  /// Requests of an urgency that is admitted less often than this, relative to all requests, keep
+  /// no room free for more urgent ones. A priority that is served less than a quarter as often
+  /// counts as starved; the rest is margin for requests that fail later.
   double min_relative_admission = 0.4;
   /// Returns that refused callers are asked for are at least this far apart from the refusal.
   duration min_retry_after = std::chrono::milliseconds(300);
@@ -28,8 +29,8 @@
 
 /// A streaming request that is to be admitted to a rank group.
 struct stream_candidate {
-  std::uint32_t priority = 5;  // 0 is the most urgent
-  time_point on_time_until;    // dispatched later, it misses its latency objective
+  request_urgency urgency;
+  time_point on_time_until;  // dispatched later, it misses its latency objective
   time_point deadline;
   double draw = 0;  // random, uniform in [0, 1)
   auto operator<=>(const stream_candidate&) const = default;
@@ -42,7 +43,7 @@
   auto operator<=>(const stream_wait_decision&) const = default;
 };
 
-/// Divides the room of a service's rank groups among requests of different priority.
+/// Divides the room of a service's rank groups among requests of different urgency.
 ///
 /// The room is the number of requests that the groups can run without exceeding the event gap
 /// limit of their streams; see `pass_time_model`. Less urgent requests leave part of it free: what
@@ -58,18 +59,19 @@
   static bool AppliesTo(const std::string& service, const routing_view& view);
 
   /// Called once for each request, when it arrives.
-  void OnArrival(std::uint32_t priority, duration goal, time_point now);
+  void OnArrival(const request_urgency& urgency, duration goal, time_point now);
   /// Called when a request is sent to an upstream for the first time.
-  void OnAdmitted(std::uint32_t priority, time_point now);
+  void OnAdmitted(const request_urgency& urgency, time_point now);
   /// Called when a request that was sent has ended.
   void OnPlaceFreed(time_point now);
 
-  /// Requests of the whole fleet that must still fit after a request of this priority was admitted.
+  /// Requests of the whole fleet that must still fit after a request of this urgency was admitted.
   /// `gateways`: number of gateways that share the load evenly. `draw`: uniform in [0, 1), drawn
   /// once per request. It raises or lowers the headroom by up to half of the admissions that this
   /// gateway does not see yet, so that gateways with the same view do not all admit at once.
-  double Headroom(std::uint32_t priority, double draw, double gateways, time_point now) const;
-  /// The headroom by priority, without the random part, for logs.
+  double Headroom(const request_urgency& urgency, double draw, double gateways,
+                  time_point now) const;
+  /// The headroom by urgency, without the random part, for logs.
   std::string HeadroomText(double gateways, time_point now) const;
   /// Whether a request that found no room can expect a place in time, behind `ahead` others.
   stream_wait_decision OnNoRoom(const stream_candidate& candidate, std::size_t ahead,
@@ -89,21 +91,21 @@
     double weight_ = 0;  // events, as of `at_`
     time_point at_ = time_point::min();
   };
-  struct priority_state {
+  struct urgency_state {
     event_rate arrivals;
     event_rate admissions;
     duration goal = duration::zero();  // shortest latency objective
     time_point next_return = time_point::min();
   };
 
-  double ArrivalsPerSecond(const priority_state& state, time_point now) const;
-  double AdmissionsPerSecond(const priority_state& state, time_point now) const;
-  bool IsStarved(const priority_state& state, time_point now) const;
-  /// Places per second that come free for requests of this priority at this gateway.
-  double PlacesPerSecond(std::uint32_t priority, time_point now) const;
+  double ArrivalsPerSecond(const urgency_state& state, time_point now) const;
+  double AdmissionsPerSecond(const urgency_state& state, time_point now) const;
+  bool IsStarved(const urgency_state& state, time_point now) const;
+  /// Places per second that come free for requests of this urgency at this gateway.
+  double PlacesPerSecond(const request_urgency& urgency, time_point now) const;
 
   stream_admission_options options_;
-  std::map<std::uint32_t, priority_state> priorities_;
+  std::map<request_urgency, urgency_state> states_;
   event_rate freed_;
 };
 
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -109,10 +109,10 @@
   if (admission == admissions_.end()) return request.Refuse("no_room", BusyRetryAfter());
   request_queue& queue = QueueOf(admitted.service);
   const stream_wait_decision decision =
-      admission->second.OnNoRoom(request.Candidate(), queue.CountUpTo(admitted.priority), now);
+      admission->second.OnNoRoom(request.Candidate(), queue.CountUpTo(request.Urgency()), now);
   const queued_request queued{.id = admitted.id,
                               .account = admitted.account,
-                              .priority = admitted.priority,
+                              .urgency = request.Urgency(),
                               .arrival = admitted.arrival,
                               .on_time_until = LatestOnTimeDispatch(admitted),
                               .dispatch_deadline = LatestOnTimeDispatch(admitted)};
@@ -123,6 +123,7 @@
                 {{"id", admitted.facts.attempt_id},
                  {"obstacle", std::to_string(static_cast<int>(dispatch_obstacle::kNoRoom))},
                  {"priority", std::to_string(admitted.priority)},
+                 {"route_priority", std::to_string(admitted.matched_route->priority)},
                  {"taken", std::to_string(selector_.Utilization(admitted.service, now))},
                  {"waiting", std::to_string(queue.Size())}});
   if (waits) return;
@@ -145,7 +146,7 @@
   if (streaming) dispatch_by = std::min(dispatch_by, admitted.arrival + kMaxStreamQueueTime);
   const queued_request queued{.id = admitted.id,
                               .account = admitted.account,
-                              .priority = admitted.priority,
+                              .urgency = request.Urgency(),
                               .arrival = admitted.arrival,
                               .on_time_until = LatestOnTimeDispatch(admitted),
                               .dispatch_deadline = dispatch_by};
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -69,7 +69,7 @@
       splitter_(request_.facts.last_event) {
   if (stream_admission* const admission = Admission()) {
     admission_draw_ = context_.UniformRandom();
-    admission->OnArrival(request_.priority, request_.matched_route->goal, request_.arrival);
+    admission->OnArrival(Urgency(), request_.matched_route->goal, request_.arrival);
   }
 }
 
@@ -79,8 +79,14 @@
   return found == context_.admissions.end() ? nullptr : &found->second;
 }
 
-stream_candidate relayed_request::Candidate() const {
+request_urgency relayed_request::Urgency() const {
+  const bool is_ordered_by_route = Admission() != nullptr;
   return {.priority = request_.priority,
+          .route_priority = is_ordered_by_route ? request_.matched_route->priority : 0};
+}
+
+stream_candidate relayed_request::Candidate() const {
+  return {.urgency = Urgency(),
           .on_time_until = LatestOnTimeDispatch(request_),
           .deadline = request_.deadline,
           .draw = admission_draw_};
@@ -91,8 +97,7 @@
   // A stream that has run already is continued at once, because its caller waits for the next
   // event.
   if (admission == nullptr || possible_runs_ > 0) return std::nullopt;
-  return admission->Headroom(request_.priority, admission_draw_, context_.share.GatewayCount(),
-                             now);
+  return admission->Headroom(Urgency(), admission_draw_, context_.share.GatewayCount(), now);
 }
 
 std::uint32_t relayed_request::ExpectedTokens() const {
@@ -239,7 +244,7 @@
   context_.selector.OnSent(choice.upstream_id, ExpectedTokens(), now);
   if (stream_admission* const admission = Admission();
       admission != nullptr && sent_attempts_ == 1) {
-    admission->OnAdmitted(request_.priority, now);
+    admission->OnAdmitted(Urgency(), now);
   }
   is_last_answer_tagged_ = false;
   attempt_->link->Exchange(RequestHeadText(request_.head, fields) + request_.body,
--- a/src/process/gateway/relayed_request.h
+++ b/src/process/gateway/relayed_request.h
@@ -61,6 +61,7 @@
   const admitted_request& Request() const { return request_; }
   bool IsDone() const { return state_ == state::kDone; }
   bool IsWaiting() const { return state_ == state::kWaiting; }
+  request_urgency Urgency() const;
   /// What the admission of the service needs to know of the request.
   stream_candidate Candidate() const;
 
--- a/src/request/admission/request_queue.cc
+++ b/src/request/admission/request_queue.cc
@@ -16,7 +16,7 @@
   const auto sort_key = [&](const queued_request& request) {
     const auto last = last_dispatch_.find(request.account);
     const bool is_late = now > request.on_time_until;
-    return std::make_tuple(late_yields_ && is_late, request.priority, is_late,
+    return std::make_tuple(late_yields_ && is_late, request.urgency, is_late,
                            last == last_dispatch_.end() ? std::uint64_t{0} : last->second,
                            request.arrival, request.id);
   };
@@ -36,10 +36,10 @@
   if (requests_.empty()) last_dispatch_.clear();
 }
 
-std::size_t request_queue::CountUpTo(std::uint32_t priority) const {
+std::size_t request_queue::CountUpTo(const request_urgency& urgency) const {
   return static_cast<std::size_t>(
       std::count_if(requests_.begin(), requests_.end(),
-                    [&](const auto& entry) { return entry.second.priority <= priority; }));
+                    [&](const auto& entry) { return entry.second.urgency <= urgency; }));
 }
 
 void request_queue::Remove(queued_request_id id) { requests_.erase(id); }
--- a/tests/request/request_queue_test.cc
+++ b/tests/request/request_queue_test.cc
@@ -13,7 +13,7 @@
                       duration arrival) {
   return {.id = id,
           .account = account,
-          .priority = priority,
+          .urgency = {.priority = priority},
           .arrival = kStart + arrival,
           .on_time_until = kStart + arrival + milliseconds(350),
           .dispatch_deadline = kStart + arrival + milliseconds(1600)};
@@ -88,8 +88,20 @@
   BOOST_TEST(queue.Next(now).value() == 1U);
   queue.SetLateYields(true);
   BOOST_TEST(queue.Next(now).value() == 2U);
-  BOOST_TEST(queue.CountUpTo(0) == 1U);
-  BOOST_TEST(queue.CountUpTo(2) == 2U);
+  BOOST_TEST(queue.CountUpTo({.priority = 0}) == 1U);
+  BOOST_TEST(queue.CountUpTo({.priority = 2}) == 2U);
+}
+
+// Guards against accounts of equal priority hiding which of their requests are urgent.
+BOOST_AUTO_TEST_CASE(RoutesDecideAmongAccountsOfEqualPriority) {
+  request_queue queue(10);
+  queued_request batch = Queued(1, "a", 1, milliseconds(0));
+  batch.urgency.route_priority = 2;
+  queue.Push(batch);
+  queue.Push(Queued(2, "b", 1, milliseconds(5)));
+  queue.Push(Queued(3, "c", 2, milliseconds(0)));
+  BOOST_TEST(queue.Next(kStart + milliseconds(10)).value() == 2U);
+  BOOST_TEST(queue.Next(kStart + milliseconds(10), {2}).value() == 1U);
 }
 
 }  // namespace
--- a/tests/request/stream_admission_test.cc
+++ b/tests/request/stream_admission_test.cc
@@ -10,8 +10,8 @@
 using std::chrono::seconds;
 
 constexpr time_point kStart{std::chrono::hours(1)};
-constexpr std::uint32_t kNote = 0;
-constexpr std::uint32_t kBatch = 2;
+constexpr request_urgency kNote{.priority = 1, .route_priority = 0};
+constexpr request_urgency kBatch{.priority = 1, .route_priority = 2};
 
 route StreamRoute(const std::string& name, std::uint32_t priority, const std::string& service) {
   return {.name = name,
@@ -35,8 +35,8 @@
     }
   }
 
-  stream_candidate Candidate(std::uint32_t priority, duration on_time_for) const {
-    return {.priority = priority,
+  stream_candidate Candidate(const request_urgency& urgency, duration on_time_for) const {
+    return {.urgency = urgency,
             .on_time_until = now + on_time_for,
             .deadline = now + seconds(8),
             .draw = 0.5};
@@ -46,10 +46,10 @@
   time_point now = kStart;
 
  private:
-  void Arrive(std::uint32_t priority, bool is_admitted) {
-    admission.OnArrival(priority, milliseconds(400), now);
+  void Arrive(const request_urgency& urgency, bool is_admitted) {
+    admission.OnArrival(urgency, milliseconds(400), now);
     if (!is_admitted) return;
-    admission.OnAdmitted(priority, now);
+    admission.OnAdmitted(urgency, now);
     admission.OnPlaceFreed(now);
   }
 };
