--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -124,6 +124,9 @@
   std::uint32_t min_engine_capacity = 2;
   /// Age up to which measured pass times are used.
   duration pass_time_lifetime = std::chrono::milliseconds(600);
+  /// Share of the streams that may meet a pass beyond the event gap limit, if long passes come as
+  /// often as in the last seconds.
+  double late_stream_share = 0.1;
   /// Share of the slots of a group that can always be used. With fewer requests the fixed part of a
   /// pass dominates, and limiting them further hardly shortens it.
   double min_room_share = 0.5;
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -161,10 +161,9 @@
     const pass_time_stats& stats = measured->second;
     const bool is_recent = now - stats.updated_at <= options_.pass_time_lifetime;
     room.measured_ms = is_recent ? stats.mean_ms : 0;
-    // A stream is late if one of its passes is, so passes are planned to exceed the limit less than
-    // once in a stream.
+    // A stream is late if one of its passes is.
     const double passes = std::max(1.0, rank.engine->usual_answer / (1.0 * rank.engine->stride));
-    room.long_ratio = stats.history.Quantile(1 - 1 / passes, now);
+    room.long_ratio = stats.history.Quantile(1 - options_.late_stream_share / passes, now);
   }
   if (gap_limit_ms <= 0) return room;
   const double fitting = group.FittingRequestsPerRank(gap_limit_ms / room.long_ratio, max_per_rank);
