--- a/tests/request/request_queue_test.cc
+++ b/tests/request/request_queue_test.cc
@@ -13,7 +13,7 @@
                       duration arrival) {
   return {.id = id,
           .account = account,
-          .priority = priority,
+          .urgency = {.priority = priority},
           .arrival = kStart + arrival,
           .on_time_until = kStart + arrival + milliseconds(350),
           .dispatch_deadline = kStart + arrival + milliseconds(1600)};
@@ -79,5 +79,30 @@
   BOOST_TEST(!queue.Push(Queued(2, "a", 1, milliseconds(0))));
 }
 
+// Guards against urgent requests that are late anyway taking the places of others that are not.
+BOOST_AUTO_TEST_CASE(LateRequestsYieldToLessUrgentOnesThatCanBeOnTime) {
+  request_queue queue(10);
+  queue.Push(Queued(1, "a", 0, milliseconds(0)));
+  queue.Push(Queued(2, "a", 2, milliseconds(300)));
+  const time_point now = kStart + milliseconds(400);
+  BOOST_TEST(queue.Next(now).value() == 1U);
+  queue.SetLateYields(true);
+  BOOST_TEST(queue.Next(now).value() == 2U);
+  BOOST_TEST(queue.CountUpTo({.priority = 0}) == 1U);
+  BOOST_TEST(queue.CountUpTo({.priority = 2}) == 2U);
+}
+
+// Guards against accounts of equal priority hiding which of their requests are urgent.
+BOOST_AUTO_TEST_CASE(RoutesDecideAmongAccountsOfEqualPriority) {
+  request_queue queue(10);
+  queued_request batch = Queued(1, "a", 1, milliseconds(0));
+  batch.urgency.route_priority = 2;
+  queue.Push(batch);
+  queue.Push(Queued(2, "b", 1, milliseconds(5)));
+  queue.Push(Queued(3, "c", 2, milliseconds(0)));
+  BOOST_TEST(queue.Next(kStart + milliseconds(10)).value() == 2U);
+  BOOST_TEST(queue.Next(kStart + milliseconds(10), {2}).value() == 1U);
+}
+
 }  // namespace
 }  // namespace berylbarrow
