Send requests to slow ranks of a group only when the others are full

Every pass of a rank group waits for the slowest rank and for the prompts that it reads. The score of a rank of pace 3.45 was about half a request above that of the others, so it kept nearly its full share.

The score now rises with the rank's pace over that of the fastest rank of its group, by a full set of slots at twice the pace. Ranks of equal pace and engines without a group are scored as before. The companion logs and counts when its engine becomes slow and sound again.

Also a test of the holder's wiring: it ends the switch of a coordinator that has fallen silent.

--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -48,6 +48,10 @@
 // Engines of silent ranks that are asked at a time. More would fill the link of this instance, and
 // with it the way of the messages that end the silence.
 constexpr std::ptrdiff_t kMaxSilentRankCalls = 4;
+// Paces at which an engine is logged as slow and as sound again. The gap keeps an engine between
+// them from being logged again and again.
+constexpr double kSlowPace = 1.25;
+constexpr double kSoundPace = 1.1;
 constexpr duration kMaxShutdownDelay = milliseconds(1500);
 // Number of values of the random part of a version. Two coordinators that know the same highest
 // version thus choose different new ones.
@@ -231,6 +235,7 @@
   const bool is_target_in_use = target_ && target_->version == status_->rank.mapping;
   if (is_target_in_use && (!in_use_ || in_use_->version != target_->version)) in_use_ = target_;
   switch_.OnStatus(status_->rank, requested_at);
+  LogPace();
   if (!switch_.IsActive()) return;
   const time_point now = clock_.Now();
   SendDueOrders(now);
@@ -238,6 +243,18 @@
   SendPlan(now);
 }
 
+void companion::LogPace() {
+  const bool is_slow = status_->pace >= (is_slow_ ? kSoundPace : kSlowPace);
+  if (is_slow == is_slow_) return;
+  is_slow_ = is_slow;
+  metrics_.Count(is_slow ? "engine_slow" : "engine_sound", {});
+  logger::Event(is_slow ? log_level::kWarning : log_level::kInfo, "engine",
+                is_slow ? "engine_slow" : "engine_sound",
+                {{"pace", std::to_string(status_->pace)},
+                 {"rank", std::to_string(status_->rank.rank)},
+                 {"running", std::to_string(status_->running)}});
+}
+
 void companion::OnStatusFailure() {
   if (status_) {
     logger::Event(log_level::kWarning, "engine", "engine_lost");
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -77,6 +77,8 @@
   void PollEngine(time_point now);
   /// `requested_at`: time of the request, as the status may be older than its response.
   void OnStatus(const http_result& result, time_point requested_at);
+  /// Logs when the engine has become slow, and when it is sound again.
+  void LogPace();
   /// The engine did not answer a request for its status.
   void OnStatusFailure();
   /// Whether the engine has crashed or cannot be reached, so that the ranks of its group stall.
@@ -190,6 +192,7 @@
   bool counts_call_pending_ = false;
   bool lists_call_pending_ = false;
   bool profile_call_pending_ = false;
+  bool is_slow_ = false;  // as logged
   bool shutting_down_ = false;
   time_point shutdown_started_ = time_point::min();
   time_point next_heartbeat_ = time_point::min();
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -13,6 +13,10 @@
 constexpr double kLatencyWeight = 0.15;  // of the latest response in the moving average
 // Weight of an engine's own load in its score. The rest is the predicted pass time of its group.
 constexpr double kLoadWeight = 0.3;
+// Share by which a rank must be slower than the fastest one of its group to get requests only when
+// all slots of the others are in use. Every pass of the group waits for a prompt that a rank reads,
+// so a prompt at a rank of this pace costs all streams twice as much as elsewhere.
+constexpr double kExcludingSlowdown = 1.0;
 constexpr double kPassTimeWeight = 0.05;       // of the latest event gap in the moving averages
 constexpr double kFailurePenaltySlots = 0.35;  // per recent failure
 
@@ -231,6 +235,8 @@
     const pass_time_model& group = groups.at(GroupKey(state));
     const double pass_ms = group.PassMsWithExtraRequest(load - 1, Pace(state));
     const double nominal_pass_ms = std::max(1.0, group.NominalPassMs(slots));
+    const double slowdown = Pace(state) / group.SoundPace() - 1;
+    score += std::clamp(slowdown / kExcludingSlowdown, 0.0, 1.0);
     score = kLoadWeight * score + (1 - kLoadWeight) * pass_ms / nominal_pass_ms;
   } else if (state.latency_ms > 0) {
     score = load * state.latency_ms / 1000.0;
--- a/tests/platform/companion_crash_test.cc
+++ b/tests/platform/companion_crash_test.cc
@@ -62,6 +62,10 @@
       if (message && !message->plan.empty()) return message->plan.front();
     }
   }
+  /// Where the fixture receives what the companion sends.
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(gateway_.local_endpoint().port());
+  }
   /// Discards what has arrived so far.
   void DiscardReceived() {
     while (gateway_.available() > 0) Receive();
@@ -188,5 +192,54 @@
   BOOST_TEST((companion.ReceivePlan() == plan));
 }
 
+// The coordinator stands still right after its hold. The companion of rank 1 has learned of the
+// other ranks only from it, undoes the switch with them and releases the group.
+BOOST_AUTO_TEST_CASE(a_holder_ends_the_switch_of_a_silent_coordinator) {
+  std::atomic<bool> is_held{true};
+  const scripted_upstream engine([&](const std::string& request) -> scripted_reply {
+    const bool is_status = request.rfind("GET /report ", 0) == 0;
+    if (request.find("\"go\"") != std::string::npos) is_held = false;
+    std::string body = "{}";
+    if (is_status) {
+      body = R"({"group":{"name":"g","epoch":3,"rank":1,"state":"open"},"size":4,"step":99)";
+      body += is_held ? R"(,"held":100})" : "}";
+    }
+    return {.bytes = "HTTP/1.1 200 x\r\nContent-Length: " + std::to_string(body.size()) +
+                     "\r\n\r\n" + body};
+  });
+  companion_fixture companion(engine.Address());
+  companion.ReceiveReport(true);
+  switch_plan plan{.incarnation = 77,
+                   .group = "g",
+                   .epoch = 3,
+                   .stage = switch_stage::kAnnouncing,
+                   .target = {.version = 5}};
+  std::vector<rank_address> addresses;
+  for (const std::uint32_t rank : {0U, 2U, 3U}) {
+    addresses.push_back({.rank = rank, .companion = companion.Address()});
+  }
+  companion.Send(rank_message{.plan = {plan}, .addresses = addresses});
+  plan.stage = switch_stage::kHolding;
+  plan.target.step = 100;
+  plan.sequence = 1;
+  companion.Send(rank_message{.plan = {plan}});
+  const switch_plan ending = companion.ReceivePlan();
+  BOOST_TEST(ending.from_holder);
+  BOOST_TEST((ending.stage == switch_stage::kUndoing));
+  BOOST_TEST((ending.target == plan.target));
+  BOOST_TEST(is_held);
+  for (const std::uint32_t rank : {2U, 3U}) {
+    companion.Send(rank_message{.state = {{.incarnation = 1000 + rank,
+                                           .heard = 77,
+                                           .group = "g",
+                                           .epoch = 3,
+                                           .rank = rank,
+                                           .step = 99,
+                                           .announced = 5,
+                                           .refused = 5}}});
+  }
+  while (is_held) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -186,6 +186,55 @@
   BOOST_TEST(sent["b1"] + sent["b2"] >= 14);
 }
 
+// Load: a fifth of the ranks of the only group are slow, and each pass waits for the prompts that
+// they read. The others have room for all requests.
+BOOST_AUTO_TEST_CASE(slow_ranks_get_requests_only_when_the_others_are_full) {
+  selector_fixture fixture;
+  for (const char* id : {"a", "b", "c", "d", "slow"}) {
+    fixture.AddUpstream(id, "north");
+    fixture.ReportEngine(id, "g", id == std::string("slow") ? 3.45 : 1.0);
+  }
+  auto sent = fixture.SendRequests(44);
+  BOOST_TEST(sent["slow"] == 0);
+  for (const auto& [id, count] : fixture.SendRequests(20)) sent[id] += count;
+  BOOST_TEST(sent["slow"] > 0);
+}
+
+// Load: one rank is a little slower than the others. It keeps most of its share.
+BOOST_AUTO_TEST_CASE(a_slightly_slow_rank_gets_a_smaller_share) {
+  selector_fixture fixture;
+  for (const char* id : {"a", "b", "c", "slow"}) {
+    fixture.AddUpstream(id, "north");
+    fixture.ReportEngine(id, "g", id == std::string("slow") ? 1.2 : 1.0);
+  }
+  const int share = fixture.SendRequests(32)["slow"];
+  BOOST_TEST(share < 8);
+  BOOST_TEST(share > 2);
+}
+
+// A rank that is sound again, and groups whose ranks are all slow alike, share evenly.
+BOOST_AUTO_TEST_CASE(ranks_of_equal_pace_get_equal_shares) {
+  for (const double pace : {1.0, 3.45}) {
+    selector_fixture fixture;
+    for (const char* id : {"a", "b", "c", "d"}) {
+      fixture.AddUpstream(id, "north");
+      fixture.ReportEngine(id, "g", 12);
+      fixture.ReportEngine(id, "g", pace);
+    }
+    for (const auto& [id, count] : fixture.SendRequests(20)) BOOST_TEST(std::abs(count - 5) <= 1);
+  }
+}
+
+// Load: a slow replica of a service without groups, which only its own requests wait for.
+BOOST_AUTO_TEST_CASE(a_slow_engine_without_a_group_gets_a_smaller_share) {
+  selector_fixture fixture;
+  for (const char* id : {"a", "b", "slow"}) fixture.AddUpstream(id, "north");
+  fixture.ReportEngine("slow", "", 2);
+  auto sent = fixture.SendRequests(18);
+  BOOST_TEST(sent["slow"] < 6);
+  BOOST_TEST(sent["a"] + sent["b"] > 12);
+}
+
 // After a rank has died, all ranks of its group respond with 503 until the group has formed again.
 BOOST_AUTO_TEST_CASE(a_refusal_by_a_rank_with_free_slots_blocks_its_group) {
   selector_fixture fixture;
