Disarm ranks only after all companions have refused the switch

A rank that was asked to undo disarmed at once. Undoing now has two phases: all refuse, then all disarm.

Also moves the weight of slow ranks into the choice itself, so that the pass time model stays as it was.

--- a/include/berylbarrow/request/dispatch/pass_time_model.h
+++ b/include/berylbarrow/request/dispatch/pass_time_model.h
@@ -1,9 +1,6 @@
 #ifndef BERYLBARROW_REQUEST_DISPATCH_PASS_TIME_MODEL_H_
 #define BERYLBARROW_REQUEST_DISPATCH_PASS_TIME_MODEL_H_
 
-#include <algorithm>
-#include <limits>
-
 #include "berylbarrow/version/routing/routing_view.h"
 
 namespace berylbarrow {
@@ -29,8 +26,6 @@
   double PassMsWithExtraRequest(double requests, double pace) const;
   /// Milliseconds per pass without requests.
   double EmptyPassMs() const { return max_pace_ * all_steps_ms_; }
-  /// Pace of the fastest rank, 1 at least.
-  double SoundPace() const { return rank_count_ > 0 ? std::max(1.0, min_pace_) : 1.0; }
   double MeanRequestsPerRank() const { return rank_count_ > 0 ? request_count_ / rank_count_ : 0; }
   /// Milliseconds per pass at nominal speed, with the same number of requests on each rank.
   double NominalPassMs(double requests_per_rank) const {
@@ -50,7 +45,6 @@
   double total_speed_ = 0;  // sum of 1 / pace
   double max_rank_ms_ = 0;
   double max_pace_ = 0;
-  double min_pace_ = std::numeric_limits<double>::max();
 };
 
 }  // namespace berylbarrow
--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -71,7 +71,7 @@
   // The following are versions of maps; 0: none.
   std::uint64_t announced = 0;  // this run of the sender has known of the switch since before it
                                 // was decided
-  std::uint64_t refused = 0;    // the rank is not armed for it and never will be
+  std::uint64_t refused = 0;    // no order to arm the rank for it will be sent or is under way
   std::uint64_t sealed = 0;     // the sender will never refuse it
   template <class Archive>
   void serialize(Archive& archive) {
@@ -102,10 +102,10 @@
   armed_map target;
   std::uint64_t sequence = 0;  // of the coordinator's plans: datagrams may overtake each other
   bool from_holder = false;    // sent by the holder in the place of the coordinator
-  bool is_sealed = false;      // some companion has sealed the switch, so it is not undone any more
+  bool is_final = false;       // kSealing, kUndoing: the opposite cannot come about any more
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(incarnation, group, epoch, stage, target, sequence, from_holder, is_sealed);
+    archive(incarnation, group, epoch, stage, target, sequence, from_holder, is_final);
   }
   auto operator<=>(const switch_plan&) const = default;
 };
@@ -243,8 +243,11 @@
   void Arm(const armed_map& target, time_point now, std::vector<rank_order>& orders);
   void Refuse(std::uint64_t version, time_point now, std::vector<rank_order>& orders);
   void Seal(std::uint64_t version);
-  /// Whether this rank is not armed and no order to arm it can still arrive at its engine.
-  bool IsSurelyUnarmed() const;
+  /// Whether no order to arm this rank can still arrive at its engine.
+  bool HasNoOpenArmOrder() const;
+  /// Whether all ranks from 1 on are known not to be armed any more, or ever, for this version.
+  bool AreAllUnarmed(std::uint64_t version) const;
+  bool HaveAllRefused(std::uint64_t version) const;
   void ArmFromAfar(time_point now, std::vector<rank_order>& orders);
   void Release(std::uint64_t step, time_point now, std::vector<rank_order>& orders);
   void Order(const rank_order& order, duration pause, time_point now,
@@ -266,6 +269,7 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t holder_incarnation_ = 0;  // that has confirmed the announcement
   bool is_sealed_ = false;                // rank 0 and silent ranks may be armed
+  bool is_undoing_final_ = false;         // also of the holder: all have refused
   std::uint64_t released_to_ = 0;         // holds up to this step may be released
   std::uint64_t finished_ = 0;
   std::uint64_t undone_ = 0;
--- a/src/request/dispatch/pass_time_model.cc
+++ b/src/request/dispatch/pass_time_model.cc
@@ -17,7 +17,6 @@
   total_speed_ += 1 / pace;
   max_rank_ms_ = std::max(max_rank_ms_, RankMs(requests, pace));
   max_pace_ = std::max(max_pace_, pace);
-  min_pace_ = std::min(min_pace_, pace);
 }
 
 double pass_time_model::PassMsWithExtraRequest(double requests, double pace) const {
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -20,6 +20,24 @@
 constexpr double kPassTimeWeight = 0.05;       // of the latest event gap in the moving averages
 constexpr double kFailurePenaltySlots = 0.35;  // per recent failure
 
+/// Paces of the fastest ranks of some groups.
+class fastest_paces {
+ public:
+  void Add(const std::string& group, double pace) {
+    const auto added = paces_.try_emplace(group, pace);
+    added.first->second = std::min(added.first->second, pace);
+  }
+  /// What a rank's score rises by, in full sets of slots, because the others of its group are
+  /// faster. A pace below 1 makes no other rank slow.
+  double Slowdown(const std::string& group, double pace) const {
+    const double fastest = std::max(1.0, paces_.at(group));
+    return std::clamp((pace / fastest - 1) / kExcludingSlowdown, 0.0, 1.0);
+  }
+
+ private:
+  std::map<std::string, double> paces_;  // by group
+};
+
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
 /// Adds an upstream that takes requests at this rate after a wait.
@@ -235,8 +253,6 @@
     const pass_time_model& group = groups.at(GroupKey(state));
     const double pass_ms = group.PassMsWithExtraRequest(load - 1, Pace(state));
     const double nominal_pass_ms = std::max(1.0, group.NominalPassMs(slots));
-    const double slowdown = Pace(state) / group.SoundPace() - 1;
-    score += std::clamp(slowdown / kExcludingSlowdown, 0.0, 1.0);
     score = kLoadWeight * score + (1 - kLoadWeight) * pass_ms / nominal_pass_ms;
   } else if (state.latency_ms > 0) {
     score = load * state.latency_ms / 1000.0;
@@ -268,6 +284,10 @@
 dispatch_choice upstream_selector::Choose(const dispatch_query& query, time_point now) const {
   const group_models groups = BuildGroupModels(query.service, now);
   const std::optional<std::string> preferred_unit = PreferredUnit(query, now);
+  fastest_paces paces;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.record.service == query.service) paces.Add(GroupKey(state), Pace(state));
+  }
   dispatch_choice choice;
   const upstream_state* best = nullptr;
   const upstream_state* least_blocked = nullptr;
@@ -302,6 +322,7 @@
     // choose the same upstream.
     tie_break_sequence = std::fmod(tie_break_sequence + 0.6180339887, 1.0);
     double score = Score(state, query, groups, now) + 0.02 * tie_break_sequence;
+    if (state.engine) score += kLoadWeight * paces.Slowdown(GroupKey(state), Pace(state));
     if (preferred_unit && GroupKey(state) != *preferred_unit) {
       score += options_.affinity_penalty_slots;
     }
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -20,6 +20,7 @@
   stage_ = switch_stage::kIdle;
   target_ = {};
   is_sealed_ = false;
+  is_undoing_final_ = false;
   released_to_ = 0;
   plan_.reset();
   committed_.reset();
@@ -274,6 +275,7 @@
 void map_switch::Begin(std::uint64_t version, time_point now) {
   target_ = {.version = version, .step = 0};
   is_sealed_ = false;
+  is_undoing_final_ = false;
   highest_version_ = std::max(highest_version_, version);
   Enter(switch_stage::kPreparing, now);
 }
@@ -322,23 +324,24 @@
 }
 
 void map_switch::AdvanceUndoing(time_point now, std::vector<rank_order>& orders) {
-  if (IsSealedByAny(target_.version)) {
+  if (!is_undoing_final_ && IsSealedByAny(target_.version)) {
     is_sealed_ = true;
     return Enter(switch_stage::kSealing, now);
   }
+  if (!is_undoing_final_ && HaveAllRefused(target_.version)) {
+    is_undoing_final_ = true;
+    ++sequence_;
+  }
   const std::uint64_t held = HeldStep();
   const bool has_begun = status_->step >= target_.step && !status_->armed;
-  const bool is_refused = IsSurelyUnarmed() && AllMembers(now, [&](const member_state& state) {
-                            return state.refused == target_.version;
-                          });
-  if (!is_refused && !has_begun) return;
+  if (!has_begun && !(is_undoing_final_ && AreAllUnarmed(target_.version))) return;
   if (held != 0 && held <= target_.step) {
-    // The pass begins at once then, which leaves no time for an order of a companion that has
-    // ended.
+    // The pass begins at once then, which leaves no time for an order of a companion that ended.
     if (status_->step + 1 >= held) Release(held, now, orders);
     return;
   }
   released_to_ = std::max(released_to_, target_.step);
+  is_undoing_final_ = false;
   ++undone_;
   Enter(switch_stage::kIdle, now);
 }
@@ -458,6 +461,7 @@
 void map_switch::BeginDuty(std::uint64_t step, time_point now) {
   duty_target_ = {.version = announced_, .step = step};
   duty_ = holder_duty::kUndo;
+  is_undoing_final_ = false;
   duty_since_ = now;
   if (sealed_ != announced_) refused_ = announced_;
 }
@@ -471,6 +475,7 @@
   if (!own.held) {
     if (duty_ == holder_duty::kUndo) ++undone_;
     duty_ = holder_duty::kNone;
+    is_undoing_final_ = false;
     return;
   }
   const std::uint64_t step = *own.held;
@@ -492,8 +497,9 @@
     }
     BeginDuty(step, now);
   }
-  const bool is_sealed = is_announced && plan.is_sealed;
-  if (duty_ == holder_duty::kUndo && (is_sealed || IsSealedByAny(announced_))) {
+  const bool is_sealed = is_announced && plan.is_final && plan.stage == switch_stage::kSealing;
+  const bool may_finish = is_sealed || IsSealedByAny(announced_);
+  if (duty_ == holder_duty::kUndo && !is_undoing_final_ && may_finish) {
     duty_ = holder_duty::kFinish;
     refused_ = 0;
   }
@@ -503,17 +509,31 @@
     return;
   }
   // Rank 0 is armed only once the switch is sealed.
-  std::uint32_t refusals = IsSurelyUnarmed() ? 2 : 0;
-  for (const auto& [rank, each] : members_) {
-    if (rank != 0 && each.state.refused == announced_) ++refusals;
-  }
+  is_undoing_final_ = is_undoing_final_ || HaveAllRefused(announced_);
   // The pass begins at once then, which leaves no time for an order of a companion that has ended.
   const bool is_waiting = own.step + 1 >= step;
-  if (refusals >= own.size && is_waiting) Release(step, now, orders);
+  if (is_undoing_final_ && AreAllUnarmed(announced_) && is_waiting) Release(step, now, orders);
+}
+
+bool map_switch::HasNoOpenArmOrder() const {
+  return open_arm_orders_ == 0 && status_asked_ >= last_arm_answer_;
+}
+
+bool map_switch::HaveAllRefused(std::uint64_t version) const {
+  std::uint32_t refusals = status_->rank == 0 ? 0 : 1;
+  if (status_->rank != 0 && (refused_ != version || !HasNoOpenArmOrder())) return false;
+  for (const auto& [rank, each] : members_) {
+    if (rank != 0 && each.state.refused == version) ++refusals;
+  }
+  return refusals + 1 == status_->size;
 }
 
-bool map_switch::IsSurelyUnarmed() const {
-  return !status_->armed && open_arm_orders_ == 0 && status_asked_ >= last_arm_answer_;
+bool map_switch::AreAllUnarmed(std::uint64_t version) const {
+  if (status_->armed && status_->armed->version == version) return false;
+  return std::all_of(members_.begin(), members_.end(), [&](const auto& entry) {
+    const member_state& state = entry.second.state;
+    return entry.first == 0 || (state.refused == version && state.armed.version != version);
+  });
 }
 
 void map_switch::Arm(const armed_map& target, time_point now, std::vector<rank_order>& orders) {
@@ -546,8 +566,12 @@
     return;
   }
   refused_ = version;
-  if (committed_ && committed_->version == version && IsSurelyUnarmed()) committed_.reset();
-  if (!status_->armed || status_->armed->version != version) return;
+  const bool is_armed = status_->armed && status_->armed->version == version;
+  if (committed_ && committed_->version == version && HasNoOpenArmOrder() && !is_armed) {
+    committed_.reset();
+  }
+  const bool is_final = duty_ == holder_duty::kUndo ? is_undoing_final_ : plan_->is_final;
+  if (!is_armed || !is_final) return;
   Order({.kind = order_kind::kDisarm,
          .rank = status_->rank,
          .epoch = status_->epoch,
@@ -558,7 +582,7 @@
 void map_switch::Seal(std::uint64_t version) {
   const bool is_sealer = status_->rank != 0 && status_->rank <= kLastSealer;
   if (is_sealer && announced_ == version && refused_ != version) sealed_ = version;
-  if (plan_->is_sealed && refused_ == version) refused_ = 0;
+  if (plan_->is_final && refused_ == version) refused_ = 0;
 }
 
 void map_switch::AdvanceMember(time_point now, std::vector<rank_order>& orders) {
@@ -626,7 +650,7 @@
                       .committed = committed_.value_or(armed_map{}),
                       .held = status_->held.value_or(0),
                       .announced = announced_,
-                      .refused = IsSurelyUnarmed() ? refused_ : 0,
+                      .refused = HasNoOpenArmOrder() ? refused_ : 0,
                       .sealed = sealed_};
 }
 
@@ -640,7 +664,7 @@
         .stage = duty_ == holder_duty::kUndo ? switch_stage::kUndoing : switch_stage::kSealing,
         .target = duty_target_,
         .from_holder = true,
-        .is_sealed = duty_ == holder_duty::kFinish};
+        .is_final = duty_ == holder_duty::kFinish || is_undoing_final_};
   }
   if (!IsCoordinator()) return std::nullopt;
   return switch_plan{.incarnation = incarnation_,
@@ -649,7 +673,7 @@
                      .stage = stage_,
                      .target = target_,
                      .sequence = sequence_,
-                     .is_sealed = is_sealed_};
+                     .is_final = stage_ == switch_stage::kUndoing ? is_undoing_final_ : is_sealed_};
 }
 
 }  // namespace berylbarrow
