--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -16,11 +16,33 @@
 constexpr double kLatencyWeight = 0.15;  // of the latest response in the moving average
 // Weight of an engine's own load in its score. The rest is the predicted pass time of its group.
 constexpr double kLoadWeight = 0.3;
+// Share by which a rank must be slower than the fastest one of its group to get requests only when
+// all slots of the others are in use. Every pass of the group waits for a prompt that a rank reads,
+// so a prompt at a rank of this pace costs all streams twice as much as elsewhere.
+constexpr double kExcludingSlowdown = 1.0;
 constexpr double kPassTimeWeight = 0.05;       // of the latest event gap in the moving averages
 constexpr double kFailurePenaltySlots = 0.35;  // per recent failure
 // Age up to which a predicted pass time is compared with measured ones.
 constexpr duration kPredictionLifetime = std::chrono::milliseconds(100);
 
+/// Paces of the fastest ranks of some groups.
+class fastest_paces {
+ public:
+  void Add(const std::string& group, double pace) {
+    const auto added = paces_.try_emplace(group, pace);
+    added.first->second = std::min(added.first->second, pace);
+  }
+  /// What a rank's score rises by, in full sets of slots, because the others of its group are
+  /// faster. A pace below 1 makes no other rank slow.
+  double Slowdown(const std::string& group, double pace) const {
+    const double fastest = std::max(1.0, paces_.at(group));
+    return std::clamp((pace / fastest - 1) / kExcludingSlowdown, 0.0, 1.0);
+  }
+
+ private:
+  std::map<std::string, double> paces_;  // by group
+};
+
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
 /// Adds an upstream that takes requests at this rate after a wait.
@@ -328,6 +350,10 @@
       std::accumulate(rooms.begin(), rooms.end(), 0.0,
                       [](double sum, const auto& entry) { return sum + entry.second.room; });
   bool lacks_room = false;
+  fastest_paces paces;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.record.service == query.service) paces.Add(GroupKey(state), Pace(state));
+  }
   dispatch_choice choice;
   const upstream_state* best = nullptr;
   const upstream_state* least_blocked = nullptr;
@@ -368,6 +394,7 @@
     // choose the same upstream.
     tie_break_sequence = std::fmod(tie_break_sequence + 0.6180339887, 1.0);
     double score = Score(state, query, groups, now) + 0.02 * tie_break_sequence;
+    if (state.engine) score += kLoadWeight * paces.Slowdown(GroupKey(state), Pace(state));
     if (preferred_unit && GroupKey(state) != *preferred_unit) {
       score += options_.affinity_penalty_slots;
     }
