Tell uneven load of the experts from the fixed part of a pass

The ratio of a measured pass to the predicted one depends on the number of requests, so a room that is planned with it varied between 220 and 320 of a group in one trial. The factor of the experts' part does not depend on it.

--- a/include/berylbarrow/request/dispatch/pass_time_history.h
+++ b/include/berylbarrow/request/dispatch/pass_time_history.h
@@ -7,7 +7,8 @@
 
 namespace berylbarrow {
 
-/// Remembers how much longer the passes of a group recently took than predicted.
+/// Remembers by how much the load of a group was recently uneven, as the load factors of its
+/// passes; see `pass_time_model`.
 ///
 /// Passes become longer at once when other experts are in demand, and shorter again when the expert
 /// map follows. The streams that run then are late, so the room of a group is planned for the long
@@ -16,14 +17,13 @@
  public:
   /// Time for which long passes are remembered.
   static constexpr duration kWindow = std::chrono::seconds(10);
-  /// The ratios of this time are averaged, which levels out the jitter of the network.
+  /// The factors of this time are averaged, which levels out the jitter of the network.
   static constexpr duration kSampleTime = std::chrono::milliseconds(100);
   /// Longer passes are stalls of the group, which do not depend on its load.
-  static constexpr double kStallRatio = 2.5;
+  static constexpr double kStallFactor = 4.0;
 
-  /// `ratio`: measured pass time divided by the predicted one.
-  void Add(double ratio, time_point now);
-  /// The ratio that this share of the remembered samples does not exceed; 1 without samples.
+  void Add(double load_factor, time_point now);
+  /// The factor that this share of the remembered samples does not exceed; 1 without samples.
   double Quantile(double share, time_point now) const;
 
  private:
--- a/include/berylbarrow/request/dispatch/pass_time_model.h
+++ b/include/berylbarrow/request/dispatch/pass_time_model.h
@@ -32,9 +32,14 @@
   double EmptyPassMs() const { return max_pace_ * all_steps_ms_; }
   double MeanRequestsPerRank() const { return rank_count_ > 0 ? request_count_ / rank_count_ : 0; }
   /// Milliseconds per pass with this number of requests on each rank, reading of prompts included.
-  double PassMs(double requests_per_rank) const;
+  /// `load_factor` multiplies the part that an uneven load of the ranks lengthens: the work of the
+  /// experts, or all work for requests where there are none.
+  double PassMs(double requests_per_rank, double load_factor = 1) const;
+  /// The load factor with which the model predicts a measured pass.
+  double LoadFactor(double requests_per_rank, double measured_ms) const;
   /// The requests per rank with which a pass takes `pass_ms`, at most `max_requests_per_rank`.
-  double FittingRequestsPerRank(double pass_ms, double max_requests_per_rank) const;
+  double FittingRequestsPerRank(double pass_ms, double load_factor,
+                                double max_requests_per_rank) const;
   double RankCount() const { return rank_count_; }
   double RequestCount() const { return request_count_; }
   /// Milliseconds per pass at nominal speed, with the same number of requests on each rank.
@@ -43,6 +48,12 @@
   }
 
  private:
+  /// Parts of a pass, in milliseconds.
+  struct pass_parts {
+    double even = 0;
+    double uneven = 0;
+  };
+  pass_parts PartsOf(double requests_per_rank) const;
   double RankMs(double requests, double pace) const {
     return pace * (all_steps_ms_ + (1 - expert_work_share_) * ms_per_request_ * requests);
   }
--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -144,7 +144,7 @@
   double room = 0;          // requests that it can run within the event gap limit
   double predicted_ms = 0;  // per pass, by the model alone
   double measured_ms = 0;   // mean event gap; zero: not measured lately
-  double long_ratio = 1;    // of the longest recent passes to predicted ones, but for a few
+  double load_factor = 1;   // for which the room is planned
   auto operator<=>(const group_room&) const = default;
 };
 
@@ -239,8 +239,8 @@
     time_point updated_at;
     // Of services with a limited room:
     pass_time_history history;
-    double predicted_ms = 0;
-    time_point predicted_at = time_point::min();
+    std::optional<pass_time_model> model;
+    time_point model_built_at = time_point::min();
   };
   /// Whether a rank group can run passes, by the reports of its latest epoch.
   struct group_state {
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -389,7 +389,7 @@
                      {"room", std::to_string(room.room)},
                      {"predicted_ms", std::to_string(room.predicted_ms)},
                      {"measured_ms", std::to_string(room.measured_ms)},
-                     {"long_ratio", std::to_string(room.long_ratio)},
+                     {"load_factor", std::to_string(room.load_factor)},
                      {"headroom", admission.HeadroomText(share_.GatewayCount(), now)}});
     }
   }
--- a/src/request/dispatch/pass_time_model.cc
+++ b/src/request/dispatch/pass_time_model.cc
@@ -39,26 +39,38 @@
   return max_rank_ms + expert_work_share_ * ms_per_request_ * (request_count_ + 1) / total_speed_;
 }
 
-double pass_time_model::PassMs(double requests_per_rank) const {
-  if (rank_count_ <= 0) return 0;
+pass_time_model::pass_parts pass_time_model::PartsOf(double requests_per_rank) const {
+  if (rank_count_ <= 0) return {};
   const double requests = requests_per_rank * rank_count_;
   const double reads = requests * reads_per_request_;
   const double read_probability = 1 - std::exp(-reads);  // that any rank reads in a step
   const double own_ms =
       RankMs(requests_per_rank, max_pace_) +
       max_pace_ * (1 - expert_work_share_) * steps_ * chunk_ms_ * read_probability;
+  if (expert_work_share_ <= 0) return {.even = EmptyPassMs(), .uneven = own_ms - EmptyPassMs()};
   const double expert_ms =
       expert_work_share_ * (ms_per_request_ * requests + steps_ * chunk_ms_ * reads) / total_speed_;
-  return own_ms + expert_ms;
+  return {.even = own_ms, .uneven = expert_ms};
 }
 
-double pass_time_model::FittingRequestsPerRank(double pass_ms, double max_requests_per_rank) const {
+double pass_time_model::PassMs(double requests_per_rank, double load_factor) const {
+  const pass_parts parts = PartsOf(requests_per_rank);
+  return parts.even + load_factor * parts.uneven;
+}
+
+double pass_time_model::LoadFactor(double requests_per_rank, double measured_ms) const {
+  const pass_parts parts = PartsOf(requests_per_rank);
+  return parts.uneven > 0 ? (measured_ms - parts.even) / parts.uneven : 1;
+}
+
+double pass_time_model::FittingRequestsPerRank(double pass_ms, double load_factor,
+                                               double max_requests_per_rank) const {
   double fitting = 0;
   double excessive = max_requests_per_rank;
-  if (PassMs(excessive) <= pass_ms) return excessive;
+  if (PassMs(excessive, load_factor) <= pass_ms) return excessive;
   for (int i = 0; i < kBisections; ++i) {
     const double middle = (fitting + excessive) / 2;
-    (PassMs(middle) <= pass_ms ? fitting : excessive) = middle;
+    (PassMs(middle, load_factor) <= pass_ms ? fitting : excessive) = middle;
   }
   return fitting;
 }
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -18,8 +18,10 @@
 constexpr double kLoadWeight = 0.3;
 constexpr double kPassTimeWeight = 0.05;       // of the latest event gap in the moving averages
 constexpr double kFailurePenaltySlots = 0.35;  // per recent failure
-// Age up to which a predicted pass time is compared with measured ones.
-constexpr duration kPredictionLifetime = std::chrono::milliseconds(100);
+// Age up to which the model of a group is compared with measured passes.
+constexpr duration kModelLifetime = std::chrono::milliseconds(100);
+// Share of the slots that must be in use for a measured pass to show how uneven the load is.
+constexpr double kMinMeasuredSlotShare = 0.25;
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -163,10 +165,10 @@
     room.measured_ms = is_recent ? stats.mean_ms : 0;
     // A stream is late if one of its passes is.
     const double passes = std::max(1.0, rank.engine->usual_answer / (1.0 * rank.engine->stride));
-    room.long_ratio = stats.history.Quantile(1 - options_.late_stream_share / passes, now);
+    room.load_factor = stats.history.Quantile(1 - options_.late_stream_share / passes, now);
   }
   if (gap_limit_ms <= 0) return room;
-  const double fitting = group.FittingRequestsPerRank(gap_limit_ms / room.long_ratio, max_per_rank);
+  const double fitting = group.FittingRequestsPerRank(gap_limit_ms, room.load_factor, max_per_rank);
   const double fitting_share = std::max(options_.min_room_share, fitting / max_per_rank);
   room.room *= fitting_share;
   return room;
@@ -530,12 +532,14 @@
 void upstream_selector::UpdateHistory(pass_time_stats& pass_times, const upstream_state& state,
                                       double ms, time_point now) {
   if (!state.engine) return;
-  if (pass_times.predicted_ms <= 0 || now - pass_times.predicted_at > kPredictionLifetime) {
-    const pass_time_model group = BuildGroupModels(state.record.service, now).at(GroupKey(state));
-    pass_times.predicted_ms = group.PassMs(group.MeanRequestsPerRank());
-    pass_times.predicted_at = now;
+  if (!pass_times.model || now - pass_times.model_built_at > kModelLifetime) {
+    pass_times.model = BuildGroupModels(state.record.service, now).at(GroupKey(state));
+    pass_times.model_built_at = now;
   }
-  pass_times.history.Add(ms / std::max(1.0, pass_times.predicted_ms), now);
+  const double requests = pass_times.model->MeanRequestsPerRank();
+  // With few requests, the jitter of the network would count as uneven load.
+  if (requests < kMinMeasuredSlotShare * state.record.slots) return;
+  pass_times.history.Add(pass_times.model->LoadFactor(requests, ms), now);
 }
 
 void upstream_selector::AddToTotalPeerLoad(const load_by_upstream& in_flight) {
--- a/tests/request/dispatch/pass_time_model_test.cc
+++ b/tests/request/dispatch/pass_time_model_test.cc
@@ -79,10 +79,20 @@
   const pass_time_model sound = GroupModel({{8, 1}, {8, 1}, {8, 1}, {8, 1}});
   const pass_time_model slowed = GroupModel({{8, 2}, {8, 1}, {8, 1}, {8, 1}});
   const double pass_ms = sound.PassMs(6);
-  BOOST_TEST(sound.FittingRequestsPerRank(pass_ms, 12) == 6, boost::test_tools::tolerance(0.01));
-  BOOST_TEST(slowed.FittingRequestsPerRank(pass_ms, 12) < 5);
-  BOOST_TEST(sound.FittingRequestsPerRank(1000, 12) == 12);
-  BOOST_TEST(sound.FittingRequestsPerRank(1, 12) < 0.01);
+  BOOST_TEST(sound.FittingRequestsPerRank(pass_ms, 1, 12) == 6, boost::test_tools::tolerance(0.01));
+  BOOST_TEST(slowed.FittingRequestsPerRank(pass_ms, 1, 12) < 5);
+  BOOST_TEST(sound.FittingRequestsPerRank(1000, 1, 12) == 12);
+  BOOST_TEST(sound.FittingRequestsPerRank(1, 1, 12) < 0.01);
+}
+
+// A shift of the experts in demand lengthens only the work of the experts. A factor measured with
+// few requests must hold for many.
+BOOST_AUTO_TEST_CASE(the_load_factor_of_a_pass_does_not_depend_on_the_number_of_requests) {
+  const pass_time_model model = GroupModel({{8, 1}, {8, 1}, {8, 1}, {8, 1}});
+  const double few = model.PassMs(3, 2.5);
+  BOOST_TEST(model.LoadFactor(3, few) == 2.5, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(model.PassMs(9, 2.5) - model.PassMs(9) > 2.9 * (few - model.PassMs(3)));
+  BOOST_TEST(model.FittingRequestsPerRank(few, 2.5, 12) == 3, boost::test_tools::tolerance(0.01));
 }
 
 }  // namespace
--- a/tests/request/dispatch/upstream_selector_test.cc
+++ b/tests/request/dispatch/upstream_selector_test.cc
@@ -533,7 +533,7 @@
   const std::vector<group_room> long_passes = fixture.selector.Rooms("model", fixture.now);
   BOOST_TEST(long_passes.size() == 1);
   BOOST_TEST(long_passes.front().room < predicted);
-  BOOST_TEST(long_passes.front().long_ratio > 1.2);
+  BOOST_TEST(long_passes.front().load_factor > 1.2);
   const double room = long_passes.front().room;
   // A stall of the group says nothing about its load.
   for (int i = 0; i < 100; ++i) fixture.selector.OnEventGap("a", milliseconds(500), fixture.now);
