--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -49,6 +49,7 @@
     const bool listed = registry.Upstreams().count(it->first) > 0;
     it = listed ? std::next(it) : upstreams_.erase(it);
   }
+  std::map<std::string, bool> room_limited;  // by service
   for (const auto& [id, registered] : registry.Upstreams()) {
     upstream_state& state = upstreams_[id];
     if (state.record.born != registered.record.born) {
@@ -69,7 +70,9 @@
         view == nullptr ? nullptr : view->FindService(registered.record.service);
     if (profile == nullptr) continue;
     state.event_gap_limit = view->ShortestPause(registered.record.service);
-    state.is_room_limited = stream_admission::AppliesTo(registered.record.service, *view);
+    const auto limited = room_limited.try_emplace(registered.record.service);
+    if (limited.second) limited.first->second = stream_admission::AppliesTo(profile->name, *view);
+    state.is_room_limited = limited.first->second;
     state.engine = profile->engine;
     state.cold_start = profile->cold_start;
     state.cold_requests_per_second = profile->cold_requests_per_second;
