--- a/include/berylbarrow/request/admission/stream_admission.h
+++ b/include/berylbarrow/request/admission/stream_admission.h
@@ -67,8 +67,8 @@
 
   /// Requests of the whole fleet that must still fit after a request of this urgency was admitted.
   /// `gateways`: number of gateways that share the load evenly. `draw`: uniform in [0, 1), drawn
-  /// once per request. It adds up to the admissions that this gateway does not see yet, so that
-  /// gateways with the same view do not all admit at once.
+  /// once per request. It raises or lowers the headroom by up to half of the admissions that this
+  /// gateway does not see yet, so that gateways with the same view do not all admit at once.
   double Headroom(const request_urgency& urgency, double draw, double gateways,
                   time_point now) const;
   /// The headroom by urgency, without the random part, for logs.
--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -112,8 +112,7 @@
   /// Block of all ranks of a group after one of them refused a request although it had free slots,
   /// which means that the group is stalled.
   duration group_block_duration = std::chrono::milliseconds(150);
-  /// Share of the event gap limit of a stream that a pass may take. The rest is for the network.
-  /// Without a room of groups, a pass counts with its mean plus its mean deviation.
+  /// Share of the event gap limit of a stream that a pass may take: mean plus mean deviation.
   double event_gap_limit_share = 0.9;
   /// Value of a stream whose event gaps exceed the limit, relative to one within the limit.
   double late_response_value = 0.5;
--- a/src/request/admission/stream_admission.cc
+++ b/src/request/admission/stream_admission.cc
@@ -91,7 +91,7 @@
   const bool keeps_room = own == states_.end() || !IsStarved(own->second, now);
   const double kept =
       keeps_room ? std::max(0.0, urgent - freed) + kDeviations * std::sqrt(urgent) : 0;
-  return kept + draw * gateways * admissions * Seconds(options_.load_age);
+  return kept + (draw - 0.5) * gateways * admissions * Seconds(options_.load_age);
 }
 
 std::string stream_admission::HeadroomText(double gateways, time_point now) const {
@@ -99,7 +99,7 @@
   for (const auto& [urgency, state] : states_) {
     if (!text.empty()) text += ',';
     text += std::to_string(urgency.priority) + '/' + std::to_string(urgency.route_priority) + ':' +
-            std::to_string(std::lround(Headroom(urgency, 0, gateways, now)));
+            std::to_string(std::lround(Headroom(urgency, 0.5, gateways, now)));
   }
   return text;
 }
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -157,8 +157,7 @@
 group_room upstream_selector::RoomOf(const std::string& key, const pass_time_model& group,
                                      const upstream_state& rank, time_point now) const {
   const double max_per_rank = std::max(1U, rank.record.slots);
-  const double max_pass_ms =
-      options_.event_gap_limit_share * Seconds(rank.event_gap_limit) * 1000.0;
+  const double gap_limit_ms = Seconds(rank.event_gap_limit) * 1000.0;
   group_room room{.group = key,
                   .requests = group.RequestCount(),
                   .room = max_per_rank * group.RankCount(),
@@ -171,8 +170,8 @@
     const double passes = std::max(1.0, rank.engine->usual_answer / (1.0 * rank.engine->stride));
     room.load_factor = stats.history.Quantile(1 - options_.late_stream_share / passes, now);
   }
-  if (max_pass_ms <= 0) return room;
-  const double fitting = group.FittingRequestsPerRank(max_pass_ms, room.load_factor, max_per_rank);
+  if (gap_limit_ms <= 0) return room;
+  const double fitting = group.FittingRequestsPerRank(gap_limit_ms, room.load_factor, max_per_rank);
   const double fitting_share = std::max(options_.min_room_share, fitting / max_per_rank);
   room.room *= fitting_share;
   return room;
