--- a/include/berylbarrow/process/gateway/gateway_settings.h
+++ b/include/berylbarrow/process/gateway/gateway_settings.h
@@ -46,6 +46,8 @@
   std::string store_address;
   std::vector<std::string> seeds;        // peers addresses of processes to contact first
   std::uint32_t max_connections = 2000;  // to the callers and directory addresses, each
+  double memory_mb = 256;                // MiB that the process may use
+  std::uint32_t max_descriptors = 0;     // that the process may open; 0: what the system allows
   gateway_bounds bounds;
   log_options log;
   auto operator<=>(const gateway_settings&) const = default;
--- a/include/berylbarrow/process/settings/settings.h
+++ b/include/berylbarrow/process/settings/settings.h
@@ -35,6 +35,7 @@
   std::uint32_t max_buffered_bytes = 16 << 20;  // all buffered answers of a process
   std::uint32_t ring_capacity = 4096;           // messages between two threads
   std::uint32_t max_frame_bytes = 2 << 20;      // one message of the peer protocol
+  std::uint32_t memory_mb = 256;                // MiB that the process may use
   auto operator<=>(const process_limits&) const = default;
 };
 
--- a/src/process/gateway/gateway_settings.cc
+++ b/src/process/gateway/gateway_settings.cc
@@ -97,6 +97,8 @@
   if (auto bounds = file.Section("bounds", need::kOptional)) ReadBounds(*bounds, settings.bounds);
   if (auto limits = file.Section("limits", need::kOptional)) {
     limits->ReadCount("max_connections", settings.max_connections, {1, 65'535});
+    limits->ReadAmount("memory_mb", settings.memory_mb, {32, 1'048'576});
+    limits->ReadCount("max_descriptors", settings.max_descriptors, {64, 1'048'576});
     limits->RefuseOtherKeys();
   }
   file.ReadSeeds(settings.seeds);
--- a/src/process/settings/settings.cc
+++ b/src/process/settings/settings.cc
@@ -133,6 +133,7 @@
     section->ReadCount("max_request_bytes", limits.max_request_bytes, {1024, 64 << 20});
     section->ReadCount("max_answer_bytes", limits.max_answer_bytes, {1024, 256 << 20});
     section->ReadCount("max_buffered_bytes", limits.max_buffered_bytes, {1024, 1 << 30});
+    section->ReadCount("memory_mb", limits.memory_mb, {32, 1 << 20});
     section->ReadCount("ring_capacity", limits.ring_capacity, {2, 1 << 20});
     section->ReadCount(
         "max_frame_bytes", limits.max_frame_bytes,
--- a/tests/support/gateway_fleet.cc
+++ b/tests/support/gateway_fleet.cc
@@ -30,7 +30,8 @@
 }  // namespace
 
 gateway_fleet::gateway_fleet(const gateway_fleet_options& options, request_ledger& ledger)
-    : process_fleet(std::getenv("BERYLBARROW_BUILD")) {  // NOLINT(concurrency-mt-unsafe)
+    : process_fleet(std::getenv("BERYLBARROW_BUILD")),  // NOLINT(concurrency-mt-unsafe)
+      max_body_bytes_(options.max_body_bytes) {
   for (int i = 0; i < options.upstreams; ++i) {
     upstreams_.push_back(std::make_unique<faulty_upstream>("i-" + std::to_string(i), ledger,
                                                            options.seed * 100 + i));
@@ -50,7 +51,7 @@
   for (int i = 0; i < options.gateways; ++i) {
     const std::string name = GatewayName(i);
     if (options.leaves_logs_unread) MakeUnreadLog(name);
-    Add(name, {build_ / "berylbarrow", "gateway", WriteGatewaySettings(name, i)});
+    Add(name, {build_ / "berylbarrow", "gateway", WriteGatewaySettings(name, i, options.settings)});
   }
 }
 
@@ -64,16 +65,19 @@
   unread_logs_.push_back(open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
 }
 
-std::string gateway_fleet::WriteGatewaySettings(const std::string& name, int index) {
+std::string gateway_fleet::WriteGatewaySettings(const std::string& name, int index,
+                                                const std::string& further_settings) {
   const auto path = folder_ / (name + ".yaml");
+  directories_[name] = FreeAddress();
   std::ofstream(path)
       << "process: {name: " << name << ", domain: " << DomainOf(static_cast<std::size_t>(index))
       << "}\nlisten:\n  callers: " << callers_.at(name)
       << "\n  readiness: " << ready_.at(static_cast<std::size_t>(index))
-      << "\n  directory: " << FreeAddress() << "\n  peers: " << peers_.at(name)
+      << "\n  directory: " << directories_.at(name) << "\n  peers: " << peers_.at(name)
       << "\nstore: {address: " << store_.Address() << "}\nseeds: [" << peers_.at(GatewayName(0))
       << "]\nbounds: {shutdown_grace: 8s, key_lifetime: 5000ms, strict_keys: true}\n"
-         "log: {format: json, max_events_per_second: 100000}\n";
+         "log: {format: json, max_events_per_second: 100000}\n"
+      << further_settings << "\n";
   return path;
 }
 
@@ -125,7 +129,7 @@
                  {"coldPerS", 0.0}}}},
               {"limits",
                {{"maxHeaderBytes", 16384},
-                {"maxBodyBytes", 4194304},
+                {"maxBodyBytes", max_body_bytes_},
                 {"headerTimeoutMs", 3000},
                 {"idleTimeoutMs", 15000}}},
               {"tenants", {{{"name", "school"}, {"apiKeys", {"k1"}}, {"priority", 1}}}}});
--- a/tests/support/gateway_fleet.h
+++ b/tests/support/gateway_fleet.h
@@ -22,6 +22,9 @@
   std::uint64_t seed = 1;
   /// Standard output of the gateways is a pipe that stays open and is never read.
   bool leaves_logs_unread = false;
+  /// Lines of the settings of the gateways, such as "limits: {max_connections: 100}".
+  std::string settings = {};
+  std::uint64_t max_body_bytes = 4194304;
 };
 
 /// Gateways as real processes on loopback, with stand-ins of the store and of the upstreams of one
@@ -36,6 +39,9 @@
   int GatewayCount() const { return static_cast<int>(ready_.size()); }
   std::string GatewayName(int index) const { return "gateway-" + std::to_string(index); }
   const std::string& CallersAddress(int index) const { return Callers(GatewayName(index)); }
+  const std::string& DirectoryAddress(int index) const {
+    return directories_.at(GatewayName(index));
+  }
   /// Waits until every gateway says that it is ready.
   bool AwaitReady() const;
   /// The lines of the gateways' logs that contain `text`.
@@ -54,7 +60,8 @@
   void PublishConfiguration(int max_attempts, int timeout_ms);
 
  private:
-  std::string WriteGatewaySettings(const std::string& name, int index);
+  std::string WriteGatewaySettings(const std::string& name, int index,
+                                   const std::string& further_settings);
   void MakeUnreadLog(const std::string& name);
 
   store_stand_in store_;
@@ -62,7 +69,9 @@
   std::vector<std::unique_ptr<tcp_relay>> relays_;
   std::vector<std::string> listed_addresses_;
   std::vector<std::string> ready_;  // readiness addresses
-  std::vector<int> unread_logs_;    // descriptors
+  std::map<std::string, std::string> directories_;
+  std::vector<int> unread_logs_;  // descriptors
+  std::uint64_t max_body_bytes_;
   int version_ = 6;
 };
 
--- a/tests/support/process_fleet.cc
+++ b/tests/support/process_fleet.cc
@@ -132,8 +132,8 @@
   for (const std::string& domain : kDomains) {
     for (const std::string& service : kServices) AddAgent(domain, service, options);
   }
-  AddEntry("entry-1", kDomains.front());
-  AddEntry("entry-2", kDomains.back());
+  AddEntry("entry-1", kDomains.front(), options.entry_settings);
+  AddEntry("entry-2", kDomains.back(), options.entry_settings);
   if (!Eventually([this] { return IsServing(); })) {
     throw std::runtime_error("the fleet does not serve; entry-1:\n" +
                              ReadAll(folder_ / "entry-1.log"));
@@ -235,10 +235,12 @@
                  "upstream: {address: " + upstreams_.at(name) + ", service: " + service + "}")});
 }
 
-void process_fleet::AddEntry(const std::string& name, const std::string& domain) {
+void process_fleet::AddEntry(const std::string& name, const std::string& domain,
+                             const std::string& further_settings) {
   operators_[name] = FreeAddress();
-  Add(name, {build_ / "berylbarrow", "entry",
-             WriteSettings(name, domain, "  callers: " + callers_.at(name))});
+  Add(name,
+      {build_ / "berylbarrow", "entry",
+       WriteSettings(name, domain, "  callers: " + callers_.at(name) + "\n" + further_settings)});
 }
 
 void process_fleet::Add(const std::string& name, std::vector<std::string> command) {
@@ -297,6 +299,21 @@
   return !Collect(children_.at(name), false);
 }
 
+std::size_t process_fleet::PeakMemoryBytes(const std::string& name) const {
+  std::ifstream status("/proc/" + std::to_string(children_.at(name).pid) + "/status");
+  for (std::string key; status >> key;) {
+    std::size_t kibibytes = 0;
+    if (key == "VmHWM:" && status >> kibibytes) return kibibytes << 10U;
+  }
+  return 0;
+}
+
+std::size_t process_fleet::OpenDescriptors(const std::string& name) const {
+  const std::filesystem::directory_iterator open("/proc/" + std::to_string(children_.at(name).pid) +
+                                                 "/fd");
+  return static_cast<std::size_t>(std::distance(begin(open), end(open)));
+}
+
 void process_fleet::Publish(const std::string& document) {
   if (Exchange(platform_, "PUT", "/admin/config", document).status != 200) {
     throw std::runtime_error("cannot publish");
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -36,9 +36,10 @@
                 std::chrono::milliseconds limit = std::chrono::seconds(45));
 
 struct process_fleet_options {
-  double service_ms = 5;  // of the plain upstreams
-  double token_ms = 10;   // of the model upstreams
-  std::string out;        // failure domain that revision 1 takes out of service
+  double service_ms = 5;            // of the plain upstreams
+  double token_ms = 10;             // of the model upstreams
+  std::string out;                  // failure domain that revision 1 takes out of service
+  std::string entry_settings = {};  // further lines of the settings of entries
 };
 
 /// A deployment of real processes on free loopback ports: the platform stand-in, entry-1 and
@@ -60,6 +61,9 @@
   void Kill(const std::string& name);
   /// Whether the process has not ended.
   bool IsRunning(const std::string& name);
+  /// The largest amount of memory that the process has used so far; 0 if it has ended.
+  std::size_t PeakMemoryBytes(const std::string& name) const;
+  std::size_t OpenDescriptors(const std::string& name) const;
 
   /// The document with these failure domains out of service.
   std::string Document(const std::set<std::string>& out = {}) const;
@@ -121,7 +125,8 @@
 
   void AddAgent(const std::string& domain, const std::string& service,
                 const process_fleet_options& options);
-  void AddEntry(const std::string& name, const std::string& domain);
+  void AddEntry(const std::string& name, const std::string& domain,
+                const std::string& further_settings);
   bool Collect(child& process, bool wait) const;
   bool IsServing() const;
 
