--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -168,7 +168,9 @@
     room.measured_ms = is_recent ? stats.mean_ms : 0;
     // A stream is late if one of its passes is.
     const double passes = std::max(1.0, rank.engine->usual_answer / (1.0 * rank.engine->stride));
-    room.load_factor = stats.history.Quantile(1 - options_.late_stream_share / passes, now);
+    // Below 1 the measurement is off, for example just after the pace of a rank has changed.
+    room.load_factor =
+        std::max(1.0, stats.history.Quantile(1 - options_.late_stream_share / passes, now));
   }
   if (gap_limit_ms <= 0) return room;
   const double fitting = group.FittingRequestsPerRank(gap_limit_ms, room.load_factor, max_per_rank);
