--- a/tests/request/stream_admission_test.cc
+++ b/tests/request/stream_admission_test.cc
@@ -1,5 +1,6 @@
 #include "berylbarrow/request/admission/stream_admission.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
@@ -138,6 +139,7 @@
   admission_fixture fixture;
   fixture.Run(seconds(20), 10, 0, true);
   std::vector<duration> returns;
+  returns.reserve(60);
   for (int i = 0; i < 60; ++i) {
     returns.push_back(
         fixture.admission.RetryAfter(fixture.Candidate(kNote, milliseconds(280)), 0, fixture.now));
