Deal the ranks of a group to the gateways, so that prompts find free slots

Cause: gateways learn of each other's requests every 250 ms, and all of them sent to the rank with the lowest known load. The length of prompts, own or neighbours', made next to no difference, and the rank that reads most does not decide how long a pass takes; so prompts that share windows, a limit of prompt tokens during a pass and long prompts on few ranks were weighed and not kept (docs/design/long-prompts.md).

Change: each gateway prefers ranks of its own, dealt in turn among the live gateways of its failure domain; others are scored with three requests more. Only for ranks of groups whose routes name a gap target and whose engine takes longer to read a chunk than to write for all slots in a step.

--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -13,6 +13,7 @@
 
 #include "berylbarrow/process/membership/upstream_registry.h"
 #include "berylbarrow/process/runtime/time.h"
+#include "berylbarrow/request/dispatch/home_ranks.h"
 #include "berylbarrow/request/dispatch/pass_time_model.h"
 #include "berylbarrow/request/routing/fleet_share.h"
 #include "berylbarrow/version/routing/routing_view.h"
@@ -80,6 +81,7 @@
   std::string upstream_id;
   std::string address;
   std::uint32_t load = 0;                                       // known requests on the upstream
+  bool is_away = false;                                         // a rank that is dealt to others
   dispatch_obstacle obstacle = dispatch_obstacle::kNoUpstream;  // applies if `upstream_id` is empty
   /// Of kAllLimited: time until a pause ends or a limit allows the next request, if this entry has
   /// a share, and the requests per second that it may then send.
@@ -96,6 +98,9 @@
   double remote_domain_penalty_slots = 0.06;
   /// Extra load, in slots, with which an upstream outside the preferred failure unit is scored.
   double affinity_penalty_slots = 0.5;
+  /// Extra load, in requests, with which a rank is scored that is not a home rank of this entry:
+  /// what the other entries may have sent it since their last load messages.
+  double away_penalty_requests = 3;
   /// Age up to which an engine report is used.
   duration report_lifetime = std::chrono::milliseconds(1500);
   duration failure_half_life = std::chrono::seconds(3);
@@ -136,6 +141,11 @@
   void SetUpstreams(const upstream_registry& registry, const routing_view* view, time_point now);
   /// Sets the failure domains that get no requests.
   void SetEvacuatedDomains(const std::set<std::string>& domains, time_point now);
+  /// Sets the gateways that the ranks of this entry's failure domain are dealt to. Returns whether
+  /// they have changed.
+  bool SetNearGateways(const near_gateways& gateways);
+  /// Number of ranks that are dealt to this entry.
+  std::size_t HomeRankCount() const;
   /// Must be called when the shares of this entry may have changed. `share` must outlive the
   /// selector.
   void UpdateRates(const fleet_share& share, time_point now);
@@ -193,6 +203,7 @@
     duration cold_start = duration::zero();
     double cold_requests_per_second = 0;
     time_point cold_until = time_point::min();
+    bool is_home = true;  // false: a rank that this entry leaves to others
     std::uint32_t in_flight = 0;
     std::uint64_t in_flight_tokens = 0;
     double decayed_failures = 0;  // as of `last_failure_at`
@@ -241,6 +252,10 @@
   /// Expected cost of sending a request to the upstream; the lowest score is chosen.
   double Score(const upstream_state& state, const dispatch_query& query, const group_models& groups,
                time_point now) const;
+  /// Marks the home ranks of this entry.
+  void UpdateHomeRanks();
+  /// Whether the upstream is a rank of a group that has home ranks.
+  bool IsDealt(const upstream_state& state) const;
   /// The failure unit that the query prefers among those that can take requests; nothing if it has
   /// no preference.
   std::optional<std::string> PreferredUnit(const dispatch_query& query, time_point now) const;
@@ -261,6 +276,7 @@
   std::map<std::string, group_state> groups_;          // by name
   std::set<std::string> evacuated_domains_;
   std::map<std::uint32_t, double> rate_limits_;  // requests per second by hash of the id
+  std::optional<near_gateways> near_gateways_;   // nothing: ranks are not dealt
   const fleet_share* share_ = nullptr;           // null: this is the only entry
 };
 
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -276,6 +276,15 @@
 void gateway::UpdateShares(time_point now) {
   share_.SetGateways(settings_.name, members_.GatewayNames(now), now);
   selector_.UpdateRates(share_, now);
+  near_gateways gateways{.domain = settings_.domain, .self = MemberHash(settings_.name)};
+  for (const member_sighting& other : members_.Sightings(now)) {
+    gateways.others.push_back(other.name);
+  }
+  std::sort(gateways.others.begin(), gateways.others.end());
+  if (!selector_.SetNearGateways(gateways) || selector_.HomeRankCount() == 0) return;
+  logger::Event(log_level::kInfo, "fleet", "ranks_dealt",
+                {{"gateways", std::to_string(gateways.others.size() + 1)},
+                 {"home_ranks", std::to_string(selector_.HomeRankCount())}});
 }
 
 void gateway::OnDatagram(std::string_view datagram) {
--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -209,6 +209,7 @@
                         request_.head.method == "PUT" || request_.head.method == "PATCH";
   if (has_body) fields.push_back({"Content-Length", std::to_string(request_.body.size())});
   context_.selector.OnSent(choice.upstream_id, ExpectedTokens(), now);
+  if (choice.is_away) context_.counts.Count("away_requests", {.service = request_.service});
   is_last_answer_tagged_ = false;
   attempt_->link->Exchange(RequestHeadText(request_.head, fields) + request_.body,
                            request_.head.method == "HEAD", this);
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -71,6 +71,7 @@
     UpdateRate(state, now);
     ids_by_address_[UpstreamHash(state.record.address)] = id;
   }
+  UpdateHomeRanks();
   std::erase_if(groups_, [&](const auto& group) {
     return std::none_of(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
       return entry.second.report && entry.second.report->group == group.first;
@@ -184,6 +185,36 @@
   state.rate->SetRate(own_rate, now);
 }
 
+bool upstream_selector::SetNearGateways(const near_gateways& gateways) {
+  if (near_gateways_ == gateways) return false;
+  near_gateways_ = gateways;
+  UpdateHomeRanks();
+  return true;
+}
+
+std::size_t upstream_selector::HomeRankCount() const {
+  return std::count_if(upstreams_.begin(), upstreams_.end(), [&](const auto& entry) {
+    return IsDealt(entry.second) && entry.second.is_home;
+  });
+}
+
+bool upstream_selector::IsDealt(const upstream_state& state) const {
+  return near_gateways_ && state.engine && state.event_gap_limit > duration::zero() &&
+         ReadingDominates(*state.engine);
+}
+
+void upstream_selector::UpdateHomeRanks() {
+  std::map<std::string, std::set<std::string>> ranks;  // by service
+  for (const auto& [id, state] : upstreams_) {
+    const bool is_near = IsDealt(state) && state.record.domain == near_gateways_->domain;
+    if (is_near && !state.record.leaving) ranks[state.record.service].insert(id);
+  }
+  for (auto& [id, state] : upstreams_) state.is_home = !IsDealt(state);
+  for (const auto& [service, ids] : ranks) {
+    for (const std::string& id : HomeRanks(ids, *near_gateways_)) upstreams_[id].is_home = true;
+  }
+}
+
 void upstream_selector::UpdateRates(const fleet_share& share, time_point now) {
   share_ = &share;
   for (auto& [id, state] : upstreams_) UpdateRate(state, now);
@@ -299,6 +330,10 @@
     if (preferred_unit && GroupKey(state) != *preferred_unit) {
       score += options_.affinity_penalty_slots;
     }
+    const bool is_rank = state.report && !state.report->group.empty();
+    if (is_rank && !state.is_home) {
+      score += kLoadWeight * options_.away_penalty_requests / std::max(1U, state.record.slots);
+    }
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -320,6 +355,7 @@
   return {.upstream_id = best->record.id,
           .address = best->record.address,
           .load = Load(*best, now),
+          .is_away = !best->is_home,
           .obstacle = dispatch_obstacle::kNone};
 }
 
@@ -551,6 +587,7 @@
                    {"cold", now < state.cold_until},
                    {"rate_limit", state.rate_limit.value_or(-1)},
                    {"own_rate", state.rate ? state.rate->RequestsPerSecond() : -1.0},
+                   {"home", state.is_home},
                    {"group", state.report ? state.report->group : ""},
                    {"pace", state.report ? state.report->pace : 1.0}});
   }
