--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -246,6 +246,7 @@
       admission != nullptr && sent_attempts_ == 1) {
     admission->OnAdmitted(Urgency(), now);
   }
+  if (choice.is_away) context_.counts.Count("away_requests", {.service = request_.service});
   is_last_answer_tagged_ = false;
   attempt_->link->Exchange(RequestHeadText(request_.head, fields), request_.head.method == "HEAD",
                            this, request_.body);
