--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -90,7 +90,7 @@
   kArming,      // all ranks but the coordinator's are armed for the step
   kSealing,     // a sealer rules out that the switch is undone; then the last rank is armed
   kReleasing,   // all are armed: the group goes on
-  kUndoing,     // ranks are disarmed, and the group goes on with the map in use
+  kUndoing,     // all refuse, then they disarm, and the group goes on with the map in use
 };
 
 /// What the process that leads a switch wants of the members.
@@ -142,12 +142,12 @@
 ///
 /// The engine of a frozen instance answers nobody, so the process that stops the group and the
 /// engine that can release it are on different instances, and the rank of the first one is armed
-/// last. If the coordinator is silent, the holder undoes the switch: every other rank disarms and
-/// refuses the map from then on, and only when all have refused is the group released. Before rank
-/// 0 or a rank with a silent companion is armed, one of the sealers promises never to refuse, so
-/// that nobody can undo the switch any more; it is finished then, by the coordinator or by the
-/// holder. A companion that has restarted has forgotten what it had promised: it refuses and seals
-/// only what it has known of since before the decision, unless the coordinator wants to undo.
+/// last. If the coordinator is silent, the holder undoes the switch: all other companions refuse
+/// the map from then on, then they disarm, and only when no rank is armed is the group released.
+/// Before rank 0 or a rank with a silent companion is armed, one of the sealers promises never to
+/// refuse, so that nobody can undo the switch any more; it is finished then, by the coordinator or
+/// by the holder. A companion that has restarted has forgotten what it had promised: it refuses and
+/// seals only what it has known of since before the decision, unless the coordinator wants to undo.
 class map_switch {
  public:
   map_switch(const map_switch_options& options, std::uint64_t incarnation)
@@ -227,7 +227,7 @@
   bool IsArmed(const member_state& state) const;
   bool IsArmed(const rank_status& status) const;
   bool AreAllArmed(time_point now) const;
-  /// A few companions besides the coordinator's; one of them is enough.
+  /// The companions of ranks 1 to this one seal a switch; one of them is enough.
   static constexpr std::uint32_t kLastSealer = 2;
   bool IsSealedByAny(std::uint64_t version) const;
   /// Whether this process arms ranks whose companions do not do it.
@@ -238,10 +238,12 @@
   void AdvanceUndoing(time_point now, std::vector<rank_order>& orders);
   void AdvanceReleasing(time_point now, std::vector<rank_order>& orders);
   void AdvanceHolder(time_point now, std::vector<rank_order>& orders);
+  /// Takes the lead because the coordinator is silent or has restarted.
   void BeginDuty(std::uint64_t step, time_point now);
   void AdvanceMember(time_point now, std::vector<rank_order>& orders);
   void Arm(const armed_map& target, time_point now, std::vector<rank_order>& orders);
   void Refuse(std::uint64_t version, time_point now, std::vector<rank_order>& orders);
+  /// Promises never to refuse this version, if the rank is a sealer.
   void Seal(std::uint64_t version);
   /// Whether no order to arm this rank can still arrive at its engine.
   bool HasNoOpenArmOrder() const;
