State the era in refusals of the store's stand-in

The platform states the era in all its answers; the stand-in's refusals did not. store_restoration_test now sees the rise in a refusal first.

--- a/tests/support/store_stand_in.cc
+++ b/tests/support/store_stand_in.cc
@@ -78,6 +78,11 @@
   return history_.size();
 }
 
+std::uint64_t store_stand_in::Era() {
+  const std::lock_guard lock(mutex_);
+  return era_;
+}
+
 void store_stand_in::Restore(std::size_t backup) {
   const std::lock_guard lock(mutex_);
   revision_ -= history_.size() - backup;
@@ -142,7 +147,7 @@
     while (fault_ == fault::kSilent && !stopping_) {
       std::this_thread::sleep_for(std::chrono::milliseconds(20));
     }
-    if (fault_ == fault::kRefusing) answer = MakeAnswer(503, "");
+    if (fault_ == fault::kRefusing) answer = MakeAnswer(503, "", Era());
     if (!stream.Send(answer)) return;
   }
 }
--- a/tests/support/store_stand_in.h
+++ b/tests/support/store_stand_in.h
@@ -40,6 +40,7 @@
   };
 
   void Record(change&& made);
+  std::uint64_t Era();
   void Serve(loopback_stream& stream);
   std::string Answer(const std::string& target);
   /// What a call is answered, with the era in which the answer is true.
