--- a/src/version/store/configuration_lineage.cc
+++ b/src/version/store/configuration_lineage.cc
@@ -41,7 +41,7 @@
 bool configuration_lineage::OnNamed(std::uint64_t version, time_point now) {
   named_ = now < named_until_ ? std::max(named_, version) : version;
   named_until_ = now + options_.named_version_lifetime;
-  return in_force_ && version > *in_force_;
+  return version > InForce();
 }
 
 bool configuration_lineage::ProvesCurrent(time_point requested_at, time_point now) const {
--- a/tests/version/store/configuration_lineage_test.cc
+++ b/tests/version/store/configuration_lineage_test.cc
@@ -62,6 +62,8 @@
   configuration_lineage lineage({.named_version_lifetime = seconds(30)});
   lineage.OnStored(4, kStart);
   BOOST_TEST(lineage.OnNamed(7, kStart));
+  // The name may arrive before the first read.
+  BOOST_TEST(configuration_lineage({}).OnNamed(7, kStart));
   BOOST_TEST(!lineage.ProvesCurrent(kStart + seconds(1), kStart + seconds(1)));
   lineage.OnNamed(5, kStart + seconds(1));
   BOOST_TEST(!lineage.ProvesCurrent(kStart + seconds(2), kStart + seconds(2)));
