Let the hostile crowd wait until the process has read what it sent

On loopback the buffers of the system held most of the crowd's bytes, so the peak was read before the process had them and three cases did not show the fault. Crowds and bounds are unchanged; the check has become stricter.

--- a/tests/support/hostile_crowd.cc
+++ b/tests/support/hostile_crowd.cc
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <string_view>
 #include <thread>
@@ -24,11 +26,38 @@
 // Answers stay with the process instead of in the buffers of the system.
 constexpr int kReceiveBufferBytes = 4096;
 
+std::uint16_t PortOf(const std::string& address) {
+  return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
+/// Bytes that wait for the process in the receive buffers of its connections.
+std::size_t UnreadBytes(std::uint16_t port) {
+  std::ifstream table("/proc/net/tcp");
+  std::size_t sum = 0;
+  std::string line;
+  std::getline(table, line);  // the titles
+  while (std::getline(table, line)) {
+    std::istringstream fields(line);
+    std::string number;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    fields >> number >> local >> remote >> state >> queues;
+    constexpr const char* kListening = "0A";
+    if (state == kListening || std::stoul(local.substr(local.find(':') + 1), nullptr, 16) != port) {
+      continue;
+    }
+    sum += std::stoul(queues.substr(queues.find(':') + 1), nullptr, 16);
+  }
+  return sum;
+}
+
 int Connect(const std::string& address) {
   const auto colon = address.rfind(':');
   sockaddr_in remote{};
   remote.sin_family = AF_INET;
-  remote.sin_port = htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+  remote.sin_port = htons(PortOf(address));
   inet_pton(AF_INET, address.substr(0, colon).c_str(), &remote.sin_addr);
   const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof kReceiveBufferBytes);
@@ -50,7 +79,8 @@
 
 }  // namespace
 
-hostile_crowd::hostile_crowd(const std::string& address, std::size_t size) {
+hostile_crowd::hostile_crowd(const std::string& address, std::size_t size)
+    : port_(PortOf(address)) {
   for (std::size_t i = 0; i < size; ++i) members_.push_back({.descriptor = Connect(address)});
 }
 
@@ -77,10 +107,21 @@
       each.ended = taken < 0 && errno != EAGAIN;
       progressed = progressed || taken > 0;
     }
-    if (!has_more) return;
+    if (!has_more) return AwaitRead();
     if (progressed) last_progress = steady_clock::now();
     if (!progressed) std::this_thread::sleep_for(milliseconds(1));
   }
 }
 
+void hostile_crowd::AwaitRead() const {
+  std::size_t unread = UnreadBytes(port_);
+  auto last_progress = steady_clock::now();
+  while (unread > 0 && steady_clock::now() - last_progress < kSilence) {
+    std::this_thread::sleep_for(milliseconds(20));
+    const std::size_t left = UnreadBytes(port_);
+    if (left < unread) last_progress = steady_clock::now();
+    unread = left;
+  }
+}
+
 }  // namespace berylbarrow
--- a/tests/support/hostile_crowd.h
+++ b/tests/support/hostile_crowd.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_TESTS_SUPPORT_HOSTILE_CROWD_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,8 @@
   hostile_crowd(const hostile_crowd&) = delete;
   hostile_crowd& operator=(const hostile_crowd&) = delete;
 
-  /// Sends in turn on all connections until everything is sent, or until none of them takes any
-  /// more bytes.
+  /// Sends in turn on all connections until everything is sent and the process has read it, or
+  /// until none of them takes any more bytes.
   void Send(const hostile_message& message);
 
  private:
@@ -33,6 +34,9 @@
     bool ended = false;
   };
 
+  void AwaitRead() const;
+
+  std::uint16_t port_;  // of the process
   std::vector<member> members_;
 };
 
