Take an answer without a status of HTTP for a broken one

What callers saw: an upstream in trouble answered a payment with status 000. It was taken for an interim answer: links skipped it with its body and waited until the deadline (504), agents read the next head at the first byte of its body. 600 to 999, and 101 without an upgrade, reached the caller or were taken for interim answers. Our own GETs used all of them.

Cause: each reader compared the status with 200 on its own.

Change: KindOfStatus() decides for links, agents' exchanges and http_get which statuses are interim, final or none (000 to 099, 101, from 600 on). None ends the exchange and its connection at once: payments get 502, what may be repeated is retried. http_get skips interim answers, eight at most.

--- a/src/connection/http/http_get.cc
+++ b/src/connection/http/http_get.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "berylbarrow/connection/http/answer_status.h"
 #include "connection/wire/endpoint.h"
 
 namespace berylbarrow {
@@ -25,6 +26,7 @@
 
 // Holds one header of the maximum size and the block that Beast reads at a time (64 KiB).
 constexpr std::size_t kMaxBufferBytes = 128UL * 1024;
+constexpr std::uint32_t kMaxInterimAnswers = 8;
 
 }  // namespace
 
@@ -32,7 +34,7 @@
  public:
   impl(boost::asio::io_context& context, http_get_options options, callback done)
       : context_(context), options_(std::move(options)), done_(std::move(done)), stream_(context) {
-    parser_.body_limit(options_.max_body_bytes);
+    BeginParser();
   }
 
   void Start() {
@@ -66,6 +68,11 @@
   }
 
  private:
+  void BeginParser() {
+    parser_.emplace();
+    parser_->body_limit(options_.max_body_bytes);
+  }
+
   void Write() {
     http::async_write(stream_, request_,
                       [self = shared_from_this()](const error_code& error, std::size_t /*count*/) {
@@ -78,18 +85,32 @@
   // limit when it reads header and body in one operation.
   void ReadHeader() {
     http::async_read_header(
-        stream_, buffer_, parser_,
+        stream_, buffer_, *parser_,
         [self = shared_from_this()](const error_code& error, std::size_t /*count*/) {
           if (error) return self->Fail(error.message());
-          self->ReadBody();
+          self->OnHeader();
         });
   }
 
+  void OnHeader() {
+    const unsigned status = parser_->get().result_int();
+    switch (KindOfStatus(status)) {
+      case status_kind::kFinal:
+        return ReadBody();
+      case status_kind::kNone:
+        return Fail("status " + std::to_string(status) + " is not a status of HTTP");
+      case status_kind::kInterim:
+        if (++interim_answers_ > kMaxInterimAnswers) return Fail("too many interim answers");
+        BeginParser();
+        return ReadHeader();
+    }
+  }
+
   void ReadBody() {
-    http::async_read(stream_, buffer_, parser_,
+    http::async_read(stream_, buffer_, *parser_,
                      [self = shared_from_this()](const error_code& error, std::size_t /*count*/) {
                        if (error) return self->Fail(error.message());
-                       http::response<http::string_body> response = self->parser_.release();
+                       http::response<http::string_body> response = self->parser_->release();
                        self->Finish({.error = {},
                                      .status = response.result_int(),
                                      .revision = std::string(response["Revision"]),
@@ -117,7 +138,8 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMaxBufferBytes};
   http::request<http::string_body> request_;
-  http::response_parser<http::string_body> parser_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  std::uint32_t interim_answers_ = 0;
 };
 
 http_get::http_get(boost::asio::io_context& context, http_get_options options, callback done)
--- a/src/connection/http/upstream_exchange.cc
+++ b/src/connection/http/upstream_exchange.cc
@@ -8,6 +8,8 @@
 #include <limits>
 #include <utility>
 
+#include "berylbarrow/connection/http/answer_status.h"
+
 namespace berylbarrow {
 namespace {
 
@@ -113,8 +115,9 @@
   if (finished_ || closed_) {
     return;
   }
-  const bool interim = !error && parser_->get().result_int() < 200;
-  if (error || (interim && ++interim_responses_ > kMaxInterimResponses)) {
+  const status_kind kind = error ? status_kind::kNone : KindOfStatus(parser_->get().result_int());
+  const bool interim = kind == status_kind::kInterim;
+  if (kind == status_kind::kNone || (interim && ++interim_responses_ > kMaxInterimResponses)) {
     Finish(upstream_outcome::kBroken);
     return;
   }
--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "berylbarrow/connection/http/answer_status.h"
 #include "connection/http/endpoint.h"
 #include "connection/http/socket_options.h"
 
@@ -161,7 +162,12 @@
       Fail(link_failure::kGarbled);
       return;
     }
-    if (parser_->HasHead() && !head_shown_ && parser_->Head().status >= 200) {
+    if (parser_->HasHead() && KindOfStatus(parser_->Head().status) == status_kind::kNone) {
+      Fail(link_failure::kGarbled);
+      return;
+    }
+    if (parser_->HasHead() && !head_shown_ &&
+        KindOfStatus(parser_->Head().status) == status_kind::kFinal) {
       head_shown_ = true;
       skipping_ = !handler_->OnAnswerHead(parser_->Head());
       if (state_ != state::kBusy) return;
@@ -196,7 +202,7 @@
 
 void upstream_link::HandleComplete() {
   HoldBytes(0);
-  if (parser_->Head().status < 200 || skipping_) {
+  if (KindOfStatus(parser_->Head().status) == status_kind::kInterim || skipping_) {
     if (++ignored_answers_ > kMaxIgnoredAnswers) return Fail(link_failure::kTooLarge);
     BeginParser();
     return;
--- a/tests/connection/upstream_client_test.cc
+++ b/tests/connection/upstream_client_test.cc
@@ -96,6 +96,26 @@
   return {outcome, execution};
 }
 
+// An upstream in trouble sent an answer whose status was 000: it was taken for an interim answer,
+// and the next head was read from its body. 700 was passed on.
+BOOST_AUTO_TEST_CASE(AnswerWithoutAStatusOfHttpIsBroken) {
+  for (const std::string status : {"000", "099", "101", "600", "999"}) {
+    for (const std::string fields : {"Content-Length: 38\r\n", "Content-Length: 0\r\n", ""}) {
+      BOOST_TEST_CONTEXT(status << " " << fields) {
+        fixture f;
+        f.Start(1);
+        f.Receiving("POST /pay")
+            ->Send("HTTP/1.1 " + status + " X\r\n" + fields +
+                   "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        BOOST_TEST(f.Until([&] { return !f.ends.empty(); }));
+        BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kBroken)));
+        BOOST_TEST(f.heads.empty());
+        BOOST_TEST(f.client->ConnectionCount() == 0U);
+      }
+    }
+  }
+}
+
 // Guards against lost, reordered or undecoded bytes, and against a repeated part while the sink is
 // full.
 BOOST_AUTO_TEST_CASE(ChunkedAnswerIsPassedOnAsItArrives) {
