Name the client account in the entry's check after a crowd

The request of the check had no account, so a sound entry answered 400; the check of its status is unchanged.

--- a/tests/system/hostile_callers_test.cc
+++ b/tests/system/hostile_callers_test.cc
@@ -200,7 +200,9 @@
   // Bodies are half as large as those for the gateway.
   hostile_crowd crowd(fleet.Callers("entry-1"), 2 * kCrowd);
   crowd.Send(message);
-  BOOST_TEST(Exchange(fleet.Callers("entry-1"), "GET", "/services/payments/status").status == 200U);
+  BOOST_TEST(Exchange(fleet.Callers("entry-1"), "GET", "/services/payments/status", "",
+                      {{"Berylbarrow-Account", "counter"}})
+                 .status == 200U);
   BOOST_TEST(fleet.IsRunning("entry-1"));
   const std::size_t peak = fleet.PeakMemoryBytes("entry-1");
   BOOST_TEST_MESSAGE("peak " << (peak >> 10U) << " KiB");
