--- a/tests/connection/http_get_test.cc
+++ b/tests/connection/http_get_test.cc
@@ -38,9 +38,11 @@
 // A server in trouble sends an answer whose status is none; its body must not be used.
 BOOST_AUTO_TEST_CASE(AnAnswerWithoutAStatusOfHttpIsAnError) {
   for (const std::string status : {"000", "099", "101", "600", "999"}) {
-    const http_get_reply reply =
-        ReplyTo("HTTP/1.1 " + status + " X\r\nContent-Length: " + std::to_string(kSound.size()) +
-                "\r\n\r\n" + kSound);
+    std::string answer = "HTTP/1.1 ";
+    answer += status;
+    answer += " X\r\nContent-Length: " + std::to_string(kSound.size()) + "\r\n\r\n";
+    answer += kSound;
+    const http_get_reply reply = ReplyTo(answer);
     BOOST_TEST(!reply.error.empty(), status);
     BOOST_TEST(reply.status == 0U, status);
   }
