Give gateways of tests that run at once ports that do not meet

Seen: platform.gateway_test failed in 2 of 8 runs beside other load, and of 24 programs of the gateway tests at once 8 ended with 'cannot bind the peers address: Address already in use', two of them reported as stack smashing and a memory access violation, since the handler of the abort jumps between threads. Cause: a port was taken for free if TCP could bind it, while another test's gateway received datagrams there; tests with adjacent process ids began 16 ports apart and use up to 240. Change: TCP and UDP are tried, and tests begin 509 ports apart. Whether the first two failures had this cause is not proved; they left no address in their logs.

Concatenations in loops that the linter refuses are built step by step.

--- a/tests/connection/upstream_client_test.cc
+++ b/tests/connection/upstream_client_test.cc
@@ -102,11 +102,14 @@
   for (const std::string status : {"000", "099", "101", "600", "999"}) {
     for (const std::string fields : {"Content-Length: 38\r\n", "Content-Length: 0\r\n", ""}) {
       BOOST_TEST_CONTEXT(status << " " << fields) {
+        std::string answer = "HTTP/1.1 ";
+        answer += status;
+        answer += " X\r\n";
+        answer += fields;
+        answer += "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
         fixture f;
         f.Start(1);
-        f.Receiving("POST /pay")
-            ->Send("HTTP/1.1 " + status + " X\r\n" + fields +
-                   "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        f.Receiving("POST /pay")->Send(answer);
         BOOST_TEST(f.Until([&] { return !f.ends.empty(); }));
         BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kBroken)));
         BOOST_TEST(f.heads.empty());
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -79,14 +79,21 @@
 std::string FreeLoopbackAddress() {
   constexpr unsigned kFirstPort = 12000;
   constexpr unsigned kPorts = 8000;
-  static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * 16};
+  // Tests that run at the same time often have adjacent process ids. A test uses fewer ports.
+  constexpr unsigned kPortsOfTest = 509;
+  static std::atomic<unsigned> next{static_cast<unsigned>(getpid()) * kPortsOfTest};
   while (true) {
     const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    const auto loopback = boost::asio::ip::make_address("127.0.0.1");
     boost::asio::io_context context;
     tcp::acceptor acceptor(context);
+    boost::asio::ip::udp::socket datagrams(context);
     boost::system::error_code error;
     acceptor.open(tcp::v4(), error);
-    acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, error);
+    acceptor.bind({loopback, port}, error);
+    if (error) continue;
+    datagrams.open(boost::asio::ip::udp::v4(), error);
+    datagrams.bind({loopback, port}, error);
     if (!error) return "127.0.0.1:" + std::to_string(port);
   }
 }
--- a/tests/system/hostile_callers_test.cc
+++ b/tests/system/hostile_callers_test.cc
@@ -147,8 +147,11 @@
     while (const auto request = stream.ReadRequest(seconds(60))) {
       const std::string id(request->head.Find("Request-Attempt-Id"));
       const std::string body = id == "c1" ? std::string(kAnswerBytes, 'x') : "done";
-      stream.Send("HTTP/1.1 200 OK\r\nReplica-Signature: s\r\nRequest-Attempt-Id: " + id +
-                  "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+      std::string answer = "HTTP/1.1 200 OK\r\nReplica-Signature: s\r\nRequest-Attempt-Id: ";
+      answer += id;
+      answer += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+      answer += body;
+      stream.Send(answer);
       ++answered;
     }
   });
