--- a/include/berylbarrow/request/dispatch/upstream_selector.h
+++ b/include/berylbarrow/request/dispatch/upstream_selector.h
@@ -290,6 +290,18 @@
   /// Sets the part of the rate of a cold or limited upstream that this entry may use.
   void UpdateRate(upstream_state& state, time_point now) const;
   double DecayedFailures(const upstream_state& state, time_point now) const;
+  /// What the upstreams of one choice are compared by.
+  struct choice_basis {
+    group_models groups;
+    std::optional<std::string> preferred_unit;
+    std::map<std::string, double> fastest_paces;  // by group key
+  };
+  /// Paces of the fastest ranks of the service's groups, by group key.
+  std::map<std::string, double> FastestPaces(const std::string& service) const;
+  /// Score() with what else makes an upstream preferable: a sound pace, the preferred failure unit,
+  /// and that it is one of this entry's own ranks.
+  double PreferenceScore(const upstream_state& state, const dispatch_query& query,
+                         const choice_basis& basis, time_point now) const;
   /// Expected cost of sending a request to the upstream; the lowest score is chosen.
   double Score(const upstream_state& state, const dispatch_query& query, const group_models& groups,
                time_point now) const;
--- a/src/request/dispatch/upstream_selector.cc
+++ b/src/request/dispatch/upstream_selector.cc
@@ -27,23 +27,25 @@
 // Share of the slots that must be in use for a measured pass to show how uneven the load is.
 constexpr double kMinMeasuredSlotShare = 0.25;
 
-/// Paces of the fastest ranks of some groups.
-class fastest_paces {
- public:
-  void Add(const std::string& group, double pace) {
-    const auto added = paces_.try_emplace(group, pace);
-    added.first->second = std::min(added.first->second, pace);
+/// What a rank's score rises by, in full sets of slots, because the fastest rank of its group is
+/// faster. A pace below 1 makes no other rank slow.
+double Slowdown(double pace, double fastest_pace) {
+  return std::clamp((pace / std::max(1.0, fastest_pace) - 1) / kExcludingSlowdown, 0.0, 1.0);
+}
+
+/// The obstacle of a choice without result. `obstacle`: of the upstreams that were looked at.
+/// `is_any_blocked`: one of them could take requests if it were not blocked.
+dispatch_obstacle RefineObstacle(dispatch_obstacle obstacle, bool is_any_blocked, bool all_limited,
+                                 bool lacks_room) {
+  if (is_any_blocked && obstacle == dispatch_obstacle::kNoUpstream) {
+    obstacle = dispatch_obstacle::kAllBusy;
   }
-  /// What a rank's score rises by, in full sets of slots, because the others of its group are
-  /// faster. A pace below 1 makes no other rank slow.
-  double Slowdown(const std::string& group, double pace) const {
-    const double fastest = std::max(1.0, paces_.at(group));
-    return std::clamp((pace / fastest - 1) / kExcludingSlowdown, 0.0, 1.0);
+  if (all_limited && obstacle != dispatch_obstacle::kNoUpstream) {
+    return dispatch_obstacle::kAllLimited;
   }
-
- private:
-  std::map<std::string, double> paces_;  // by group
-};
+  if (lacks_room && obstacle == dispatch_obstacle::kAllBusy) return dispatch_obstacle::kNoRoom;
+  return obstacle;
+}
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -380,18 +382,41 @@
   return preferred;
 }
 
+std::map<std::string, double> upstream_selector::FastestPaces(const std::string& service) const {
+  std::map<std::string, double> paces;
+  for (const auto& [id, state] : upstreams_) {
+    if (state.record.service != service) continue;
+    const auto added = paces.try_emplace(GroupKey(state), Pace(state));
+    added.first->second = std::min(added.first->second, Pace(state));
+  }
+  return paces;
+}
+
+double upstream_selector::PreferenceScore(const upstream_state& state, const dispatch_query& query,
+                                          const choice_basis& basis, time_point now) const {
+  double score = Score(state, query, basis.groups, now);
+  if (state.engine) {
+    score += kLoadWeight * Slowdown(Pace(state), basis.fastest_paces.at(GroupKey(state)));
+  }
+  if (basis.preferred_unit && GroupKey(state) != *basis.preferred_unit) {
+    score += options_.affinity_penalty_slots;
+  }
+  const bool is_rank = state.report && !state.report->group.empty();
+  if (is_rank && !state.is_home) {
+    score += kLoadWeight * options_.away_penalty_requests / std::max(1U, state.record.slots);
+  }
+  return score;
+}
+
 dispatch_choice upstream_selector::Choose(const dispatch_query& query, time_point now) const {
-  const group_models groups = BuildGroupModels(query.service, now);
-  const std::optional<std::string> preferred_unit = PreferredUnit(query, now);
-  const group_rooms rooms = LimitingRooms(query, groups, now);
+  const choice_basis basis{.groups = BuildGroupModels(query.service, now),
+                           .preferred_unit = PreferredUnit(query, now),
+                           .fastest_paces = FastestPaces(query.service)};
+  const group_rooms rooms = LimitingRooms(query, basis.groups, now);
   const double total_room =
       std::accumulate(rooms.begin(), rooms.end(), 0.0,
                       [](double sum, const auto& entry) { return sum + entry.second.room; });
   bool lacks_room = false;
-  fastest_paces paces;
-  for (const auto& [id, state] : upstreams_) {
-    if (state.record.service == query.service) paces.Add(GroupKey(state), Pace(state));
-  }
   dispatch_choice choice;
   const upstream_state* best = nullptr;
   const upstream_state* least_blocked = nullptr;
@@ -407,7 +432,7 @@
       continue;
     }
     all_limited = all_limited && state.rate_limit && !IsWithinRate(state, now);
-    if (rooms.empty() ? !HasCapacity(state, groups, query.late, now)
+    if (rooms.empty() ? !HasCapacity(state, basis.groups, query.late, now)
                       : Load(state, now) >= state.record.slots + options_.engine_queue_limit) {
       choice.obstacle = dispatch_obstacle::kAllBusy;
       continue;
@@ -431,15 +456,7 @@
     // A low-discrepancy sequence breaks ties, so that entries that see the same loads do not all
     // choose the same upstream.
     tie_break_sequence = std::fmod(tie_break_sequence + 0.6180339887, 1.0);
-    double score = Score(state, query, groups, now) + 0.02 * tie_break_sequence;
-    if (state.engine) score += kLoadWeight * paces.Slowdown(GroupKey(state), Pace(state));
-    if (preferred_unit && GroupKey(state) != *preferred_unit) {
-      score += options_.affinity_penalty_slots;
-    }
-    const bool is_rank = state.report && !state.report->group.empty();
-    if (is_rank && !state.is_home) {
-      score += kLoadWeight * options_.away_penalty_requests / std::max(1U, state.record.slots);
-    }
+    const double score = PreferenceScore(state, query, basis, now) + 0.02 * tie_break_sequence;
     if (best == nullptr || score < best_score) {
       best = &state;
       best_score = score;
@@ -450,15 +467,8 @@
       least_blocked != nullptr && !least_blocked->engine && IsGroupOpen(*least_blocked, now);
   if (all_blocked && may_use_blocked) best = least_blocked;
   if (best == nullptr) {
-    if (least_blocked != nullptr && choice.obstacle == dispatch_obstacle::kNoUpstream) {
-      choice.obstacle = dispatch_obstacle::kAllBusy;
-    }
-    if (all_limited && choice.obstacle != dispatch_obstacle::kNoUpstream) {
-      choice.obstacle = dispatch_obstacle::kAllLimited;
-    }
-    if (lacks_room && choice.obstacle == dispatch_obstacle::kAllBusy) {
-      choice.obstacle = dispatch_obstacle::kNoRoom;
-    }
+    choice.obstacle =
+        RefineObstacle(choice.obstacle, least_blocked != nullptr, all_limited, lacks_room);
     return choice;
   }
   return {.upstream_id = best->record.id,
