Keep messages by their receiver in the schedule test of map switches

Cause: the test kept all messages in one queue and moved each of them every millisecond; what waits for a frozen companion, thousands, was moved again and again. Change: each companion has an inbox, read only while it runs. Order and random numbers are as before. Seed 61, which failed while switches were undone in one phase, is played as well.

--- a/tests/version/expert/map_switch_test.cc
+++ b/tests/version/expert/map_switch_test.cc
@@ -159,6 +159,11 @@
  private:
   static constexpr time_point kStart{std::chrono::hours(1)};
 
+  struct message {
+    time_point at;
+    std::optional<member_state> state;
+    std::optional<switch_plan> plan;
+  };
   struct companion_state {
     std::unique_ptr<map_switch> decisions;
     time_point frozen_until = kStart;
@@ -166,13 +171,7 @@
     std::optional<member_state> sent_state;
     std::optional<switch_plan> sent_plan;
     std::uint64_t finished = 0;
-  };
-  struct message {
-    time_point at;
-    std::uint32_t from;
-    std::uint32_t to;
-    std::optional<member_state> state;
-    std::optional<switch_plan> plan;
+    std::vector<message> inbox;
   };
   struct late_order {
     time_point at;
@@ -185,11 +184,10 @@
   }
 
   void Restart(std::uint32_t rank) {
+    // What was sent to a process that has ended does not reach the next one.
     companions_[rank] = {.decisions = std::make_unique<map_switch>(map_switch_options{}, random_()),
                          .frozen_until = now_,
                          .dead_until = companions_[rank].dead_until};
-    // What was sent to a process that has ended does not reach the next one.
-    std::erase_if(messages_, [&](const message& each) { return each.to == rank; });
   }
 
   void Strike() {
@@ -224,29 +222,35 @@
     if (Chance(faults_.epoch)) group_.BeginEpoch();
   }
 
-  void Send(message sent) {
+  void Send(std::uint32_t to, message sent) {
     if (Chance(faults_.lose_message)) return;
     sent.at = now_ + milliseconds(1 + random_() % 3);
-    messages_.push_back(std::move(sent));
+    companions_[to].inbox.push_back(std::move(sent));
   }
 
-  void Deliver() {
-    std::deque<message> later;
-    for (message& each : messages_) {
-      if (companions_[each.to].dead_until > now_) continue;
-      // A frozen process reads its datagrams when it wakes.
-      if (each.at > now_ || companions_[each.to].frozen_until > now_) {
-        later.push_back(std::move(each));
+  /// Reads what has reached this companion, in the order in which it was sent.
+  void Receive(std::uint32_t rank) {
+    companion_state& receiver = companions_[rank];
+    if (receiver.dead_until > now_) receiver.inbox.clear();
+    // A frozen process reads its datagrams when it wakes.
+    if (receiver.frozen_until > now_) return;
+    std::size_t kept = 0;
+    for (message& each : receiver.inbox) {
+      if (each.at > now_) {
+        std::swap(receiver.inbox[kept++], each);
         continue;
       }
-      companion_state& receiver = companions_[each.to];
       if (each.state) receiver.decisions->OnMember(*each.state, now_);
       if (each.plan) {
         receiver.decisions->OnPlan(*each.plan, now_);
         receiver.decisions->OnLayoutKnown(each.plan->target.version);
       }
     }
-    messages_ = std::move(later);
+    receiver.inbox.resize(kept);
+  }
+
+  void Deliver() {
+    for (std::uint32_t rank = 0; rank < kRanks; ++rank) Receive(rank);
     for (auto each = late_.begin(); each != late_.end();) {
       if (each->at > now_) {
         ++each;
@@ -291,12 +295,12 @@
     const bool is_repeated = (now_ - kStart) % milliseconds(8) == duration::zero();
     if (state && (is_repeated || state != std::exchange(self.sent_state, state))) {
       for (const std::uint32_t leader : {0U, 1U}) {
-        if (leader != rank) Send({.from = rank, .to = leader, .state = state});
+        if (leader != rank) Send(leader, {.state = state});
       }
     }
     if (plan && (is_repeated || plan != std::exchange(self.sent_plan, plan))) {
       for (std::uint32_t other = 0; other < kRanks; ++other) {
-        if (other != rank) Send({.from = rank, .to = other, .state = state, .plan = plan});
+        if (other != rank) Send(other, {.state = state, .plan = plan});
       }
     }
   }
@@ -306,7 +310,6 @@
   time_point now_ = kStart;
   engine_group group_;
   companion_state companions_[kRanks];
-  std::deque<message> messages_;
   std::deque<late_order> late_;
   std::uint64_t finished_ = 0;
   planned_mishap planned_;
@@ -326,8 +329,11 @@
   // More by hand: BERYLBARROW_SEEDS=150 version.expert.map_switch_test.
   const char* const wanted = std::getenv("BERYLBARROW_SEEDS");
   const std::uint64_t seeds = wanted == nullptr ? 12 : std::strtoull(wanted, nullptr, 10);
+  // Seed 61: a rank disarmed after its report had been counted as that of an armed one.
+  constexpr std::uint64_t kRegressionSeed = 61;
   std::uint64_t switches = 0;
-  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+  for (std::uint64_t each = 0; each <= seeds; ++each) {
+    const std::uint64_t seed = each == 0 ? kRegressionSeed : each;
     switch_world world(seed, {.lose_message = 0.1,
                               .late_order = 0.3,
                               .kill = 0.002,
