Treat the load of a rank as unknown until it has been received

Cause: a rank without a load had the time time_point::min(). The age since then overflows and is negative, so that the coordinator planned layouts with empty loads of such ranks, and ranks sent their loads to relays that had never been heard. The undefined behaviour sanitizer printed it in platform.companion_crash_test, whose run went on. Change: the time is optional.

--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -60,7 +60,10 @@
     std::vector<double> load;  // tokens per second, [layer * experts + expert]; empty: in the load
                                // of a relay
     double pace = 1;           // pass time divided by the normal pass time
-    time_point load_time = time_point::min();
+    std::optional<time_point> load_time;  // nothing: its load has not been received yet
+    bool IsLoadKnown(time_point now, duration max_age) const {
+      return load_time && now - *load_time <= max_age;
+    }
   };
   /// Layout of a map version.
   struct versioned_layout {
