Let gateways share how lately their configuration was current

Cause: proofs of the configuration differ in age by up to 1.8 s between gateways, so that in an absence of the store some refuse keys that much earlier than others, a gateway that alone has lost the store refuses them although its neighbours read it, and each finds the returned store by a retry of its own. Change: gateways tell four neighbours the age of their proof with an echo of the neighbour's last report, which dates it without comparing clocks. Only where keys have a lifetime (strict_keys).

--- a/include/berylbarrow/process/gateway/platform_feed.h
+++ b/include/berylbarrow/process/gateway/platform_feed.h
@@ -68,6 +68,8 @@
   virtual store_view View() const { return {}; }
   /// Another gateway has this view of the store.
   virtual void OnPeerView(const store_view& /*view*/) {}
+  /// Another gateway knows `view` to have been current at `time` or later.
+  virtual void OnPeerProof(const store_view& /*view*/, time_point /*time*/) {}
   /// Called on each tick of the gateway.
   virtual void Advance(time_point now) = 0;
 };
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -83,6 +83,7 @@
       members_({.seeds = settings.seeds}, MakeSelf(settings, incarnation_)),
       admission_gate_({.strict_keys = settings.bounds.strict_keys,
                        .key_lifetime = settings.bounds.key_lifetime}),
+      freshness_({}, {.name = MemberHash(settings.name), .incarnation = incarnation_}),
       directory_handler_([this](const http_head& head) { return AnswerAddressQuery(head); }),
       readiness_handler_([this](const http_head& head) { return AnswerReadinessProbe(head); }),
       metrics_handler_([this](const http_head& head) { return AnswerMetrics(head); }),
@@ -205,6 +206,7 @@
     }
   }
   SendDomainDigest(targets.remote, now);
+  SendFreshness(now);
   SendFirstAnswers(now);
 }
 
@@ -318,6 +320,8 @@
     for (const std::uint32_t upstream : limits_.Merge(*limits, now)) ApplyLimit(upstream, now);
   } else if (const auto view = DecodeStoreView(datagram)) {
     feed_->OnPeerView(*view);
+  } else if (const auto freshness = DecodeFreshnessReport(datagram)) {
+    OnFreshness(*freshness, now);
   }
 }
 
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "berylbarrow/request/admission/shutdown_window.h"
 #include "berylbarrow/request/routing/fleet_share.h"
 #include "berylbarrow/request/routing/upstream_limits.h"
+#include "berylbarrow/version/store/freshness_exchange.h"
 #include "connection/peer/heartbeat_socket.h"
 #include "process/gateway/admission_gate.h"
 #include "process/gateway/connection_limits.h"
@@ -75,6 +76,8 @@
   void ExpireDomainLoads(time_point now);
   /// Replaces the load that another gateway reports, unless a digest includes it.
   void OnGatewayLoad(const fleet_beat& heartbeat, time_point now);
+  void SendFreshness(time_point now);
+  void OnFreshness(const freshness_report& report, time_point now);
   /// Ends the open requests that the crash analysis has come to refuse.
   void EndRefusedRequests(time_point now);
   /// Tells other gateways of crashes: all of them if there is news, otherwise a few.
@@ -160,6 +163,7 @@
   std::shared_ptr<const routing_view> routing_view_;
   std::set<std::string> evacuated_domains_;
   time_point configuration_current_at_ = time_point::min();  // min: never known to be current
+  freshness_exchange freshness_;
   bool has_upstream_list_ = false;
   bool store_reachable_ = true;
   std::map<queued_request_id, std::shared_ptr<relayed_request>> requests_;
--- a/src/process/gateway/gateway_digest.cc
+++ b/src/process/gateway/gateway_digest.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "berylbarrow/process/membership/ring_neighbours.h"
+#include "berylbarrow/process/telemetry/log.h"
 #include "connection/http/endpoint.h"
 #include "process/gateway/gateway.h"
 
@@ -15,6 +17,9 @@
 // A damaged number of parts must not occupy the thread.
 constexpr std::uint32_t kMaxDigestParts = 64;
 
+// Gateways on each side in the ring that tell each other how fresh their configuration is.
+constexpr std::size_t kFreshnessNeighbours = 2;
+
 /// Name of one part of a failure domain's load in the selector. Members have no such names.
 std::string LoadName(const std::string& domain, std::uint32_t part) {
   return domain + "/" + std::to_string(part);
@@ -76,6 +81,32 @@
   }
 }
 
+void gateway::SendFreshness(time_point now) {
+  // Only the age of keys is bounded.
+  if (!settings_.bounds.strict_keys || !routing_view_) return;
+  const bool was_current = configuration_current_at_ != time_point::min();
+  const std::string datagram = EncodeFreshnessReport(freshness_.MakeReport(
+      feed_->View(), was_current ? std::optional(ConfigurationAge(now)) : std::nullopt, now));
+  for (const std::string& target :
+       RingNeighbours(members_.Live(now), members_.Self(), kFreshnessNeighbours)) {
+    heartbeat_socket_->Send(datagram, ParseUdpEndpoint(target));
+  }
+}
+
+void gateway::OnFreshness(const freshness_report& report, time_point now) {
+  const auto proof = freshness_.OnReport(report, now);
+  if (!proof) return;
+  const time_point known = configuration_current_at_;
+  const bool was_current = admission_gate_.AreKeysCurrent(ConfigurationAge(now));
+  feed_->OnPeerProof(proof->view, proof->time);
+  if (configuration_current_at_ == known) return;
+  metrics_.Count("configuration_proofs_of_gateways", {});
+  if (was_current || !admission_gate_.AreKeysCurrent(ConfigurationAge(now))) return;
+  logger::Event(log_level::kInfo, "configuration", "keys_current_again",
+                {{"gateway_hash", std::to_string(report.sender.name)},
+                 {"age_ms", MillisecondsText(ConfigurationAge(now))}});
+}
+
 void gateway::OnGatewayLoad(const fleet_beat& heartbeat, time_point now) {
   const auto digest = domain_loads_.find(heartbeat.self.domain);
   if (digest != domain_loads_.end() && now - digest->second.received_at <= kDomainLoadLifetime) {
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -61,6 +61,10 @@
     sink_.OnUpstreamList(records_);
   }
   void RefreshUpstreams() override {}
+  store_view View() const override { return {.version = 4}; }
+  void OnPeerProof(const store_view& view, time_point time) override {
+    if (view == View()) sink_.OnConfigurationCurrent(time);
+  }
   void Advance(time_point now) override {
     std::this_thread::sleep_for(std::chrono::nanoseconds(block_ns_.exchange(0)));
     if (stale_age_ns_ == 0) sink_.OnConfigurationCurrent(now);
--- a/tests/platform/store_restoration_test.cc
+++ b/tests/platform/store_restoration_test.cc
@@ -128,5 +128,27 @@
   BOOST_TEST(sink.version == 5U);
 }
 
+// Guards against a proof of another gateway that is taken for one of the configuration in force
+// here.
+BOOST_FIXTURE_TEST_CASE(a_feed_takes_only_proofs_of_its_own_era_and_version, fixture) {
+  store.SetFault(store_stand_in::fault::kSilent);
+  const time_point later = clock.Now() + std::chrono::hours(1);
+  feed.OnPeerProof({.era = 0, .version = 4}, later);
+  feed.OnPeerProof({.era = 0, .version = 6}, later);
+  feed.OnPeerProof({.era = 1, .version = 5}, later);
+  BOOST_TEST((sink.current_at < later));
+  feed.OnPeerProof({.era = 0, .version = 5}, later);
+  BOOST_TEST((sink.current_at == later));
+}
+
+// Guards against a proof from before the operator could write again what a restored store has lost.
+BOOST_FIXTURE_TEST_CASE(a_feed_takes_no_proof_while_the_restored_store_lacks_writes, fixture) {
+  store.Restore(backup);
+  AwaitRestoration();
+  const time_point later = clock.Now() + std::chrono::hours(1);
+  feed.OnPeerProof(feed.View(), later);
+  BOOST_TEST((sink.current_at < later));
+}
+
 }  // namespace
 }  // namespace berylbarrow::platform
