Check a configuration before it is sent, and compare it with the version in force

Cause: the store accepts every well-formed configuration. Entries that no request can reach and goals that no answer can meet showed only when callers complained. It advises; gateways are as before.

--- a/src/main.cc
+++ b/src/main.cc
@@ -17,6 +17,7 @@
 #include "berylbarrow/process/agent/agent_core.h"
 #include "berylbarrow/process/agent/run_agent.h"
 #include "berylbarrow/process/cli/check.h"
+#include "berylbarrow/process/cli/configuration_check.h"
 #include "berylbarrow/process/companion/companion.h"
 #include "berylbarrow/process/entry/entry_core.h"
 #include "berylbarrow/process/entry/run_entry.h"
@@ -26,6 +27,7 @@
 #include "berylbarrow/process/settings/settings.h"
 #include "berylbarrow/process/telemetry/log.h"
 #include "berylbarrow/version/configuration/document_parser.h"
+#include "platform/configuration_words.h"
 #include "platform/engine_api.h"
 #include "platform/platform.h"
 #include "process/cli/show.h"
@@ -47,7 +49,7 @@
   berylbarrow agent SETTINGS            run the agent of one upstream
   berylbarrow gateway [SETTINGS]        run an entry that reaches the upstreams itself
   berylbarrow companion [SETTINGS]      run the process beside a model engine
-  berylbarrow check FILE                check settings or a published document
+  berylbarrow check FILE                check settings, a published document or a configuration
   berylbarrow state ADDRESS             print the state of a process
   berylbarrow status ADDRESS [--table]  print the fleet as one entry sees it
   berylbarrow COMMAND --help            describe one command
@@ -59,6 +61,12 @@
   2  wrong usage, or a file cannot be read
 )";
 
+struct command_line {
+  std::string argument;
+  bool table = false;
+  std::string against;  // source of the version in force; empty: not given
+};
+
 struct command {
   std::string name;
   std::string argument;  // name of its only positional argument
@@ -67,7 +75,8 @@
   bool has_table = false;
   const char* default_variable =
       nullptr;  // of the environment; holds the argument if none is given
-  int (*run)(const std::string& argument, bool table);
+  bool has_against = false;
+  int (*run)(const command_line& line);
 };
 
 process_identity MakeIdentity(const process_settings& settings, const runtime_clock& clock) {
@@ -109,9 +118,9 @@
                                         });
 }
 
-int RunEntryCommand(const std::string& path, bool /*table*/) {
+int RunEntryCommand(const command_line& line) {
   int exit_code = kExitOk;
-  const auto settings = ReadProcessSettings(process_role::kEntry, path, exit_code);
+  const auto settings = ReadProcessSettings(process_role::kEntry, line.argument, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
   logger::WriteTo(STDOUT_FILENO);
@@ -126,9 +135,9 @@
   return RunEntry(*settings, std::move(core), clock, identity);
 }
 
-int RunAgentCommand(const std::string& path, bool /*table*/) {
+int RunAgentCommand(const command_line& line) {
   int exit_code = kExitOk;
-  const auto settings = ReadProcessSettings(process_role::kAgent, path, exit_code);
+  const auto settings = ReadProcessSettings(process_role::kAgent, line.argument, exit_code);
   if (!settings) return exit_code;
   const system_clock clock;
   logger::WriteTo(STDOUT_FILENO);
@@ -144,9 +153,10 @@
   return RunAgent(*settings, std::move(core), clock, identity);
 }
 
-int RunGatewayCommand(const std::string& path, bool /*table*/) {
+int RunGatewayCommand(const command_line& line) {
   int exit_code = kExitOk;
-  const auto settings = ReadSettings<gateway_settings>(path, exit_code, ParseGatewaySettings);
+  const auto settings =
+      ReadSettings<gateway_settings>(line.argument, exit_code, ParseGatewaySettings);
   if (!settings) return exit_code;
   const system_clock clock;
   logger::WriteTo(STDOUT_FILENO);
@@ -154,9 +164,10 @@
   return RunGateway(*settings, platform::MakeGatewayPlatform(*settings, clock), clock);
 }
 
-int RunCompanionCommand(const std::string& path, bool /*table*/) {
+int RunCompanionCommand(const command_line& line) {
   int exit_code = kExitOk;
-  const auto settings = ReadSettings<companion_settings>(path, exit_code, ParseCompanionSettings);
+  const auto settings =
+      ReadSettings<companion_settings>(line.argument, exit_code, ParseCompanionSettings);
   if (!settings) return exit_code;
   const system_clock clock;
   logger::WriteTo(STDOUT_FILENO);
@@ -164,17 +175,27 @@
   return RunCompanion(*settings, platform::engine_api(), clock);
 }
 
-int RunCheckCommand(const std::string& path, bool /*table*/) {
-  return RunCheck(path, std::cout, std::cerr);
+int RunCheckCommand(const command_line& line) {
+  const platform::store_configuration_format format;
+  const auto text = ReadConfigurationFile(line.argument);
+  if (text && format.IsConfiguration(*text)) {
+    return RunConfigurationCheck({.path = line.argument, .in_force = line.against}, *text, format,
+                                 std::cout, std::cerr);
+  }
+  if (!line.against.empty()) {
+    std::cerr << line.argument << ": --against is for configurations in JSON\n";
+    return kExitUsage;
+  }
+  return RunCheck(line.argument, std::cout, std::cerr);
 }
 
-int RunStateCommand(const std::string& address, bool /*table*/) {
-  return Show(address, "state", show_format::kJson, std::cout, std::cerr);
+int RunStateCommand(const command_line& line) {
+  return Show(line.argument, "state", show_format::kJson, std::cout, std::cerr);
 }
 
-int RunStatusCommand(const std::string& address, bool table) {
-  return Show(address, "status", table ? show_format::kTable : show_format::kJson, std::cout,
-              std::cerr);
+int RunStatusCommand(const command_line& line) {
+  return Show(line.argument, "status", line.table ? show_format::kTable : show_format::kJson,
+              std::cout, std::cerr);
 }
 
 std::vector<command> Commands() {
@@ -221,12 +242,14 @@
        .run = RunCompanionCommand},
       {.name = "check",
        .argument = "FILE",
-       .summary = "Checks the settings of a process or a published document and prints every "
-                  "finding with file, line and column.",
-       .notes =
-           "Example:\n  berylbarrow check document.yaml\n\n"
-           "Exit codes:\n  0  valid\n  1  findings\n  2  wrong usage, or FILE cannot be read\n",
+       .summary = "Checks the settings of a process, a published document or a configuration in "
+                  "JSON, and prints every finding with its place.",
+       .notes = "Examples:\n  berylbarrow check document.yaml\n"
+                "  berylbarrow check --against 10.0.0.2:8424 configuration.json\n\n"
+                "Exit codes:\n  0  valid\n  1  findings\n"
+                "  2  wrong usage, or FILE or the version in force cannot be read\n",
        .has_table = false,
+       .has_against = true,
        .run = RunCheckCommand},
       {.name = "state",
        .argument = "ADDRESS",
@@ -255,6 +278,12 @@
   cxxopts::Options options("berylbarrow " + chosen.name, chosen.summary);
   options.add_options()("h,help", "describe this command");
   if (chosen.has_table) options.add_options()("table", "print tables instead of JSON");
+  if (chosen.has_against) {
+    options.add_options()("against",
+                          "also print what differs from the version in force, which is in this "
+                          "file or in the store at this address",
+                          cxxopts::value<std::string>());
+  }
   options.add_options("hidden")("argument", "", cxxopts::value<std::vector<std::string>>());
   options.parse_positional({"argument"});
   options.positional_help(chosen.argument);
@@ -273,8 +302,10 @@
     if (arguments.size() != 1) {
       return UsageError("\"" + chosen.name + "\" needs exactly one " + chosen.argument);
     }
-    const bool table = chosen.has_table && parsed.count("table") > 0;
-    return chosen.run(arguments.front(), table);
+    command_line line{.argument = arguments.front()};
+    line.table = chosen.has_table && parsed.count("table") > 0;
+    if (parsed.count("against") > 0) line.against = parsed["against"].as<std::string>();
+    return chosen.run(line);
   } catch (const cxxopts::exceptions::exception& error) {
     return UsageError(error.what());
   }
--- a/src/version/routing/routing_view.cc
+++ b/src/version/routing/routing_view.cc
@@ -1,23 +1,12 @@
 #include "berylbarrow/version/routing/routing_view.h"
 
 #include <algorithm>
-#include <cctype>
 #include <numeric>
 #include <utility>
 
-namespace berylbarrow {
-namespace {
-
-/// Host names are compared without case and without a port.
-std::string CanonicalHost(std::string_view host) {
-  std::string name(host.substr(0, host.find(':')));
-  std::transform(name.begin(), name.end(), name.begin(),
-                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-  return name;
-}
-
-}  // namespace
+#include "version/routing/canonical_host.h"
 
+namespace berylbarrow {
 routing_view::routing_view(routing_content content) : content_(std::move(content)) {
   for (std::size_t i = 0; i < content_.routes.size(); ++i) {
     const route& each = content_.routes[i];
