Print the statuses that the plan test has seen when one does not come

Cause: system.plan_test failed once beside load without a trace of what the entry showed. Change: the failing check prints every status with its time. Checks and limits are as before.

--- a/tests/system/plan_test.cc
+++ b/tests/system/plan_test.cc
@@ -23,6 +23,7 @@
 
 struct fixture {
   process_fleet fleet{process_fleet_options{.out = "alajuela"}};
+  json last_status;  // that Shows() has compared
 
   /// What `berylbarrow status` prints for this entry.
   json Status(const std::string& entry) {
@@ -36,6 +37,7 @@
   bool Shows(const std::string& entry, std::uint64_t revision, std::uint32_t step,
              const std::string& heredia) {
     const json status = Status(entry);
+    last_status = status;
     const json served =
         json::parse(Exchange(fleet.Operators(entry), "GET", "/status", "", {}, seconds(2)).body,
                     nullptr, false);
@@ -52,6 +54,23 @@
                     (heredia == "in" || item.at("in_flight") == 0);
            });
   }
+
+  /// Prints each status that was seen if the expected one does not come within the limit.
+  void AwaitStatus(const std::string& entry, std::uint64_t revision, std::uint32_t step,
+                   const std::string& heredia, std::chrono::milliseconds limit) {
+    const auto start = steady_clock::now();
+    std::string seen;
+    const bool is_shown = Eventually(
+        [&] {
+          const bool shows = Shows(entry, revision, step, heredia);
+          const auto passed =
+              std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - start);
+          seen += std::to_string(passed.count()) + " ms: " + last_status.dump() + "\n";
+          return shows;
+        },
+        limit);
+    BOOST_TEST(is_shown, seen);
+  }
 };
 
 // Guards against a plan that stops or that its operator cannot follow, against new work in a domain
@@ -63,8 +82,8 @@
   std::string output;
   BOOST_TEST(fleet.Check(WithPlan(fleet.Document({"alajuela"})), &output) == 0, output);
   fleet.Publish(WithPlan(fleet.Document({"alajuela"})));
-  BOOST_TEST(Eventually([&] { return Shows("entry-2", 2, 1, "in"); }, seconds(7)));
-  BOOST_TEST(Eventually([&] { return Shows("entry-2", 2, 2, "out"); }, seconds(13)));
+  AwaitStatus("entry-2", 2, 1, "in", seconds(7));
+  AwaitStatus("entry-2", 2, 2, "out", seconds(13));
   const auto emptied = steady_clock::now();
   BOOST_TEST(fleet.Command({"status", "--table", fleet.Operators("entry-1")}, &output) == 0);
   BOOST_TEST(output.find("empty-heredia") != std::string::npos, output);
@@ -80,7 +99,7 @@
 
   BOOST_TEST(fleet.Check(fleet.Document({}), &output) == 0, output);
   fleet.Publish(fleet.Document({}));
-  BOOST_TEST(Eventually([&] { return Shows("entry-1", 3, 0, "in"); }, seconds(7)));
+  AwaitStatus("entry-1", 3, 0, "in", seconds(7));
   BOOST_TEST(Eventually([&] { return fleet.Runs("heredia-payments") > runs; }));
   BOOST_TEST(fleet.FinishLoad(&output) == 0, output);
   BOOST_TEST(LedgersAgree(output), output);
