--- a/tests/platform/gateway_freshness_test.cc
+++ b/tests/platform/gateway_freshness_test.cc
@@ -30,7 +30,7 @@
                                 .callers_address = "127.0.0.1:1"},
                        .sequence = ++sequence_}));
       std::this_thread::sleep_for(milliseconds(25));
-      if (const auto report = Receive()) return report;
+      if (auto report = Receive()) return report;
     }
     return std::nullopt;
   }
