Count a rank as idle until its load has been received, as before

Cause: the change of the load's age made the coordinator wait for a load of every rank that it had heard, and ranks keep to the coordinator until their relay has reported. Before, the overflow counted such ranks as fresh and idle. Change: the behaviour of before, without the overflow.

--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -411,7 +411,7 @@
   std::vector<double> pace(status_->rank.size, 1.0);
   pace[0] = std::max(1.0, status_->pace);
   for (const auto& [rank, peer] : ranks_) {
-    if (!peer.IsLoadKnown(now, kMaxLoadAge)) return std::nullopt;
+    if (peer.IsLoadStale(now, kMaxLoadAge)) return std::nullopt;
     if (!peer.load.empty() && peer.load.size() != sum.size()) return std::nullopt;
     for (std::size_t i = 0; i < peer.load.size(); ++i) sum[i] += peer.load[i];
     if (rank < pace.size()) pace[rank] = std::max(1.0, peer.pace);
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -61,8 +61,9 @@
                                // of a relay
     double pace = 1;           // pass time divided by the normal pass time
     std::optional<time_point> load_time;  // nothing: its load has not been received yet
-    bool IsLoadKnown(time_point now, duration max_age) const {
-      return load_time && now - *load_time <= max_age;
+    /// A rank that has yet to report counts as idle, so that others do not wait for it.
+    bool IsLoadStale(time_point now, duration max_age) const {
+      return load_time && now - *load_time > max_age;
     }
   };
   /// Layout of a map version.
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -312,7 +312,7 @@
   if (!tree.IsRelay(status_->rank.rank)) return covered;
   for (const auto& [rank, peer] : ranks_) {
     const bool is_recent = peer.epoch == status_->rank.epoch && peer.load.size() == load.size() &&
-                           peer.IsLoadKnown(now, kMaxCoveredLoadAge);
+                           !peer.IsLoadStale(now, kMaxCoveredLoadAge);
     if (!is_recent || tree.ParentOf(rank) != status_->rank.rank) continue;
     for (std::size_t i = 0; i < load.size(); ++i) load[i] += peer.load[i];
     covered.push_back({.rank = rank, .pace = peer.pace});
@@ -323,7 +323,7 @@
 bool companion::IsLiveRelay(std::uint32_t rank, time_point now) const {
   const auto found = ranks_.find(rank);
   return found != ranks_.end() && rank_tree(GroupSize()).IsRelay(rank) &&
-         found->second.IsLoadKnown(now, kMaxCoveredLoadAge);
+         !found->second.IsLoadStale(now, kMaxCoveredLoadAge);
 }
 
 void companion::SendPlan(time_point now) {
