Take idle entries out of admissions and freshness reports, and choose neighbours on changes

Change: idle urgencies are dropped with each configuration, senders with each report, neighbours are chosen when a member comes or goes, and nothing is sent or kept where keys have no age. A comment stood above the wrong constant; four constants have their reasons now. Tests: both tables forget.

--- a/include/berylbarrow/request/admission/stream_admission.h
+++ b/include/berylbarrow/request/admission/stream_admission.h
@@ -65,6 +65,10 @@
   /// Called when a request that was sent has ended.
   void OnPlaceFreed(time_point now);
 
+  /// Forgets urgencies of which nothing has arrived for so long that they no longer matter, such as
+  /// those that a new configuration does not have.
+  void DropIdle(time_point now);
+
   /// Requests of the whole fleet that must still fit after a request of this urgency was admitted.
   /// `gateways`: number of gateways that share the load evenly. `draw`: uniform in [0, 1), drawn
   /// once per request. It raises or lowers the headroom by up to half of the admissions that this
--- a/src/connection/http/http_server_connection.cc
+++ b/src/connection/http/http_server_connection.cc
@@ -11,8 +11,9 @@
 namespace berylbarrow {
 namespace {
 
-// Larger buffers are returned to the system when they are empty.
+// Of a request that is refused because connections hold too much memory.
 constexpr const char* kOverloadRetryAfterSeconds = "1";
+// Larger buffers are returned to the system when they are empty.
 constexpr std::size_t kKeptBufferBytes = 2U << 10U;
 
 void Clear(std::string& buffer) {
--- a/src/process/companion/companion_messages.cc
+++ b/src/process/companion/companion_messages.cc
@@ -31,6 +31,7 @@
 constexpr std::uint32_t kRanksPerPlanResend = 8;
 // A relay has passed a layout on to its ranks within this time.
 constexpr duration kRelayTime = milliseconds(150);
+// Addresses are sent again in case a datagram was lost. Most switches are shorter.
 constexpr duration kAddressesInterval = milliseconds(500);
 // Addresses that fit into one datagram.
 constexpr std::size_t kAddressesPerMessage = 18;
--- a/src/process/gateway/connection_limits.cc
+++ b/src/process/gateway/connection_limits.cc
@@ -14,7 +14,8 @@
 constexpr std::uint32_t kMaxReservedPart = 4;
 // The platform asks once a second.
 constexpr std::uint32_t kMaxReadinessConnections = 64;
-constexpr std::uint32_t kMaxDescriptors = 1U << 20U;
+constexpr std::uint32_t kMaxDescriptors = 1U << 20U;  // also if the system sets no limit
+// Callers' connections have 0.4 (arrival_budget), and the process needs the rest.
 constexpr double kAnswerMemoryShare = 0.2;
 constexpr std::size_t kMaxHeldAnswerBytes = std::size_t{64} << 20U;
 constexpr double kBytesPerMebibyte = 1U << 20U;
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -21,7 +21,6 @@
 constexpr duration kTickInterval = milliseconds(20);
 constexpr duration kHeartbeatInterval = milliseconds(250);
 constexpr duration kPeriodicCheckInterval = milliseconds(200);
-constexpr duration kRoomLogInterval = std::chrono::seconds(1);
 // Characters of a state in the log; all of it is in /state.
 constexpr std::size_t kMaxLoggedState = 400;
 // Gateways that a crash digest without news goes to, and companions that any goes to.
@@ -331,6 +330,7 @@
     logger::Event(log_level::kInfo, "fleet", "member_found",
                   {{"name", heartbeat.self.name}, {"failure_domain", heartbeat.self.domain}});
     UpdateShares(now);
+    UpdateFreshnessTargets(now);
     const auto address = ParseUdpEndpoint(heartbeat.self.peers_address);
     if (is_gateway) SendKnowledge(address, now);
     if (!is_gateway && asked_companions_ < kMaxAskedCompanions) {
@@ -359,10 +359,12 @@
 }
 
 void gateway::HandleLostMembers(time_point now) {
-  for (const std::string& name : members_.TakeLost(now)) {
+  const std::vector<std::string> lost = members_.TakeLost(now);
+  for (const std::string& name : lost) {
     logger::Event(log_level::kWarning, "fleet", "member_lost", {{"name", name}});
     selector_.RemovePeer(name);
   }
+  if (!lost.empty()) UpdateFreshnessTargets(now);
   ExpireDomainLoads(now);
   UpdateShares(now);
 }
@@ -394,34 +396,6 @@
   }
 }
 
-void gateway::UpdateAdmissions() {
-  std::erase_if(admissions_, [&](const auto& entry) {
-    return !stream_admission::AppliesTo(entry.first, *routing_view_);
-  });
-  for (const service_profile& service : routing_view_->Content().services) {
-    if (!service.engine || !stream_admission::AppliesTo(service.name, *routing_view_)) continue;
-    admissions_.try_emplace(service.name, stream_admission_options{});
-    QueueOf(service.name).SetLateYields(true);
-  }
-}
-
-void gateway::LogRooms(time_point now) {
-  next_room_log_ = now + kRoomLogInterval;
-  for (const auto& [service, admission] : admissions_) {
-    for (const group_room& room : selector_.Rooms(service, now)) {
-      logger::Event(log_level::kInfo, "fleet", "group_room",
-                    {{"service", service},
-                     {"group", room.group},
-                     {"requests", std::to_string(room.requests)},
-                     {"room", std::to_string(room.room)},
-                     {"predicted_ms", std::to_string(room.predicted_ms)},
-                     {"measured_ms", std::to_string(room.measured_ms)},
-                     {"load_factor", std::to_string(room.load_factor)},
-                     {"headroom", admission.HeadroomText(share_.GatewayCount(), now)}});
-    }
-  }
-}
-
 void gateway::WaitForShutdownSignal() {
   shutdown_signals_.async_wait([this](const boost::system::error_code& error, int /*signal*/) {
     if (!error) BeginShutdown();
--- a/src/process/gateway/gateway.h
+++ b/src/process/gateway/gateway.h
@@ -78,6 +78,9 @@
   void OnGatewayLoad(const fleet_beat& heartbeat, time_point now);
   void SendFreshness(time_point now);
   void OnFreshness(const freshness_report& report, time_point now);
+  /// Chooses the gateways that get freshness reports, when members have come or gone.
+  void UpdateFreshnessTargets(time_point now);
+  bool IsKeyAgeBounded() const;
   /// Ends the open requests that the crash analysis has come to refuse.
   void EndRefusedRequests(time_point now);
   /// Tells other gateways of crashes: all of them if there is news, otherwise a few.
@@ -126,7 +129,7 @@
   /// expected in time.
   void WaitForRoom(relayed_request& request, time_point now);
   /// Keeps an admission for each service whose streams have different priorities.
-  void UpdateAdmissions();
+  void UpdateAdmissions(time_point now);
   void LogRooms(time_point now);
   /// Time until the rate limits of the upstreams allow a request that is queued now.
   duration ExpectedLimitedWait(const relayed_request& request, time_point now);
@@ -164,6 +167,7 @@
   std::set<std::string> evacuated_domains_;
   time_point configuration_current_at_ = time_point::min();  // min: never known to be current
   freshness_exchange freshness_;
+  std::vector<std::string> freshness_targets_;  // peers addresses
   bool has_upstream_list_ = false;
   bool store_reachable_ = true;
   std::map<queued_request_id, std::shared_ptr<relayed_request>> requests_;
--- a/src/process/gateway/gateway_digest.cc
+++ b/src/process/gateway/gateway_digest.cc
@@ -82,18 +82,25 @@
 }
 
 void gateway::SendFreshness(time_point now) {
-  // Only the age of keys is bounded.
-  if (!settings_.bounds.strict_keys || !routing_view_) return;
+  if (!IsKeyAgeBounded()) return;
   const bool was_current = configuration_current_at_ != time_point::min();
   const std::string datagram = EncodeFreshnessReport(freshness_.MakeReport(
       feed_->View(), was_current ? std::optional(ConfigurationAge(now)) : std::nullopt, now));
-  for (const std::string& target :
-       RingNeighbours(members_.Live(now), members_.Self(), kFreshnessNeighbours)) {
+  for (const std::string& target : freshness_targets_) {
     heartbeat_socket_->Send(datagram, ParseUdpEndpoint(target));
   }
 }
 
+void gateway::UpdateFreshnessTargets(time_point now) {
+  freshness_targets_ = RingNeighbours(members_.Live(now), members_.Self(), kFreshnessNeighbours);
+}
+
+bool gateway::IsKeyAgeBounded() const {
+  return settings_.bounds.strict_keys && routing_view_ && routing_view_->NeedsKeys();
+}
+
 void gateway::OnFreshness(const freshness_report& report, time_point now) {
+  if (!IsKeyAgeBounded()) return;
   const auto proof = freshness_.OnReport(report, now);
   if (!proof) return;
   const time_point known = configuration_current_at_;
--- a/src/process/gateway/gateway_information.cc
+++ b/src/process/gateway/gateway_information.cc
@@ -107,7 +107,7 @@
   const time_point now = clock_.Now();
   selector_.SetUpstreams(registry_, routing_view_.get(), now);
   UpdateRetryBudgets(now);
-  UpdateAdmissions();
+  UpdateAdmissions(now);
 }
 
 void gateway::OnEvacuatedDomains(const std::set<std::string>& domains) {
--- a/src/process/gateway/gateway_requests.cc
+++ b/src/process/gateway/gateway_requests.cc
@@ -10,6 +10,7 @@
 
 using std::chrono::milliseconds;
 
+constexpr duration kRoomLogInterval = std::chrono::seconds(1);
 constexpr std::size_t kMaxQueuedRequests = 2000;  // per service
 // Typical time from dispatch to the end of the answer.
 constexpr duration kTypicalStreamDuration = milliseconds(1500);
@@ -111,6 +112,35 @@
   return queues_.try_emplace(service, kMaxQueuedRequests).first->second;
 }
 
+void gateway::UpdateAdmissions(time_point now) {
+  std::erase_if(admissions_, [&](const auto& entry) {
+    return !stream_admission::AppliesTo(entry.first, *routing_view_);
+  });
+  for (auto& [service, admission] : admissions_) admission.DropIdle(now);
+  for (const service_profile& service : routing_view_->Content().services) {
+    if (!service.engine || !stream_admission::AppliesTo(service.name, *routing_view_)) continue;
+    admissions_.try_emplace(service.name, stream_admission_options{});
+    QueueOf(service.name).SetLateYields(true);
+  }
+}
+
+void gateway::LogRooms(time_point now) {
+  next_room_log_ = now + kRoomLogInterval;
+  for (const auto& [service, admission] : admissions_) {
+    for (const group_room& room : selector_.Rooms(service, now)) {
+      logger::Event(log_level::kInfo, "fleet", "group_room",
+                    {{"service", service},
+                     {"group", room.group},
+                     {"requests", std::to_string(room.requests)},
+                     {"room", std::to_string(room.room)},
+                     {"predicted_ms", std::to_string(room.predicted_ms)},
+                     {"measured_ms", std::to_string(room.measured_ms)},
+                     {"load_factor", std::to_string(room.load_factor)},
+                     {"headroom", admission.HeadroomText(share_.GatewayCount(), now)}});
+    }
+  }
+}
+
 void gateway::WaitForRoom(relayed_request& request, time_point now) {
   const admitted_request& admitted = request.Request();
   const auto admission = admissions_.find(admitted.service);
--- a/src/request/admission/stream_admission.cc
+++ b/src/request/admission/stream_admission.cc
@@ -12,6 +12,8 @@
 // Places beyond those of the requests ahead that must be expected for a request to wait: with fewer
 // it is more likely to be refused in the end.
 constexpr double kMinExpectedPlaces = 0.5;
+// Averaged rate below which requests of an urgency count as none: one in some minutes.
+constexpr double kIdlePerSecond = 0.001;
 
 double Seconds(duration span) { return std::chrono::duration<double>(span).count(); }
 
@@ -56,6 +58,14 @@
 
 void stream_admission::OnPlaceFreed(time_point now) { freed_.Add(options_.averaging_time, now); }
 
+void stream_admission::DropIdle(time_point now) {
+  std::erase_if(states_, [&](const auto& entry) {
+    const urgency_state& state = entry.second;
+    return ArrivalsPerSecond(state, now) < kIdlePerSecond &&
+           AdmissionsPerSecond(state, now) < kIdlePerSecond && state.next_return < now;
+  });
+}
+
 double stream_admission::ArrivalsPerSecond(const urgency_state& state, time_point now) const {
   return state.arrivals.PerSecond(options_.averaging_time, now);
 }
--- a/src/version/store/freshness_exchange.cc
+++ b/src/version/store/freshness_exchange.cc
@@ -35,6 +35,7 @@
 std::optional<freshness_proof> freshness_exchange::OnReport(const freshness_report& report,
                                                             time_point now) {
   if (report.sender.name == self_.name) return std::nullopt;
+  Forget(now);
   received_report& latest = received_[report.sender.name];
   const bool is_overtaken =
       latest.incarnation == report.sender.incarnation && report.number <= latest.number;
--- a/tests/request/stream_admission_test.cc
+++ b/tests/request/stream_admission_test.cc
@@ -157,5 +157,18 @@
   }
 }
 
+// Guards against entries of priorities that no configuration has any more.
+BOOST_AUTO_TEST_CASE(urgencies_of_which_nothing_arrives_are_forgotten) {
+  admission_fixture fixture;
+  fixture.Run(seconds(5), 20, 20, true);
+  fixture.admission.DropIdle(fixture.now);
+  BOOST_TEST(fixture.admission.HeadroomText(1, fixture.now).find("1/2:") != std::string::npos);
+  fixture.Run(seconds(60), 20, 0, true);
+  fixture.admission.DropIdle(fixture.now);
+  const std::string text = fixture.admission.HeadroomText(1, fixture.now);
+  BOOST_TEST(text.find("1/2:") == std::string::npos, text);
+  BOOST_TEST(text.find("1/0:") != std::string::npos, text);
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/version/store/freshness_exchange_test.cc
+++ b/tests/version/store/freshness_exchange_test.cc
@@ -94,6 +94,19 @@
   BOOST_TEST(!DecodeFreshnessReport("").has_value());
 }
 
+// Guards against names of gateways that are kept for ever by a process that sends no reports.
+BOOST_AUTO_TEST_CASE(senders_are_forgotten_also_if_no_report_is_made) {
+  freshness_exchange first({}, kFirst);
+  freshness_exchange second({}, kSecond);
+  first.OnReport(second.MakeReport(kView, seconds(1), kStart), kStart);
+  freshness_exchange third({}, {.name = 3, .incarnation = 33});
+  first.OnReport(third.MakeReport(kView, seconds(1), kStart), kStart + seconds(10));
+  // By a clock at which the first report has not aged, only what was kept is echoed.
+  const auto echoes = first.MakeReport(kView, std::nullopt, kStart).echoes;
+  BOOST_REQUIRE(echoes.size() == 1U);
+  BOOST_TEST(echoes[0].run.name == 3U);
+}
+
 // Any order, loss and delay of reports between three gateways, each paused now and then: nobody
 // dates a proof later than the store was last read by anyone, at that time in the real world.
 BOOST_AUTO_TEST_CASE(no_schedule_of_reports_makes_a_proof_younger_than_it_is) {
