Show that an order carried out late leaves a rank with another map after an undone switch

Callers see drafts of a group whose ranks use two expert maps, from the first draft after the switch was undone until the group's next epoch.

At fault: map_switch.cc, AdvanceUndoing() and AdvanceHolder() release a group that waits at the held pass and count on that pass to begin at once. An idle group does not begin it, so an order to arm of a companion that was killed is still carried out. No code disarms a rank outside of a switch.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the second review start, into target/. Run from
+# anywhere, after the build of the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target
+common=(review/deployment.cc review/engine_group.cc tests/support/loopback_stream.cc
+  tests/support/store_stand_in.cc src/connection/http/http_parser.cc)
+flags=(-std=c++20 -O1 -pthread -Wall -Wextra -Iinclude -Isrc -Itests -Ireview)
+g++ "${flags[@]}" -o target/review-6 review/6/main.cc "${common[@]}"
