--- a/review/6/main.cc
+++ b/review/6/main.cc
@@ -10,9 +10,9 @@
 #include <utility>
 #include <vector>
 
-#include "deployment.h"
-#include "engine_group.h"
-#include "support/store_stand_in.h"
+#include "../deployment.h"
+#include "../engine_group.h"
+#include "../small_store.h"
 
 namespace berylbarrow::review {
 namespace {
@@ -29,7 +29,7 @@
 constexpr const char* kKilledDomain = "zagreb-a";  // of the ranks 0, 3 and 6
 constexpr auto kSettling = seconds(4);
 constexpr auto kUntilKill = milliseconds(60);  // from the order that gets no answer
-constexpr auto kDown = milliseconds(2000);
+constexpr auto kDown = milliseconds(3000);
 constexpr auto kLate = milliseconds(7000);
 constexpr auto kQuiet = seconds(14);  // from the order until callers come again
 
@@ -145,7 +145,7 @@
 /// The replicas write to the store about every 1.2 s.
 class heartbeats {
  public:
-  heartbeats(store_stand_in& store, engine_group& group)
+  heartbeats(small_store& store, engine_group& group)
       : store_(store), group_(group), thread_([this] { Run(); }) {}
   ~heartbeats() {
     stopping_ = true;
@@ -170,7 +170,7 @@
     }
   }
 
-  store_stand_in& store_;
+  small_store& store_;
   engine_group& group_;
   std::atomic<bool> stopping_{false};
   std::thread thread_;
@@ -185,7 +185,7 @@
 };
 
 int Run(const std::filesystem::path& folder, record_file& record, const disruptions& trouble) {
-  store_stand_in store;
+  small_store store;
   store.Put("op/config", Configuration());
   engine_group group({.ranks = kRanks}, record);
   const heartbeats beats(store, group);
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target
-common=(review/deployment.cc review/engine_group.cc tests/support/loopback_stream.cc
-  tests/support/store_stand_in.cc src/connection/http/http_parser.cc)
-flags=(-std=c++20 -O1 -pthread -Wall -Wextra -Iinclude -Isrc -Itests -Ireview)
+common=(review/deployment.cc review/engine_group.cc review/small_store.cc
+  tests/support/loopback_stream.cc src/connection/http/http_parser.cc)
+flags=(-std=c++20 -O1 -pthread -Wall -Wextra -Iinclude -Isrc -Itests)
 g++ "${flags[@]}" -o target/review-6 review/6/main.cc "${common[@]}"
--- a/review/deployment.cc
+++ b/review/deployment.cc
@@ -18,7 +18,7 @@
 #include <thread>
 #include <utility>
 
-#include "support/loopback_stream.h"
+#include "../tests/support/loopback_stream.h"
 
 namespace berylbarrow::review {
 namespace {
--- a/review/engine_group.cc
+++ b/review/engine_group.cc
@@ -171,9 +171,14 @@
     lock.unlock();
     std::string bytes;
     if (produced > sent && !std::exchange(has_head, true)) {
-      bytes = "HTTP/1.1 200 OK\r\n" + fields + "Replica-Signature: " + Id(rank) + "." + attempt +
-              "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
-              "Transfer-Encoding: chunked\r\n\r\n";
+      bytes = "HTTP/1.1 200 OK\r\n";
+      bytes.append(fields)
+          .append("Replica-Signature: ")
+          .append(Id(rank))
+          .append(".")
+          .append(attempt);
+      bytes += "\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n";
+      bytes += "Transfer-Encoding: chunked\r\n\r\n";
     }
     for (; sent < produced; ++sent) bytes += Chunk(Event(sent + 1));
     is_open = !stream.IsEnded() && stream.Send(bytes);
--- a/review/engine_group.h
+++ b/review/engine_group.h
@@ -14,8 +14,8 @@
 #include <thread>
 #include <vector>
 
+#include "../tests/support/loopback_stream.h"
 #include "deployment.h"
-#include "support/loopback_stream.h"
 
 namespace berylbarrow::review {
 
