Do not follow an ended coordinator again because the holder does

Callers saw all streams of a rank group stand still for good. A group whose companions end in numbers could stay held: a companion that had restarted got the plan of the new coordinator first and then one of the holder, which still followed the coordinator before it. OnPlan() took the older incarnation for a newer one, put the present coordinator among those that were left behind and ignored it from then on, so the coordinator never heard from all ranks and decided nothing.

A companion takes a plan of the holder only if the holder follows the same coordinator, or if it follows none itself. Who coordinates is learned from the coordinator's own messages.

The new test of the plan failed before: the companion follows 5, not 6.

--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -54,6 +54,8 @@
   if (left_behind_.count(plan.incarnation) > 0) return;
   if (plan.from_holder) {
     if (IsCoordinator() || IsHolder()) return;
+    // The holder may still follow a coordinator that has ended.
+    if (followed_ != 0 && followed_ != plan.incarnation) return;
   } else {
     if (IsCoordinator() && plan.incarnation != incarnation_) return;
     const bool is_overtaken = coordinator_plan_ &&
--- a/tests/version/expert/map_switch_test.cc
+++ b/tests/version/expert/map_switch_test.cc
@@ -408,5 +408,26 @@
   BOOST_TEST(struck > 40);
 }
 
+// Companions that had restarted followed a coordinator that had ended, since the holder still did,
+// and the group stood still.
+BOOST_AUTO_TEST_CASE(a_plan_of_the_holder_does_not_lead_back_to_a_coordinator_that_has_ended) {
+  constexpr std::uint64_t kEnded = 5;
+  constexpr std::uint64_t kPresent = 6;
+  const time_point now{std::chrono::hours(1)};
+  map_switch member({}, 9);
+  member.OnStatus({.group = "g", .rank = 3, .size = kRanks, .open = true}, now);
+  const switch_plan present{.incarnation = kPresent, .group = "g"};
+  member.OnPlan(present, now);
+  member.OnPlan({.incarnation = kEnded,
+                 .group = "g",
+                 .stage = switch_stage::kUndoing,
+                 .target = {.version = 4, .step = 8},
+                 .from_holder = true},
+                now);
+  BOOST_TEST(member.State()->heard == kPresent);
+  member.OnPlan(present, now);
+  BOOST_TEST(member.State()->heard == kPresent);
+}
+
 }  // namespace
 }  // namespace berylbarrow
