Fence every rank before an undone map switch releases its group

Cause: a switch was undone by the word of the companions. Each of them refused the map unless it knew of an order to arm without an answer, and one that has restarted knows of none of its predecessor. The release relied on the held pass beginning at once; an idle group begins none, so the order to arm rank 3 took effect 2.9 s after the release, and alone.

Change: the engines decide, since what an engine refuses is proof also for orders of senders that have ended. An undone switch prepares, on each rank, the experts that it has as a newer version. That copies nothing, and from then on the engine refuses to arm the older one. Nobody disarms before one rank is fenced or rank 0 is ruled out by the sealers; nobody releases before all are fenced. A coordinator that has restarted finishes if all ranks are armed, and fences all otherwise. A next switch begins only when the steps of the earlier ones are over, so that a late release cannot end its hold. Answers to orders decide nothing any more, which takes away the count of open orders. A hold that is given up before anybody was told to arm is just released.

The group stayed mixed since no switch began while the versions differed. Such a group is now logged (maps_differ), counted and given one map again.

--- a/include/berylbarrow/process/companion/engine_dialect.h
+++ b/include/berylbarrow/process/companion/engine_dialect.h
@@ -44,7 +44,7 @@
   virtual http_call StatusCall() const = 0;
   virtual http_call ExpertCountsCall() const = 0;
   virtual http_call ExpertListsCall() const = 0;
-  /// `layout` must not be null for order_kind::kPrepare; other orders ignore it.
+  /// `layout` must not be null for order_kind::kPrepare and kFence; other orders ignore it.
   virtual http_call OrderCall(const rank_order& order, const rank_layout* layout) const = 0;
   /// Reads the engine profile from the platform's store.
   virtual http_call ProfileCall() const = 0;
--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -2,6 +2,7 @@
 #define BERYLBARROW_VERSION_EXPERT_MAP_SWITCH_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -42,14 +43,21 @@
   }
 };
 
-enum class order_kind : std::uint8_t { kPrepare, kHold, kArm, kGo, kDisarm };
+enum class order_kind : std::uint8_t {
+  kPrepare,
+  kHold,
+  kArm,
+  kGo,
+  kDisarm,
+  kFence,  // prepares the experts in use as a newer version, so that no older one can be armed
+};
 
 /// An order to a rank, usually the one beside this process.
 struct rank_order {
   order_kind kind = order_kind::kPrepare;
   std::uint32_t rank = 0;
   std::uint64_t epoch = 0;
-  std::uint64_t version = 0;  // kPrepare, kArm, kDisarm
+  std::uint64_t version = 0;  // kPrepare, kArm, kDisarm, kFence
   std::uint64_t step = 0;     // kHold, kArm, kGo
   auto operator<=>(const rank_order&) const = default;
 };
@@ -71,7 +79,7 @@
   // The following are versions of maps; 0: none.
   std::uint64_t announced = 0;  // this run of the sender has known of the switch since before it
                                 // was decided
-  std::uint64_t refused = 0;    // no order to arm the rank for it will be sent or is under way
+  std::uint64_t refused = 0;    // this run of the sender does not arm its rank for it or seal it
   std::uint64_t sealed = 0;     // the sender will never refuse it
   template <class Archive>
   void serialize(Archive& archive) {
@@ -90,7 +98,7 @@
   kArming,      // all ranks but the coordinator's are armed for the step
   kSealing,     // a sealer rules out that the switch is undone; then the last rank is armed
   kReleasing,   // all are armed: the group goes on
-  kUndoing,     // all refuse, then they disarm, and the group goes on with the map in use
+  kUndoing,     // all ranks are fenced, and the group goes on with the map in use
 };
 
 /// What the process that leads a switch wants of the members.
@@ -129,6 +137,8 @@
   duration coordinator_silence = std::chrono::milliseconds(150);
   /// A switch whose hold cannot be placed, or that not all companions confirm, is given up.
   duration longest_stage_before_arming = std::chrono::seconds(1);
+  /// Ranks that report different maps for so long do not just report at different times.
+  duration longest_map_difference = std::chrono::milliseconds(1500);
 };
 
 /// Changes the map of a rank group so that no pass begins while two ranks have different maps.
@@ -140,14 +150,20 @@
 /// lost, or carried out seconds later: every order names the epoch, takes effect only before its
 /// step begins, and is repeated until a report shows its effect.
 ///
+/// An undone switch must not come back by an order to arm that is carried out after the release.
+/// So each rank is fenced before: its engine prepares the experts in use as a newer version, and
+/// from then on refuses to arm the older one. A fenced rank is never armed for the switch again,
+/// which no restart makes forgotten: nobody disarms a rank, or gives up a switch of which all ranks
+/// may have been armed, before one is fenced. The steps of an earlier switch are over, and with
+/// them its orders, before the next one begins.
+///
 /// The engine of a frozen instance answers nobody, so the process that stops the group and the
 /// engine that can release it are on different instances, and the rank of the first one is armed
-/// last. If the coordinator is silent, the holder undoes the switch: all other companions refuse
-/// the map from then on, then they disarm, and only when no rank is armed is the group released.
-/// Before rank 0 or a rank with a silent companion is armed, one of the sealers promises never to
-/// refuse, so that nobody can undo the switch any more; it is finished then, by the coordinator or
-/// by the holder. A companion that has restarted has forgotten what it had promised: it refuses and
-/// seals only what it has known of since before the decision, unless the coordinator wants to undo.
+/// last. If the coordinator is silent, the holder undoes the switch. It cannot fence rank 0, but
+/// rank 0 is armed only once one of the sealers has promised never to refuse; so the holder goes on
+/// without it when all sealers have refused. A switch that is sealed is finished, by the
+/// coordinator or by the holder. A companion that has restarted has forgotten what it had promised:
+/// its seal and its refusal do not count.
 class map_switch {
  public:
   map_switch(const map_switch_options& options, std::uint64_t incarnation)
@@ -159,8 +175,6 @@
   void OnPlan(const switch_plan& plan, time_point now);
   /// A report of another rank, read from afar.
   void OnRemoteStatus(std::uint32_t rank, const rank_status& status, time_point asked);
-  /// The engine has answered an order to this rank, so it will not be carried out later.
-  void OnOrderAnswered(const rank_order& order, time_point now);
   /// Ranks whose reports are wanted, because their companions are silent during a switch.
   std::vector<std::uint32_t> SilentRanks(time_point now) const;
   /// Ranks that are to prepare the target of the switch and have not got its layout.
@@ -178,12 +192,19 @@
   bool LeadsAsHolder() const { return duty_ != holder_duty::kNone; }
   /// Rank of the holder in a group of this size: the coordinator's own if there is no other.
   static constexpr std::uint32_t HolderRank(std::uint32_t size) { return size > 1 ? 1 : 0; }
-  /// All ranks are heard, agree on the map in use, and nothing is under way.
+  /// All ranks are heard, agree on the map in use, and nothing is under way, also no order of an
+  /// earlier switch or of a coordinator before this process.
   bool CanBegin(time_point now) const;
+  /// The same, but the ranks have had different maps in use for longer than their reports may be
+  /// apart. Only a switch to another map on all of them ends that.
+  bool CanRepair(time_point now) const;
+  /// The version of the map in use on each rank, by the latest reports.
+  std::vector<std::uint64_t> MapsInUse() const;
   /// Begins a change to the map of this version. Coordinator only.
   void Begin(std::uint64_t version, time_point now);
-  /// Highest version of a map that any rank is known to have had.
-  std::uint64_t HighestVersion() const { return highest_version_; }
+  /// A version for a map that no rank has had. `random` keeps it apart from one that another
+  /// coordinator chooses at the same time.
+  std::uint64_t NextVersion(std::uint64_t random) const;
 
   /// The orders to place now.
   std::vector<rank_order> Advance(time_point now);
@@ -215,8 +236,12 @@
   duration CoordinatorSilence() const;
   bool IsHolderRank(std::uint32_t rank) const { return rank == HolderRank(status_->size); }
   bool AllFresh(time_point now) const;
-  template <typename Condition>
-  bool AllMembers(time_point now, Condition condition) const;
+  /// Nothing is under way at any rank, apart from the maps that they have in use.
+  bool IsSettled(time_point now) const;
+  bool AreMapsAlike() const;
+  void ObserveMaps(time_point now);
+  std::uint64_t LeadSteps() const;
+  bool AllMembers(time_point now, const std::function<bool(const member_state&)>& condition) const;
   /// The member state of the holder; its own if this process is the holder.
   std::optional<member_state> HolderState() const;
   /// Pass before which a hold stops the group; 0: none is known. Earlier versions placed it on the
@@ -234,7 +259,7 @@
   bool MayArmFromAfar() const;
   bool IsUnattended(std::uint32_t rank, const member& member, time_point now) const;
   void AdvanceCoordinator(time_point now, std::vector<rank_order>& orders);
-  void AdvanceRecovery(time_point now, std::vector<rank_order>& orders);
+  void AdvanceRecovery(time_point now);
   void AdvanceUndoing(time_point now, std::vector<rank_order>& orders);
   void AdvanceReleasing(time_point now, std::vector<rank_order>& orders);
   void AdvanceHolder(time_point now, std::vector<rank_order>& orders);
@@ -245,15 +270,22 @@
   void Refuse(std::uint64_t version, time_point now, std::vector<rank_order>& orders);
   /// Promises never to refuse this version, if the rank is a sealer.
   void Seal(std::uint64_t version);
-  /// Whether no order to arm this rank can still arrive at its engine.
-  bool HasNoOpenArmOrder() const;
-  /// Whether all ranks from 1 on are known not to be armed any more, or ever, for this version.
-  bool AreAllUnarmed(std::uint64_t version) const;
-  bool HaveAllRefused(std::uint64_t version) const;
+  /// Whether the rank's engine refuses to arm this version or an older one for good.
+  static bool IsFenced(const member_state& state, std::uint64_t version);
+  bool IsAnyFenced(std::uint64_t version) const;
+  /// Whether all ranks from `first_rank` on are fenced.
+  bool AreAllFenced(std::uint64_t version, std::uint32_t first_rank) const;
+  /// Whether no sealer has sealed this version or will, so that rank 0 is never armed for it.
+  bool HaveSealersRefused(std::uint64_t version) const;
+  /// The map and step for which all ranks are armed, if they are.
+  std::optional<armed_map> CommonArmedMap() const;
+  void Fence(std::uint64_t version, time_point now, std::vector<rank_order>& orders);
   void ArmFromAfar(time_point now, std::vector<rank_order>& orders);
   void Release(std::uint64_t step, time_point now, std::vector<rank_order>& orders);
   void Order(const rank_order& order, duration pause, time_point now,
              std::vector<rank_order>& orders);
+  /// Ends a switch for which no rank has been told to arm; a hold is released when it shows.
+  void GiveUpHold(time_point now);
   void Enter(switch_stage stage, time_point now);
   void ChooseStep();
 
@@ -261,6 +293,7 @@
   std::uint64_t incarnation_;
   std::optional<rank_status> status_;
   time_point status_asked_;
+  std::uint64_t first_step_ = 0;  // the first pass that this process knows of in this epoch
   std::map<std::uint32_t, member> members_;  // by rank, without this one
   std::map<rank_order, time_point> sent_;
 
@@ -271,18 +304,18 @@
   std::uint64_t sequence_ = 0;
   std::uint64_t holder_incarnation_ = 0;  // that has confirmed the announcement
   bool is_sealed_ = false;                // rank 0 and silent ranks may be armed
-  bool is_undoing_final_ = false;         // also of the holder: all have refused
+  bool is_undoing_final_ = false;         // also of the holder: the switch cannot be finished
   std::uint64_t released_to_ = 0;         // holds up to this step may be released
   std::uint64_t finished_ = 0;
   std::uint64_t undone_ = 0;
+  std::optional<time_point> maps_differ_since_;
 
   // Member, which the coordinator is too.
   std::uint64_t followed_ = 0;           // incarnation of the coordinator
   std::set<std::uint64_t> left_behind_;  // coordinators of before
   std::optional<switch_plan> plan_;
   std::optional<armed_map> committed_;
-  std::uint32_t open_arm_orders_ = 0;  // to this rank, not answered
-  time_point last_arm_answer_;
+  std::uint64_t fence_version_ = 0;  // that this rank was last told to prepare as a fence
   std::uint64_t announced_ = 0;
   std::uint64_t refused_ = 0;
   std::set<std::uint64_t> known_layouts_;
--- a/include/berylbarrow/version/expert/rank_layout.h
+++ b/include/berylbarrow/version/expert/rank_layout.h
@@ -33,6 +33,15 @@
   std::vector<std::vector<expert_index>> lists_;
 };
 
+/// A layout in which `rank` holds `lists`, by layer, and the other ranks share all other experts
+/// evenly.
+rank_layout LayoutAround(const group_shape& shape, std::uint32_t rank,
+                         const std::vector<std::vector<expert_index>>& lists);
+
+/// Adds the experts that no rank holds, for which a rank with free slots, or with an expert that
+/// others hold too, copies at most `max_new_per_layer` in each layer. Nothing if there is no room.
+std::optional<rank_layout> CompleteLayout(rank_layout layout, std::size_t max_new_per_layer);
+
 /// What a group has to do in a pass, and how well its ranks do it.
 struct group_work {
   expert_load load;          // tokens, by layer and expert
--- a/src/process/companion/companion.cc
+++ b/src/process/companion/companion.cc
@@ -20,27 +20,9 @@
 constexpr duration kStatusInterval = milliseconds(100);
 constexpr duration kCountsInterval = milliseconds(150);
 constexpr duration kListsInterval = milliseconds(500);
-constexpr duration kEvaluationInterval = milliseconds(150);
-// Planning takes longer for a larger group. It is done less often there, so that the instance of
-// the coordinator has time left for the messages of the group.
-constexpr std::uint32_t kRanksPerEvaluationInterval = 32;
 constexpr duration kProfileRetryInterval = milliseconds(500);
 constexpr duration kProfileInterval = std::chrono::seconds(30);
-constexpr duration kMaxLoadAge = std::chrono::seconds(2);
 constexpr duration kLoadHalfLife = milliseconds(300);
-// Weight of a new observation in the long-term average of the group's load.
-constexpr double kLongTermLoadWeight = 0.02;
-// Share of the long-term average that is added to the current load when a layout is planned.
-constexpr double kLongTermLoadShare = 0.25;
-// A long-term average below this share of the current load dates from before the first measured
-// rates, when the demand was given in shares, and is replaced by the current load.
-constexpr double kMinLongTermLoadShare = 0.01;
-// Time for which a layout is expected to fit the load of a busy group. The horizon is shorter, down
-// to kMinHorizonShare of it, while less than kBusySlotUsage of the slots are in use.
-constexpr double kMaxHorizonSeconds = 3.0;
-constexpr double kBusySlotUsage = 0.5;
-constexpr double kMinHorizonShare = 0.55;
-constexpr double kSlotUsageWeight = 0.2;  // of a new observation in the average
 // One failure may be that of a connection, so the next status is requested at once.
 constexpr std::uint32_t kFailuresOfLostRank = 2;
 constexpr duration kCallTimeout = milliseconds(300);
@@ -53,9 +35,6 @@
 constexpr double kSlowPace = 1.25;
 constexpr double kSoundPace = 1.1;
 constexpr duration kMaxShutdownDelay = milliseconds(1500);
-// Number of values of the random part of a version. Two coordinators that know the same highest
-// version thus choose different new ones.
-constexpr std::uint64_t kVersionRandomRange = std::uint64_t{1} << 20U;
 
 fleet_member MakeSelf(const companion_settings& settings, std::uint64_t incarnation) {
   return {.name = settings.name,
@@ -283,14 +262,6 @@
   if (result.status == 200) own_lists_ = dialect_.ParseExpertLists(result.body);
 }
 
-std::optional<group_shape> companion::Shape() const {
-  if (!profile_ || !status_ || status_->rank.size == 0) return std::nullopt;
-  return group_shape{.ranks = status_->rank.size,
-                     .layers = profile_->expert_layers,
-                     .experts = profile_->experts,
-                     .slots_per_rank = profile_->expert_slots};
-}
-
 void companion::PollSilentRanks(time_point now) {
   for (const std::uint32_t rank : switch_.SilentRanks(now)) {
     const auto found = ranks_.find(rank);
@@ -329,28 +300,32 @@
 }
 
 void companion::SendOrder(const rank_order& order) {
-  const bool is_prepare = order.kind == order_kind::kPrepare;
+  std::optional<rank_layout> fence;
+  const rank_layout* layout = nullptr;
+  if (order.kind == order_kind::kPrepare) layout = &target_->layout;
+  if (order.kind == order_kind::kFence) {
+    fence = FenceLayout();
+    if (!fence) return;
+    layout = &*fence;
+  }
   http_caller* caller = &order_caller_;
   if (order.rank != switch_.Status()->rank) {
     caller = RemoteEngine(order.rank);
     if (caller == nullptr) return;
   }
   metrics_.Count("orders", {});
-  caller->Call(dialect_.OrderCall(order, is_prepare ? &target_->layout : nullptr),
-               [this, order](const http_result& result) {
-                 logger::Event(log_level::kInfo, "engine", "order_answered",
-                               {{"order", std::to_string(static_cast<int>(order.kind))},
-                                {"rank", std::to_string(order.rank)},
-                                {"version", std::to_string(order.version)},
-                                {"step", std::to_string(order.step)},
-                                {"epoch", std::to_string(order.epoch)},
-                                {"status", std::to_string(result.status)}});
-                 if (result.status == 0) return;
-                 const time_point now = clock_.Now();
-                 switch_.OnOrderAnswered(order, now);
-                 // The others wait for the effect to show in this rank's report.
-                 if (switch_.MayBeHeld()) PollEngine(now);
-               });
+  caller->Call(dialect_.OrderCall(order, layout), [this, order](const http_result& result) {
+    logger::Event(log_level::kInfo, "engine", "order_answered",
+                  {{"order", std::to_string(static_cast<int>(order.kind))},
+                   {"rank", std::to_string(order.rank)},
+                   {"version", std::to_string(order.version)},
+                   {"step", std::to_string(order.step)},
+                   {"epoch", std::to_string(order.epoch)},
+                   {"status", std::to_string(result.status)}});
+    if (result.status == 0) return;
+    // The others wait for the effect to show in this rank's report.
+    if (switch_.MayBeHeld()) PollEngine(clock_.Now());
+  });
 }
 
 void companion::SendDueOrders(time_point now) {
@@ -385,100 +360,6 @@
   }
 }
 
-std::optional<rank_layout> companion::CurrentLayout() const {
-  const auto shape = Shape();
-  if (shape && in_use_ && in_use_->version == status_->rank.mapping && in_use_->IsComplete()) {
-    return in_use_->layout;
-  }
-  if (!shape || !own_lists_ || own_lists_->version != status_->rank.mapping) return std::nullopt;
-  if (own_lists_->experts.size() != shape->layers) return std::nullopt;
-  rank_layout layout(*shape);
-  for (std::uint32_t layer = 0; layer < shape->layers; ++layer) {
-    layout.Set(layer, 0, own_lists_->experts[layer]);
-    for (const auto& [rank, peer] : ranks_) {
-      if (rank >= shape->ranks || !peer.lists || peer.layers.size() != shape->layers) {
-        return std::nullopt;
-      }
-      if (peer.lists_version != status_->rank.mapping) return std::nullopt;
-      layout.Set(layer, rank, peer.lists->At(layer, 0));
-    }
-  }
-  return layout.IsSound() ? std::optional(std::move(layout)) : std::nullopt;
-}
-
-std::optional<group_work> companion::GroupWork(time_point now) {
-  expert_load sum = expert_rates_.Demand();
-  std::vector<double> pace(status_->rank.size, 1.0);
-  pace[0] = std::max(1.0, status_->pace);
-  for (const auto& [rank, peer] : ranks_) {
-    if (peer.IsLoadStale(now, kMaxLoadAge)) return std::nullopt;
-    if (!peer.load.empty() && peer.load.size() != sum.size()) return std::nullopt;
-    for (std::size_t i = 0; i < peer.load.size(); ++i) sum[i] += peer.load[i];
-    if (rank < pace.size()) pace[rank] = std::max(1.0, peer.pace);
-  }
-  const double total = std::accumulate(sum.begin(), sum.end(), 0.0);
-  if (total <= 0) return std::nullopt;
-  // Earlier demand may return, so the plan keeps experts for it in slots that are of no use to the
-  // current load.
-  const double long_term_total =
-      std::accumulate(long_term_load_.begin(), long_term_load_.end(), 0.0);
-  if (long_term_total < kMinLongTermLoadShare * total) long_term_load_ = sum;
-  for (std::size_t i = 0; i < sum.size(); ++i) {
-    long_term_load_[i] += kLongTermLoadWeight * (sum[i] - long_term_load_[i]);
-    sum[i] += kLongTermLoadShare * long_term_load_[i];
-  }
-  return group_work{.load = std::move(sum), .pace = std::move(pace)};
-}
-
-double companion::UpdateHorizonSeconds() {
-  // While ranks have free slots, a shorter pass gains callers little, but expert copies cost as
-  // much as under full load.
-  const double slot_usage =
-      static_cast<double>(status_->running + status_->waiting) / std::max(1U, profile_->slots);
-  average_slot_usage_ += kSlotUsageWeight * (slot_usage - average_slot_usage_);
-  return kMaxHorizonSeconds *
-         std::clamp(average_slot_usage_ / kBusySlotUsage, kMinHorizonShare, 1.0);
-}
-
-void companion::EvaluateLayout(time_point now) {
-  if (shutting_down_ || !status_ || now < next_evaluation_ || !switch_.CanBegin(now)) return;
-  next_evaluation_ =
-      now + kEvaluationInterval * std::max(1U, status_->rank.size / kRanksPerEvaluationInterval);
-  const auto layout = CurrentLayout();
-  const auto work = GroupWork(now);
-  if (!layout || !work ||
-      work->load.size() != std::size_t{profile_->expert_layers} * profile_->experts) {
-    return;
-  }
-  const double copy_seconds =
-      profile_->expert_link_mbps > 0 ? profile_->expert_mb * 8 / profile_->expert_link_mbps : 0.1;
-  const auto chosen = ChooseLayout(*layout, *work,
-                                   {.copy_seconds = copy_seconds,
-                                    .max_new_per_layer = profile_->max_new_experts,
-                                    .horizon_seconds = UpdateHorizonSeconds()});
-  if (!chosen) return;
-  const std::uint64_t version =
-      (switch_.HighestVersion() / kVersionRandomRange + 1) * kVersionRandomRange +
-      random_() % kVersionRandomRange;
-  logger::Event(
-      log_level::kInfo, "engine", "switch_begins",
-      {{"version", std::to_string(version)},
-       {"skew", std::to_string(chosen->skew_before)},
-       {"planned_skew", std::to_string(chosen->skew_after)},
-       {"slowest_pace", std::to_string(*std::max_element(work->pace.begin(), work->pace.end()))},
-       {"running", std::to_string(status_->running)},
-       {"waiting", std::to_string(status_->waiting)},
-       {"longest_copy", std::to_string(chosen->longest_copy)},
-       {"copies", std::to_string(chosen->copies)}});
-  target_delta_ = SplitDelta(*layout, status_->rank.mapping, chosen->layout, version);
-  target_ = versioned_layout{.version = version, .layout = chosen->layout};
-  for (std::uint32_t i = 0; i < chosen->layout.Shape().layers; ++i) target_->layers.insert(i);
-  switch_.OnLayoutKnown(version);
-  switch_.Begin(version, now);
-  spread_.Begin(now);
-  delta_ranks_.clear();
-}
-
 http_answer companion::AnswerMetrics(const http_head& head) {
   if (head.target != "/metrics") return {.status = 404};
   return {.status = 200,
--- a/src/process/companion/companion.h
+++ b/src/process/companion/companion.h
@@ -91,7 +91,8 @@
   void OnExpertLists(const http_result& result);
   /// Polls the engines of ranks whose companions are silent during a switch.
   void PollSilentRanks(time_point now);
-  /// Sends an order to the engine of its rank; a prepare order needs the complete `target_`.
+  /// Sends an order to the engine of its rank; a prepare order needs the complete `target_`. A
+  /// fence is sent once the expert lists of this rank are known.
   void SendOrder(const rank_order& order);
   /// Sends orders to the engine of another rank; nullptr if its address is not known.
   http_caller* RemoteEngine(std::uint32_t rank);
@@ -144,6 +145,13 @@
   std::optional<group_shape> Shape() const;
   /// Layout of the map in use, if the lists of all ranks are known.
   std::optional<rank_layout> CurrentLayout() const;
+  /// A layout in which this rank holds the experts that it has, so that it copies none.
+  std::optional<rank_layout> FenceLayout() const;
+  /// A layout near the different maps that the ranks have in use, if all their lists are known.
+  std::optional<rank_layout> MixedLayout() const;
+  void BeginSwitch(std::uint64_t version, const rank_layout& layout, time_point now);
+  /// Begins a switch that gives all ranks the same map again. Coordinator only.
+  void RepairMaps(time_point now);
   /// Load to plan for, if that of every known rank is recent. Updates the long-term average.
   std::optional<group_work> GroupWork(time_point now);
   void Send(const std::string& datagram, const endpoint& to);
--- a/src/process/companion/rank_message.cc
+++ b/src/process/companion/rank_message.cc
@@ -10,7 +10,7 @@
 namespace berylbarrow {
 namespace {
 
-constexpr std::uint32_t kRankMessageMagic = 0x62620007;
+constexpr std::uint32_t kRankMessageMagic = 0x62620008;
 constexpr std::size_t kMaxPartBytes = 900;
 constexpr std::uint32_t kMaxByte = 255;
 
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -15,26 +15,31 @@
   released_to_ = 0;
   plan_.reset();
   committed_.reset();
-  open_arm_orders_ = 0;
+  fence_version_ = 0;
   announced_ = 0;
   refused_ = 0;
   known_layouts_.clear();
   coordinator_plan_.reset();
   sealed_ = 0;
   duty_ = holder_duty::kNone;
+  maps_differ_since_.reset();
 }
 
 void map_switch::OnStatus(const rank_status& status, time_point asked) {
-  if (!status_ || !status_->IsSameRun(status)) Reset();
+  if (!status_ || !status_->IsSameRun(status)) {
+    Reset();
+    first_step_ = status.step;
+  }
   status_ = status;
   status_asked_ = asked;
   highest_version_ = std::max({highest_version_, status.mapping, status.prepared.value_or(0),
                                status.armed ? status.armed->version : 0});
-  // The pass has begun: what the rank was armed for is in use, or can no longer come into use.
-  if (committed_ && status.step >= committed_->step && !status.armed) {
-    committed_.reset();
-    open_arm_orders_ = 0;
-  }
+  // The pass has begun, or the rank is fenced: what it was armed for is in use, or can no longer
+  // come into use.
+  const std::uint64_t newest = std::max(status.mapping, status.prepared.value_or(0));
+  const bool is_over =
+      committed_ && (status.step >= committed_->step || newest > committed_->version);
+  if (is_over && !status.armed) committed_.reset();
   if (status.armed && !committed_) committed_ = *status.armed;
 }
 
@@ -90,13 +95,6 @@
   known.at = std::max(known.at, asked);
 }
 
-void map_switch::OnOrderAnswered(const rank_order& order, time_point now) {
-  if (!status_ || order.kind != order_kind::kArm || order.rank != status_->rank) return;
-  if (order.epoch != status_->epoch || open_arm_orders_ == 0) return;
-  --open_arm_orders_;
-  last_arm_answer_ = now;
-}
-
 duration map_switch::CoordinatorSilence() const {
   return options_.coordinator_silence * std::max(1U, status_->size / options_.ranks_per_silence);
 }
@@ -188,7 +186,7 @@
       case switch_stage::kReleasing:
         return state.mapping != plan->target.version;
       case switch_stage::kUndoing:
-        return state.refused != plan->target.version;
+        return !IsFenced(state, plan->target.version);
       default:
         return false;
     }
@@ -231,22 +229,13 @@
          });
 }
 
-template <typename Condition>
-bool map_switch::AllMembers(time_point now, Condition condition) const {
+bool map_switch::AllMembers(time_point now,
+                            const std::function<bool(const member_state&)>& condition) const {
   return AllFresh(now) && std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
            return each.second.state.heard == followed_ && condition(each.second.state);
          });
 }
 
-bool map_switch::CanBegin(time_point now) const {
-  if (!IsCoordinator() || stage_ != switch_stage::kIdle || !status_->open) return false;
-  if (status_->held || status_->armed || committed_) return false;
-  return AllMembers(now, [&](const member_state& state) {
-    return state.mapping == status_->mapping && state.armed.version == 0 &&
-           state.committed.version == 0 && state.held == 0;
-  });
-}
-
 std::optional<member_state> map_switch::HolderState() const {
   if (IsHolder()) return State();
   const auto found = members_.find(HolderRank(status_->size));
@@ -276,10 +265,14 @@
 void map_switch::ChooseStep() {
   std::uint64_t latest = std::max({status_->step, target_.step, released_to_});
   for (const auto& [rank, each] : members_) latest = std::max(latest, each.state.step);
-  target_.step = latest + options_.lead_steps + status_->size / options_.ranks_per_lead_step;
+  target_.step = latest + LeadSteps();
   ++sequence_;
 }
 
+std::uint64_t map_switch::LeadSteps() const {
+  return options_.lead_steps + status_->size / options_.ranks_per_lead_step;
+}
+
 void map_switch::Order(const rank_order& order, duration pause, time_point now,
                        std::vector<rank_order>& orders) {
   const auto sent = sent_.find(order);
@@ -300,45 +293,6 @@
         options_.resend_after, now, orders);
 }
 
-void map_switch::AdvanceRecovery(time_point now, std::vector<rank_order>& orders) {
-  const std::uint64_t held = HeldStep();
-  if (held == 0) return Enter(switch_stage::kIdle, now);
-  if (!AllMembers(now, [](const member_state&) { return true; })) return;
-  std::optional<armed_map> committed = committed_;
-  for (const auto& [rank, each] : members_) {
-    if (each.state.committed.version != 0) committed = each.state.committed;
-    if (each.state.armed.version != 0) committed = each.state.armed;
-  }
-  if (!committed || committed->step < held) return Release(held, now, orders);
-  target_ = *committed;
-  // Rank 0 may have been armed only if somebody has sealed the switch.
-  is_sealed_ = IsSealedByAny(target_.version);
-  Enter(is_sealed_ ? switch_stage::kSealing : switch_stage::kUndoing, now);
-}
-
-void map_switch::AdvanceUndoing(time_point now, std::vector<rank_order>& orders) {
-  if (!is_undoing_final_ && IsSealedByAny(target_.version)) {
-    is_sealed_ = true;
-    return Enter(switch_stage::kSealing, now);
-  }
-  if (!is_undoing_final_ && HaveAllRefused(target_.version)) {
-    is_undoing_final_ = true;
-    ++sequence_;
-  }
-  const std::uint64_t held = HeldStep();
-  const bool has_begun = status_->step >= target_.step && !status_->armed;
-  if (!has_begun && !(is_undoing_final_ && AreAllUnarmed(target_.version))) return;
-  if (held != 0 && held <= target_.step) {
-    // The pass begins at once then, which leaves no time for an order of a companion that ended.
-    if (status_->step + 1 >= held) Release(held, now, orders);
-    return;
-  }
-  released_to_ = std::max(released_to_, target_.step);
-  is_undoing_final_ = false;
-  ++undone_;
-  Enter(switch_stage::kIdle, now);
-}
-
 void map_switch::AdvanceReleasing(time_point now, std::vector<rank_order>& orders) {
   const std::uint64_t held = HeldStep();
   const bool is_held = held != 0 && held <= released_to_;
@@ -366,7 +320,7 @@
       if (HeldStep() <= released_to_) return Release(HeldStep(), now, orders);
       return Enter(switch_stage::kRecovering, now);
     case switch_stage::kRecovering:
-      return AdvanceRecovery(now, orders);
+      return AdvanceRecovery(now);
     case switch_stage::kPreparing: {
       const bool ready =
           own.prepared == target_.version && AllMembers(now, [&](const member_state& state) {
@@ -390,13 +344,12 @@
       }
       return;
     case switch_stage::kHolding:
-      if (is_refused || !is_holder_the_same) return Enter(switch_stage::kUndoing, now);
+      // Nobody has been told to arm a rank, so nothing has to be undone but the hold.
+      if (is_refused || !is_holder_the_same) return GiveUpHold(now);
       if (holder->held == target_.step && holder->step < target_.step && own.step < target_.step) {
         return Enter(switch_stage::kArming, now);
       }
-      if (now - stage_since_ > options_.longest_stage_before_arming) {
-        return Enter(switch_stage::kUndoing, now);
-      }
+      if (now - stage_since_ > options_.longest_stage_before_arming) return GiveUpHold(now);
       // The pass has begun, so that the hold cannot take effect any more.
       if (own.step >= target_.step) ChooseStep();
       Order({.kind = order_kind::kHold,
@@ -406,7 +359,9 @@
             options_.resend_after, now, orders);
       return;
     case switch_stage::kArming: {
-      if (is_refused || !is_holder_the_same) return Enter(switch_stage::kUndoing, now);
+      if (is_refused || !is_holder_the_same || IsAnyFenced(target_.version)) {
+        return Enter(switch_stage::kUndoing, now);
+      }
       const bool others_armed =
           AllMembers(now, [&](const member_state& state) { return IsArmed(state); });
       const bool is_unattended = std::any_of(
@@ -416,6 +371,10 @@
       return;
     }
     case switch_stage::kSealing:
+      if (IsAnyFenced(target_.version)) {
+        is_sealed_ = false;
+        return Enter(switch_stage::kUndoing, now);
+      }
       if (!is_sealed_) {
         if (IsSealedByAny(target_.version) || IsHolder()) {
           is_sealed_ = true;
@@ -451,69 +410,13 @@
   }
 }
 
-void map_switch::BeginDuty(std::uint64_t step, time_point now) {
-  duty_target_ = {.version = announced_, .step = step};
-  duty_ = holder_duty::kUndo;
-  is_undoing_final_ = false;
-  duty_since_ = now;
-  if (sealed_ != announced_) refused_ = announced_;
-}
-
-void map_switch::AdvanceHolder(time_point now, std::vector<rank_order>& orders) {
-  if (!coordinator_plan_) return;
-  const switch_plan& plan = *coordinator_plan_;
-  const bool is_known = announced_ != 0 && plan.incarnation == announced_by_;
-  const bool is_announced = is_known && plan.target.version == announced_;
-  const rank_status& own = *status_;
-  if (!own.held) {
-    if (duty_ == holder_duty::kUndo) ++undone_;
-    duty_ = holder_duty::kNone;
-    is_undoing_final_ = false;
-    return;
-  }
-  const std::uint64_t step = *own.held;
-  if (step <= released_to_) return Release(step, now, orders);
-  if (duty_ == holder_duty::kNone) {
-    // A holder that has restarted leaves the decision to the coordinator.
-    if (announced_ == 0) return;
-    // The status is newer than the end of the silence, so that what has arrived meanwhile at a
-    // process that stood still has been read.
-    const bool is_silent = status_asked_ - coordinator_plan_at_ > CoordinatorSilence();
-    if (is_known && !is_silent) {
-      const bool is_over =
-          plan.stage == switch_stage::kIdle || plan.stage == switch_stage::kPreparing;
-      const bool is_older = IsHeldStage(plan.stage) && plan.target.step > step;
-      const bool is_ready =
-          is_announced && plan.stage == switch_stage::kReleasing && plan.target.step == step;
-      if (is_over || is_older || is_ready) Release(step, now, orders);
-      return;
-    }
-    BeginDuty(step, now);
-  }
-  const bool is_sealed = is_announced && plan.is_final && plan.stage == switch_stage::kSealing;
-  const bool may_finish = is_sealed || IsSealedByAny(announced_);
-  if (duty_ == holder_duty::kUndo && !is_undoing_final_ && may_finish) {
-    duty_ = holder_duty::kFinish;
-    refused_ = 0;
-  }
-  if (duty_ == holder_duty::kFinish) {
-    ArmFromAfar(now, orders);
-    if (AreAllArmed(now)) Release(step, now, orders);
-    return;
-  }
-  // Rank 0 is armed only once the switch is sealed.
-  is_undoing_final_ = is_undoing_final_ || HaveAllRefused(announced_);
-  // The pass begins at once then, which leaves no time for an order of a companion that has ended.
-  const bool is_waiting = own.step + 1 >= step;
-  if (is_undoing_final_ && AreAllUnarmed(announced_) && is_waiting) Release(step, now, orders);
-}
-
 std::vector<rank_order> map_switch::Advance(time_point now) {
   std::vector<rank_order> orders;
   if (!status_ || status_->group.empty()) return orders;
   // What a process that stood still knows of its rank is too old to act on.
   if (now - status_asked_ > options_.member_lifetime) return orders;
   if (IsCoordinator()) {
+    ObserveMaps(now);
     AdvanceCoordinator(now, orders);
     if (const auto plan = Plan()) OnPlan(*plan, now);
   } else if (IsHolder()) {
@@ -539,7 +442,7 @@
                       .committed = committed_.value_or(armed_map{}),
                       .held = status_->held.value_or(0),
                       .announced = announced_,
-                      .refused = HasNoOpenArmOrder() ? refused_ : 0,
+                      .refused = refused_,
                       .sealed = sealed_};
 }
 
--- a/src/version/expert/map_switch_member.cc
+++ b/src/version/expert/map_switch_member.cc
@@ -7,27 +7,6 @@
 
 namespace berylbarrow {
 
-bool map_switch::HasNoOpenArmOrder() const {
-  return open_arm_orders_ == 0 && status_asked_ >= last_arm_answer_;
-}
-
-bool map_switch::HaveAllRefused(std::uint64_t version) const {
-  std::uint32_t refusals = status_->rank == 0 ? 0 : 1;
-  if (status_->rank != 0 && (refused_ != version || !HasNoOpenArmOrder())) return false;
-  for (const auto& [rank, each] : members_) {
-    if (rank != 0 && each.state.refused == version) ++refusals;
-  }
-  return refusals + 1 == status_->size;
-}
-
-bool map_switch::AreAllUnarmed(std::uint64_t version) const {
-  if (status_->armed && status_->armed->version == version) return false;
-  return std::all_of(members_.begin(), members_.end(), [&](const auto& entry) {
-    const member_state& state = entry.second.state;
-    return entry.first == 0 || (state.refused == version && state.armed.version != version);
-  });
-}
-
 void map_switch::Arm(const armed_map& target, time_point now, std::vector<rank_order>& orders) {
   const rank_status& own = *status_;
   if (refused_ == target.version || (committed_ && *committed_ != target)) return;
@@ -35,40 +14,33 @@
   if (own.armed == target || own.mapping == target.version) return;
   if (own.prepared != target.version || own.step >= target.step) return;
   committed_ = target;
-  const std::size_t before = orders.size();
   Order({.kind = order_kind::kArm,
          .rank = own.rank,
          .epoch = own.epoch,
          .version = target.version,
          .step = target.step},
         options_.resend_after, now, orders);
-  open_arm_orders_ += orders.size() > before ? 1 : 0;
 }
 
 void map_switch::Refuse(std::uint64_t version, time_point now, std::vector<rank_order>& orders) {
-  if (sealed_ == version) return;
-  // A companion that has restarted does not know what it has sealed before. Only the coordinator
-  // knows whether rank 0 has been armed after that.
-  if (plan_->from_holder && announced_ != version) return;
-  // An order to arm without an answer may be carried out at any time, so the rank cannot promise to
-  // stay unarmed. The switch has to be finished.
-  if (committed_ && committed_->version == version && open_arm_orders_ > 0) {
-    sealed_ = version;
-    refused_ = 0;
-    return;
-  }
+  const bool is_holder = duty_ == holder_duty::kUndo;
+  const bool is_final = is_holder ? is_undoing_final_ : plan_->is_final;
+  // A switch that is sealed is finished, unless a rank can no longer be armed for it.
+  if (sealed_ == version && !is_final) return;
   refused_ = version;
-  const bool is_armed = status_->armed && status_->armed->version == version;
-  if (committed_ && committed_->version == version && HasNoOpenArmOrder() && !is_armed) {
-    committed_.reset();
+  if (IsFenced(*State(), version)) return;
+  if (status_->armed) {
+    // While no rank is fenced, all may have been armed, and the order to release them may be under
+    // way.
+    if (!is_final) return;
+    return Order({.kind = order_kind::kDisarm,
+                  .rank = status_->rank,
+                  .epoch = status_->epoch,
+                  .version = status_->armed->version},
+                 options_.resend_after, now, orders);
   }
-  const bool is_final = duty_ == holder_duty::kUndo ? is_undoing_final_ : plan_->is_final;
-  if (!is_armed || !is_final) return;
-  Order({.kind = order_kind::kDisarm,
-         .rank = status_->rank,
-         .epoch = status_->epoch,
-         .version = version},
-        options_.resend_after, now, orders);
+  // The holder cannot undo the switch if a sealer has sealed it, and the sealers answer first.
+  if (is_final || !(is_holder || plan_->from_holder)) Fence(version, now, orders);
 }
 
 void map_switch::Seal(std::uint64_t version) {
--- a/tests/platform/companion_crash_test.cc
+++ b/tests/platform/companion_crash_test.cc
@@ -4,9 +4,13 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "berylbarrow/process/companion/companion.h"
 #include "berylbarrow/process/membership/fleet_beat.h"
@@ -192,21 +196,80 @@
   BOOST_TEST((companion.ReceivePlan() == plan));
 }
 
-// The coordinator stands still right after its hold. The companion of rank 1 has learned of the
-// other ranks only from it, undoes the switch with them and releases the group.
-BOOST_AUTO_TEST_CASE(a_holder_ends_the_switch_of_a_silent_coordinator) {
-  std::atomic<bool> is_held{true};
-  const scripted_upstream engine([&](const std::string& request) -> scripted_reply {
-    const bool is_status = request.rfind("GET /report ", 0) == 0;
-    if (request.find("\"go\"") != std::string::npos) is_held = false;
-    std::string body = "{}";
-    if (is_status) {
-      body = R"({"group":{"name":"g","epoch":3,"rank":1,"state":"open"},"size":4,"step":99)";
-      body += is_held ? R"(,"held":100})" : "}";
+/// The engine of a rank in a group of four that is held before pass 100, with map 0 of one layer
+/// and eight experts in use and version 5 prepared.
+class held_engine {
+ public:
+  explicit held_engine(std::uint32_t rank) : rank_(rank) {}
+
+  std::string Address() const { return upstream_.Address(); }
+  bool IsHeld() const { return is_held_; }
+  /// Version that was prepared last.
+  std::uint64_t Prepared() const { return prepared_; }
+  /// Whether the last version that was prepared leaves this rank the experts that it has, and each
+  /// expert on some rank.
+  bool HasFittingMap() const { return has_fitting_map_; }
+
+ private:
+  std::string Answer(const std::string& request) {
+    if (request.rfind("GET /picked?", 0) == 0) {
+      return R"({"step":99,"epoch":3,"mapping":{"version":0,"experts":[[1,5]]},"prepared":null})";
+    }
+    if (request.rfind("GET /picked ", 0) == 0) {
+      return R"({"step":99,"epoch":3,"counts":[1,1,1,1,1,1,1,1]})";
+    }
+    if (request.rfind("GET /report ", 0) == 0) {
+      std::string report = R"({"group":{"name":"g","epoch":3,"rank":)" + std::to_string(rank_) +
+                           R"(,"state":"open"},"size":4,"step":99,"mapping":0,"prepared":)" +
+                           std::to_string(prepared_);
+      // The hold is on the engine of rank 1.
+      return report + (is_held_ && rank_ == 1 ? R"(,"held":100})" : "}");
+    }
+    if (request.rfind("POST /order ", 0) == 0) {
+      const auto order = nlohmann::json::parse(request.substr(request.find("\r\n\r\n") + 4));
+      if (order.at("op") == "go") is_held_ = false;
+      if (order.at("op") == "prepare") Prepare(order);
     }
+    return "{}";
+  }
+  void Prepare(const nlohmann::json& order) {
+    const auto layer = order.at("mapping").at(0).get<std::vector<std::vector<int>>>();
+    std::set<int> all;
+    for (const auto& list : layer) all.insert(list.begin(), list.end());
+    has_fitting_map_ = layer.at(rank_) == std::vector<int>{1, 5} && all.size() == 8;
+    prepared_ = order.at("version");
+  }
+
+  std::uint32_t rank_;
+  std::atomic<bool> is_held_{true};
+  std::atomic<bool> has_fitting_map_{false};
+  std::atomic<std::uint64_t> prepared_{5};
+  scripted_upstream upstream_{[this](const std::string& request) -> scripted_reply {
+    const std::string body = Answer(request);
     return {.bytes = "HTTP/1.1 200 x\r\nContent-Length: " + std::to_string(body.size()) +
                      "\r\n\r\n" + body};
-  });
+  }};
+};
+
+/// State of another rank that reports to the coordinator `heard`.
+rank_message StateOf(std::uint32_t rank, std::uint64_t heard, std::uint64_t prepared) {
+  return {.state = {{.incarnation = 1000 + rank,
+                     .heard = heard,
+                     .group = "g",
+                     .epoch = 3,
+                     .rank = rank,
+                     .step = 99,
+                     .prepared = prepared,
+                     .held = rank == 1 ? 100U : 0U,
+                     .announced = 5,
+                     .refused = 5}}};
+}
+
+// The coordinator stands still right after its hold. The companion of rank 1 has learned of the
+// other ranks only from it, undoes the switch with them and releases the group, but only once no
+// rank from 1 on can be armed any more.
+BOOST_AUTO_TEST_CASE(a_holder_ends_the_switch_of_a_silent_coordinator) {
+  const held_engine engine(1);
   companion_fixture companion(engine.Address());
   companion.ReceiveReport(true);
   switch_plan plan{.incarnation = 77,
@@ -223,22 +286,56 @@
   plan.target.step = 100;
   plan.sequence = 1;
   companion.Send(rank_message{.plan = {plan}});
-  const switch_plan ending = companion.ReceivePlan();
+  switch_plan ending = companion.ReceivePlan();
   BOOST_TEST(ending.from_holder);
   BOOST_TEST((ending.stage == switch_stage::kUndoing));
   BOOST_TEST((ending.target == plan.target));
-  BOOST_TEST(is_held);
-  for (const std::uint32_t rank : {2U, 3U}) {
-    companion.Send(rank_message{.state = {{.incarnation = 1000 + rank,
-                                           .heard = 77,
-                                           .group = "g",
-                                           .epoch = 3,
-                                           .rank = rank,
-                                           .step = 99,
-                                           .announced = 5,
-                                           .refused = 5}}});
+  BOOST_TEST(!ending.is_final);
+  BOOST_TEST(engine.IsHeld());
+  companion.Send(StateOf(2, 77, 5));
+  companion.Send(StateOf(3, 77, 5));
+  while (!ending.is_final) ending = companion.ReceivePlan();
+  while (engine.Prepared() == 5) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  BOOST_TEST(engine.Prepared() > 5U);
+  BOOST_TEST(engine.HasFittingMap());
+  companion.Send(StateOf(2, 77, 7));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  BOOST_TEST(engine.IsHeld());  // rank 3 may still carry out an order to arm
+  companion.Send(StateOf(3, 77, 9));
+  while (engine.IsHeld()) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+}
+
+// Regression test (review/6): a coordinator that had restarted released an idle group although an
+// order of a companion that had ended could still arm a rank.
+BOOST_AUTO_TEST_CASE(a_restarted_coordinator_fences_all_ranks_before_it_releases_the_group) {
+  const held_engine engine(0);
+  const held_engine holder_engine(1);
+  companion_fixture companion(engine.Address());
+  companion.ReceiveReport(true);
+  std::uint64_t heard = 0;
+  const auto await = [&](const std::function<bool(const switch_plan&)>& is_met) {
+    while (true) {
+      companion.DiscardReceived();
+      for (const std::uint32_t rank : {1U, 2U, 3U}) {
+        rank_message message = StateOf(rank, heard, 5);
+        if (rank == 1) message.engine_address = holder_engine.Address();
+        companion.Send(message);
+      }
+      const switch_plan plan = companion.ReceivePlan();
+      heard = plan.incarnation;
+      if (is_met(plan)) return plan;
+    }
+  };
+  await([](const switch_plan& plan) { return plan.stage == switch_stage::kUndoing; });
+  // Its own rank is fenced, so the switch can no longer be finished.
+  const switch_plan undoing = await([](const switch_plan& plan) { return plan.is_final; });
+  BOOST_TEST(engine.Prepared() > undoing.target.version);
+  BOOST_TEST(engine.HasFittingMap());
+  BOOST_TEST(holder_engine.IsHeld());
+  for (const std::uint32_t rank : {1U, 2U, 3U}) {
+    companion.Send(StateOf(rank, heard, engine.Prepared() + rank));
   }
-  while (is_held) std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  while (holder_engine.IsHeld()) std::this_thread::sleep_for(std::chrono::milliseconds(5));
 }
 
 }  // namespace
