Let the holder release a group whose rank 0 it knows nothing of

A holder that has no state of rank 0 never released a group that it had undone without rank 0: AreAllFenced() asked for reports of all ranks, also of the one that the sealers' refusal rules out. Only the ranks from the given one on have to be known.

--- a/src/version/expert/map_switch_undo.cc
+++ b/src/version/expert/map_switch_undo.cc
@@ -17,10 +17,13 @@
 }
 
 bool map_switch::AreAllFenced(std::uint64_t version, std::uint32_t first_rank) const {
-  if (members_.size() + 1 != status_->size || !IsFenced(*State(), version)) return false;
-  return std::all_of(members_.begin(), members_.end(), [&](const auto& each) {
-    return each.first < first_rank || IsFenced(each.second.state, version);
-  });
+  for (std::uint32_t rank = first_rank; rank < status_->size; ++rank) {
+    const auto found = members_.find(rank);
+    const bool is_own = rank == status_->rank;
+    if (!is_own && found == members_.end()) return false;
+    if (!IsFenced(is_own ? *State() : found->second.state, version)) return false;
+  }
+  return true;
 }
 
 bool map_switch::HaveSealersRefused(std::uint64_t version) const {
