Name the configuration in force to gateways that start, in any era

Cause: a gateway told one that it met of its version only in a later era than 0. The store of the case counts from 0, and the others had not noticed the restoration yet. Now it tells of its version whenever one is in force. That makes the receiver wait for the version, and proves nothing, so it does no harm where the store was not restored.

--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -267,9 +267,10 @@
   if (!limits_.IsEmpty()) {
     heartbeat_socket_->Send(EncodeLimitDigest(limits_.MakeDigest(now)), to);
   }
-  // A gateway that starts after a restoration of the store may read an older configuration.
+  // A gateway that starts after a restoration of the store may read an older configuration. This
+  // one may not know of the restoration yet, so the era does not matter.
   const store_view view = feed_->View();
-  if (view.era > 0) heartbeat_socket_->Send(EncodeStoreView(view), to);
+  if (view.version > 0) heartbeat_socket_->Send(EncodeStoreView(view), to);
 }
 
 void gateway::SendLimitDigest(time_point now) {
--- a/tests/platform/gateway_freshness_test.cc
+++ b/tests/platform/gateway_freshness_test.cc
@@ -3,6 +3,7 @@
 
 #include "berylbarrow/process/membership/fleet_beat.h"
 #include "berylbarrow/version/store/freshness_exchange.h"
+#include "berylbarrow/version/store/store_view.h"
 #include "platform/gateway_fixture.h"
 
 namespace berylbarrow {
@@ -34,6 +35,8 @@
     }
     return std::nullopt;
   }
+  /// What the gateway has told of the store, if anything.
+  const std::optional<store_view>& View() const { return view_; }
   void Send(const std::string& datagram) {
     socket_.send_to(boost::asio::buffer(datagram), gateway_);
   }
@@ -48,6 +51,7 @@
       const std::size_t size = socket_.receive(boost::asio::buffer(bytes), 0, error);
       if (error) return latest;
       if (auto report = DecodeFreshnessReport({bytes.data(), size})) latest = std::move(report);
+      if (const auto view = DecodeStoreView({bytes.data(), size})) view_ = view;
     }
   }
 
@@ -55,6 +59,7 @@
   boost::asio::io_context context_;
   udp::socket socket_{context_, udp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)};
   std::uint64_t sequence_ = 0;
+  std::optional<store_view> view_;
 };
 
 struct fixture {
@@ -98,5 +103,13 @@
   BOOST_TEST(is_accepted);
 }
 
+// Regression test (review/7): a gateway that started while the store held an older configuration
+// accepted a revoked key, because the others named their version only in a later era than 0.
+BOOST_FIXTURE_TEST_CASE(a_gateway_that_starts_learns_the_version_in_force_in_any_era, fixture) {
+  BOOST_REQUIRE(peer.AwaitReport().has_value());
+  BOOST_REQUIRE(peer.View().has_value());
+  BOOST_TEST((*peer.View() == store_view{.era = 0, .version = 4}));
+}
+
 }  // namespace
 }  // namespace berylbarrow
