Take the rank of a fence from the status that the switch keeps

By reading: a companion drops its own status when its engine does not answer, while the switch goes on with the last one for 0.7 s. An order to fence that was due in a tick in this time read the dropped status. FenceLayout() takes the status of the switch, which named the rank, and makes no layout for a rank outside of its group.

--- a/src/process/companion/companion_layouts.cc
+++ b/src/process/companion/companion_layouts.cc
@@ -63,15 +63,19 @@
 }
 
 std::optional<rank_layout> companion::FenceLayout() const {
-  const bool are_lists_known = own_lists_ && own_lists_->epoch == status_->rank.epoch &&
-                               own_lists_->version == status_->rank.mapping;
-  if (!are_lists_known || own_lists_->experts.empty()) return std::nullopt;
+  // The switch keeps the status of a rank whose engine does not answer at the moment.
+  const auto& rank = switch_.Status();
+  const bool are_lists_known = rank && own_lists_ && own_lists_->epoch == rank->epoch &&
+                               own_lists_->version == rank->mapping;
+  if (!are_lists_known || own_lists_->experts.empty() || rank->rank >= rank->size) {
+    return std::nullopt;
+  }
   // Not from the profile: the store may be away while the group waits.
   const auto layers = static_cast<std::uint32_t>(own_lists_->experts.size());
   const auto experts = static_cast<std::uint32_t>(expert_rates_.PerSecond().size() / layers);
   const group_shape shape{
-      .ranks = status_->rank.size, .layers = layers, .experts = experts, .slots_per_rank = experts};
-  rank_layout layout = LayoutAround(shape, status_->rank.rank, own_lists_->experts);
+      .ranks = rank->size, .layers = layers, .experts = experts, .slots_per_rank = experts};
+  rank_layout layout = LayoutAround(shape, rank->rank, own_lists_->experts);
   return layout.IsSound() ? std::optional(std::move(layout)) : std::nullopt;
 }
 
