--- a/include/berylbarrow/version/expert/map_switch.h
+++ b/include/berylbarrow/version/expert/map_switch.h
@@ -261,6 +261,8 @@
   void AdvanceCoordinator(time_point now, std::vector<rank_order>& orders);
   void AdvanceRecovery(time_point now);
   void AdvanceUndoing(time_point now, std::vector<rank_order>& orders);
+  /// `is_opposed`: the holder refuses the switch, or has restarted.
+  void AdvanceSealing(bool is_opposed, time_point now, std::vector<rank_order>& orders);
   void AdvanceReleasing(time_point now, std::vector<rank_order>& orders);
   void AdvanceHolder(time_point now, std::vector<rank_order>& orders);
   /// Takes the lead because the coordinator is silent or has restarted.
--- a/src/version/expert/map_switch.cc
+++ b/src/version/expert/map_switch.cc
@@ -371,23 +371,7 @@
       return;
     }
     case switch_stage::kSealing:
-      if (IsAnyFenced(target_.version)) {
-        is_sealed_ = false;
-        return Enter(switch_stage::kUndoing, now);
-      }
-      if (!is_sealed_) {
-        if (IsSealedByAny(target_.version) || IsHolder()) {
-          is_sealed_ = true;
-          ++sequence_;
-        } else if (is_refused || !is_holder_the_same) {
-          Enter(switch_stage::kUndoing, now);
-        }
-        return;
-      }
-      ArmFromAfar(now, orders);
-      if (!AreAllArmed(now)) return;
-      released_to_ = std::max(released_to_, target_.step);
-      return Enter(switch_stage::kReleasing, now);
+      return AdvanceSealing(is_refused || !is_holder_the_same, now, orders);
     case switch_stage::kReleasing:
       return AdvanceReleasing(now, orders);
     case switch_stage::kUndoing:
@@ -395,6 +379,26 @@
   }
 }
 
+void map_switch::AdvanceSealing(bool is_opposed, time_point now, std::vector<rank_order>& orders) {
+  if (IsAnyFenced(target_.version)) {
+    is_sealed_ = false;
+    return Enter(switch_stage::kUndoing, now);
+  }
+  if (!is_sealed_) {
+    if (IsSealedByAny(target_.version) || IsHolder()) {
+      is_sealed_ = true;
+      ++sequence_;
+    } else if (is_opposed) {
+      Enter(switch_stage::kUndoing, now);
+    }
+    return;
+  }
+  ArmFromAfar(now, orders);
+  if (!AreAllArmed(now)) return;
+  released_to_ = std::max(released_to_, target_.step);
+  Enter(switch_stage::kReleasing, now);
+}
+
 void map_switch::ArmFromAfar(time_point now, std::vector<rank_order>& orders) {
   if (!MayArmFromAfar()) return;
   for (const std::uint32_t rank : SilentRanks(now)) {
