--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 11 to 15 that have a script, into target/. Needs the packages of
+# deploy/system.toml only.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review-3
+for source in review/1[1-5]/case.cc; do
+  [ -e "$source" ] || continue
+  number=$(basename "$(dirname "$source")")
+  g++ -std=c++20 -O1 -Iinclude -Isrc -Itests -Ireview "$source" review/stand_ins_3.cc \
+    tests/support/loopback_stream.cc tests/support/store_stand_in.cc \
+    src/connection/http/http_parser.cc -o "target/review-3/case-$number" -pthread
+done
