--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -4,7 +4,7 @@
 #include <atomic>
 #include <thread>
 
-#include "stand_ins_3.h"
+#include "../stand_ins_3.h"
 
 namespace berylbarrow::review {
 namespace {
@@ -62,7 +62,7 @@
   bool StartAll();
   void SendBookings(int client);
   int Judge(std::int64_t removed_ms);
-  static int End(std::vector<std::thread>& clients, int result);
+  static int Join(std::vector<std::thread>& clients, int result);
 
   recorder& record_;
   std::string folder_;
@@ -100,10 +100,10 @@
                 "Content-Length: 5\r\n\r\nseat1",
             milliseconds(3000));
     ++sent_;
-    if (!answer || answer->head.status == 502 || answer->head.status == 504) {
+    if (!answer || answer->Status() == 502 || answer->Status() == 504) {
       ++unknown_;
       record_.Line(id + " sent to " + gateway.Name() + " at " + std::to_string(sent_ms) +
-                   " ms: " + (answer ? std::to_string(answer->head.status) : "no answer"));
+                   " ms: " + (answer ? std::to_string(answer->Status()) : "no answer"));
     }
     std::this_thread::sleep_for(milliseconds(kPauseMs));
   }
@@ -130,7 +130,7 @@
   return last_ms > 0 ? 1 : 0;
 }
 
-int case_run::End(std::vector<std::thread>& clients, int result) {
+int case_run::Join(std::vector<std::thread>& clients, int result) {
   for (std::thread& each : clients) each.join();
   return result;
 }
@@ -138,11 +138,12 @@
 int case_run::Run() {
   if (!StartAll()) return 2;
   std::vector<std::thread> clients;
+  clients.reserve(kClients);
   for (int i = 0; i < kClients; ++i) clients.emplace_back([this, i] { SendBookings(i); });
   SleepUntil(kCutAtMs);
   if (IsTroubled()) {
     store_.CutWatches("servers/", milliseconds(kWaitMs));
-    if (!store_.AwaitCuts(1, milliseconds(3000))) return End(clients, 2);
+    if (!store_.AwaitCuts(1, milliseconds(3000))) return Join(clients, 2);
     record_.Line("the store has cut a watch on the instance list that waited");
   }
   std::this_thread::sleep_for(milliseconds(kRemovalAfterMs));
@@ -155,7 +156,7 @@
   SleepUntil(removed_ms + kExitAfterMs);
   leaving_.Exit();
   record_.Line("i-leaving has ended");
-  End(clients, 0);
+  Join(clients, 0);
   return Judge(removed_ms);
 }
 
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,7 +7,5 @@
 for source in review/1[1-5]/case.cc; do
   [ -e "$source" ] || continue
   number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Iinclude -Isrc -Itests -Ireview "$source" review/stand_ins_3.cc \
-    tests/support/loopback_stream.cc tests/support/store_stand_in.cc \
-    src/connection/http/http_parser.cc -o "target/review-3/case-$number" -pthread
+  g++ -std=c++20 -O1 "$source" review/stand_ins_3.cc -o "target/review-3/case-$number" -pthread
 done
--- a/review/stand_ins_3.cc
+++ b/review/stand_ins_3.cc
@@ -1,10 +1,16 @@
 #include "stand_ins_3.h"
 
+#include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <strings.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -91,6 +97,128 @@
   }
 }
 
+std::string message::Field(std::string_view name) const {
+  for (const auto& [field, value] : fields) {
+    if (field.size() == name.size() && strncasecmp(field.data(), name.data(), name.size()) == 0) {
+      return value;
+    }
+  }
+  return {};
+}
+
+std::string message::Target() const {
+  const auto begin = start.find(' ') + 1;
+  return start.substr(begin, start.find(' ', begin) - begin);
+}
+
+int message::Status() const { return std::atoi(start.c_str() + start.find(' ')); }
+
+stream::~stream() { close(descriptor_); }
+
+std::unique_ptr<stream> stream::Connect(const std::string& address) {
+  const auto colon = address.rfind(':');
+  sockaddr_in target{};
+  target.sin_family = AF_INET;
+  target.sin_port = htons(static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &target.sin_addr);
+  auto made = std::make_unique<stream>(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const int result =
+      connect(made->descriptor_, reinterpret_cast<const sockaddr*>(&target), sizeof target);
+  return result == 0 ? std::move(made) : nullptr;
+}
+
+bool stream::Send(std::string_view bytes) const {
+  while (!bytes.empty()) {
+    const ssize_t sent = send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent <= 0) return false;
+    bytes.remove_prefix(static_cast<std::size_t>(sent));
+  }
+  return true;
+}
+
+void stream::Interrupt() const { shutdown(descriptor_, SHUT_RDWR); }
+
+bool stream::ReadSome(std::int64_t end_ms) {
+  pollfd waiting{.fd = descriptor_, .events = POLLIN, .revents = 0};
+  const auto left = std::max<std::int64_t>(0, end_ms - NowMs());
+  if (poll(&waiting, 1, static_cast<int>(left)) <= 0) return false;
+  std::array<char, 65536> bytes{};
+  const ssize_t count = recv(descriptor_, bytes.data(), bytes.size(), 0);
+  if (count <= 0) return false;
+  input_.append(bytes.data(), static_cast<std::size_t>(count));
+  return true;
+}
+
+std::optional<message> stream::Read(milliseconds limit) {
+  constexpr std::string_view kEnd = "\r\n\r\n";
+  const std::int64_t end_ms = NowMs() + limit.count();
+  while (input_.find(kEnd) == std::string::npos) {
+    if (!ReadSome(end_ms)) return std::nullopt;
+  }
+  const std::size_t head_size = input_.find(kEnd) + kEnd.size();
+  message read;
+  for (std::size_t begin = 0; begin + 2 < head_size;) {
+    const std::size_t end = input_.find("\r\n", begin);
+    const std::string line = input_.substr(begin, end - begin);
+    const std::size_t colon = line.find(": ");
+    if (begin == 0) {
+      read.start = line;
+    } else if (colon != std::string::npos) {
+      read.fields.emplace_back(line.substr(0, colon), line.substr(colon + 2));
+    }
+    begin = end + 2;
+  }
+  const std::string length = read.Field("Content-Length");
+  const std::size_t size = head_size + (length.empty() ? 0 : std::stoul(length));
+  while (input_.size() < size) {
+    if (!ReadSome(end_ms)) return std::nullopt;
+  }
+  read.body = input_.substr(head_size, size - head_size);
+  input_.erase(0, size);
+  return read;
+}
+
+server::server(std::function<void(stream&)> handler)
+    : handler_(std::move(handler)), listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  sockaddr_in local{};
+  local.sin_family = AF_INET;
+  local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof local;
+  const bool is_listening = bind(listener_, reinterpret_cast<const sockaddr*>(&local), size) == 0 &&
+                            listen(listener_, 128) == 0 &&
+                            getsockname(listener_, reinterpret_cast<sockaddr*>(&local), &size) == 0;
+  if (!is_listening) throw std::runtime_error("cannot listen on loopback");
+  address_ = "127.0.0.1:" + std::to_string(ntohs(local.sin_port));
+  accept_thread_ = std::thread([this] { Accept(); });
+}
+
+void server::Accept() {
+  while (!stopping_) {
+    const int descriptor = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+    if (descriptor < 0) continue;
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    const auto accepted = std::make_shared<stream>(descriptor);
+    const std::lock_guard lock(mutex_);
+    if (stopping_) return;
+    streams_.push_back(accepted);
+    threads_.emplace_back([this, accepted] {
+      handler_(*accepted);
+      accepted->Interrupt();
+    });
+  }
+}
+
+void server::Stop() {
+  if (stopping_.exchange(true)) return;
+  shutdown(listener_, SHUT_RDWR);
+  accept_thread_.join();
+  close(listener_);
+  const std::lock_guard lock(mutex_);
+  for (const auto& each : streams_) each->Interrupt();
+  for (std::thread& each : threads_) each.join();
+}
+
 cutting_store::~cutting_store() {
   stopping_ = true;
   changed_.notify_all();
@@ -166,9 +294,9 @@
   }
 }
 
-void cutting_store::Serve(loopback_stream& stream) {
-  while (const auto request = stream.ReadRequest(std::chrono::minutes(5))) {
-    const std::string& target = request->head.target;
+void cutting_store::Serve(stream& caller) {
+  while (const auto request = caller.Read(std::chrono::minutes(5))) {
+    const std::string target = request->Target();
     const std::string prefix = QueryValue(target, "prefix");
     std::optional<nlohmann::json> body;
     if (target.starts_with("/kv-range")) {
@@ -182,7 +310,7 @@
       return;
     }
     const std::string text = body->dump();
-    if (!stream.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+    if (!caller.Send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
                      std::to_string(text.size()) + "\r\n\r\n" + text)) {
       return;
     }
@@ -193,7 +321,7 @@
     : id_(std::move(id)),
       service_(std::move(service)),
       work_(work),
-      server_([this](loopback_stream& stream) { Serve(stream); }) {}
+      server_([this](stream& caller) { Serve(caller); }) {}
 
 nlohmann::json replica::Entry() const {
   return {{"service", service_},
@@ -212,16 +340,16 @@
   return runs_;
 }
 
-void replica::Serve(loopback_stream& stream) {
-  while (const auto request = stream.ReadRequest(std::chrono::minutes(5))) {
-    const std::string id(request->head.Find("Request-Attempt-Id"));
-    if (request->head.Find("Expect-Replica") != id_) {
-      if (!stream.Send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")) return;
+void replica::Serve(stream& caller) {
+  while (const auto request = caller.Read(std::chrono::minutes(5))) {
+    const std::string id = request->Field("Request-Attempt-Id");
+    if (request->Field("Expect-Replica") != id_) {
+      if (!caller.Send("HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")) return;
       continue;
     }
     {
       const std::lock_guard lock(mutex_);
-      runs_.push_back({.at_ms = NowMs(), .id = id, .target = request->head.target, .replica = id_});
+      runs_.push_back({.at_ms = NowMs(), .id = id, .target = request->Target(), .replica = id_});
     }
     std::this_thread::sleep_for(work_);
     const std::string body = "done by " + id_ + "\n";
@@ -229,7 +357,7 @@
                                "\r\nReplica-Signature: " + id_ + ".1\r\nReplica-Load: 1,0,6" +
                                "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
                                body;
-    if (!stream.Send(answer)) return;
+    if (!caller.Send(answer)) return;
   }
 }
 
@@ -272,7 +400,7 @@
 bool gateway_process::IsReady() const {
   const auto answer =
       Ask(readiness_, "GET /readyz HTTP/1.1\r\nHost: readiness\r\n\r\n", milliseconds(300));
-  return answer && answer->head.status == 200;
+  return answer && answer->Status() == 200;
 }
 
 bool gateway_process::AwaitReady(milliseconds limit) const {
@@ -284,19 +412,18 @@
   return false;
 }
 
-std::optional<http_message> Ask(const std::string& address, const std::string& request,
-                                milliseconds limit) {
-  const auto stream = loopback_stream::Connect(address);
-  if (stream == nullptr || !stream->Send(request)) return std::nullopt;
-  return stream->ReadAnswer(limit);
+std::optional<message> Ask(const std::string& address, const std::string& request,
+                           milliseconds limit) {
+  const auto connection = stream::Connect(address);
+  if (connection == nullptr || !connection->Send(request)) return std::nullopt;
+  return connection->Read(limit);
 }
 
 std::vector<std::string> Resolve(const std::string& directory, const std::string& zone) {
-  const auto answer = Ask(
-      directory,
-      "GET /resolve?name=h.example&region=r&zone=" + zone + " HTTP/1.1\r\nHost: directory\r\n\r\n",
-      milliseconds(1000));
-  if (!answer || answer->head.status != 200) return {};
+  std::string request = "GET /resolve?name=h.example&region=r&zone=";
+  request.append(zone).append(" HTTP/1.1\r\nHost: directory\r\n\r\n");
+  const auto answer = Ask(directory, request, milliseconds(1000));
+  if (!answer || answer->Status() != 200) return {};
   const auto body = nlohmann::json::parse(answer->body, nullptr, false);
   if (!body.is_object() || !body.contains("addresses")) return {};
   return body["addresses"].get<std::vector<std::string>>();
--- a/review/stand_ins_3.h
+++ b/review/stand_ins_3.h
@@ -9,15 +9,17 @@
 #include <csignal>
 #include <cstdint>
 #include <fstream>
+#include <functional>
+#include <memory>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
 #include <vector>
 
-#include "support/loopback_stream.h"
-#include "support/store_stand_in.h"
-
 namespace berylbarrow::review {
 
 using std::chrono::milliseconds;
@@ -44,11 +46,74 @@
 /// An "IP:port" on loopback that is free for TCP and UDP.
 std::string FreeAddress();
 
+/// A request or an answer with a Content-Length, or without a body.
+struct message {
+  std::string start;  // the first line
+  std::vector<std::pair<std::string, std::string>> fields;
+  std::string body;
+
+  /// Empty if there is none. Names are compared without case.
+  std::string Field(std::string_view name) const;
+  /// Of a request.
+  std::string Target() const;
+  /// Of an answer.
+  int Status() const;
+};
+
+/// A TCP connection on loopback with blocking calls.
+class stream {
+ public:
+  explicit stream(int descriptor) : descriptor_(descriptor) {}
+  ~stream();
+  stream(const stream&) = delete;
+  stream& operator=(const stream&) = delete;
+
+  /// Null if that fails.
+  static std::unique_ptr<stream> Connect(const std::string& address);
+  bool Send(std::string_view bytes) const;
+  /// Nothing if no whole message arrives in time.
+  std::optional<message> Read(milliseconds limit);
+  /// Ends the connection, so that calls of other threads return.
+  void Interrupt() const;
+
+ private:
+  /// Reads once. Returns false at the end of the connection or of the time.
+  bool ReadSome(std::int64_t end_ms);
+
+  int descriptor_;
+  std::string input_;
+};
+
+/// Listens on a free loopback port and serves each connection on a thread of its own.
+class server {
+ public:
+  explicit server(std::function<void(stream&)> handler);
+  ~server() { Stop(); }
+  server(const server&) = delete;
+  server& operator=(const server&) = delete;
+
+  const std::string& Address() const { return address_; }
+  /// Takes no more connections, and ends those that are open.
+  void Stop();
+
+ private:
+  void Accept();
+
+  std::function<void(stream&)> handler_;
+  int listener_ = -1;
+  std::string address_;
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::vector<std::shared_ptr<stream>> streams_;
+  std::vector<std::thread> threads_;
+  std::thread accept_thread_;
+};
+
 /// The platform's store, with one revision counter, full history, and watches that it may cut while
 /// they wait.
 class cutting_store {
  public:
-  cutting_store() : server_([this](loopback_stream& stream) { Serve(stream); }) {}
+  cutting_store() : server_([this](stream& caller) { Serve(caller); }) {}
   ~cutting_store();
   cutting_store(const cutting_store&) = delete;
   cutting_store& operator=(const cutting_store&) = delete;
@@ -71,7 +136,7 @@
     std::string value;  // base64; empty: removed
   };
 
-  void Serve(loopback_stream& stream);
+  void Serve(stream& caller);
   nlohmann::json Range(const std::string& prefix);
   /// Nothing if the watch is cut.
   std::optional<nlohmann::json> Watch(const std::string& prefix, std::uint64_t after,
@@ -85,7 +150,7 @@
   std::optional<milliseconds> cut_after_;
   std::atomic<int> cut_count_{0};
   std::atomic<bool> stopping_{false};
-  loopback_server server_;
+  server server_;
 };
 
 /// A request that a replica has run.
@@ -113,14 +178,14 @@
   void Exit() { server_.Stop(); }
 
  private:
-  void Serve(loopback_stream& stream);
+  void Serve(stream& caller);
 
   std::string id_;
   std::string service_;
   milliseconds work_;
   mutable std::mutex mutex_;
   std::vector<run_record> runs_;
-  loopback_server server_;
+  server server_;
 };
 
 /// `berylbarrow gateway` as a process, with settings like those of deploy/gateway.yaml.tmpl.
@@ -153,8 +218,8 @@
 };
 
 /// Sends one request on a new connection. Nothing if no whole answer arrives in time.
-std::optional<http_message> Ask(const std::string& address, const std::string& request,
-                                milliseconds limit);
+std::optional<message> Ask(const std::string& address, const std::string& request,
+                           milliseconds limit);
 /// The addresses that GET /resolve names; empty if there is no answer.
 std::vector<std::string> Resolve(const std::string& directory, const std::string& zone);
 
