--- a/review/stand_ins_3.cc
+++ b/review/stand_ins_3.cc
@@ -353,10 +353,10 @@
     }
     std::this_thread::sleep_for(work_);
     const std::string body = "done by " + id_ + "\n";
-    const std::string answer = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: " + id +
-                               "\r\nReplica-Signature: " + id_ + ".1\r\nReplica-Load: 1,0,6" +
-                               "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                               body;
+    std::string answer = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: ";
+    answer.append(id).append("\r\nReplica-Signature: ").append(id_);
+    answer.append(".1\r\nReplica-Load: 1,0,6\r\nContent-Length: ");
+    answer.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
     if (!caller.Send(answer)) return;
   }
 }
