--- a/review/stand_ins_3.cc
+++ b/review/stand_ins_3.cc
@@ -149,7 +149,37 @@
   return true;
 }
 
-std::optional<message> stream::Read(milliseconds limit) {
+bool stream::ReadUntil(std::size_t size, std::int64_t end_ms) {
+  while (input_.size() < size) {
+    if (!ReadSome(end_ms)) return false;
+  }
+  return true;
+}
+
+std::optional<std::string> stream::ReadChunks(std::size_t begin, std::int64_t end_ms) {
+  std::string body;
+  while (true) {
+    while (input_.find("\r\n", begin) == std::string::npos) {
+      if (!ReadSome(end_ms)) return std::nullopt;
+    }
+    const std::size_t data = input_.find("\r\n", begin) + 2;
+    const std::size_t size = std::stoul(input_.substr(begin, data - begin), nullptr, 16);
+    if (!ReadUntil(data + size + 2, end_ms)) return std::nullopt;
+    body += input_.substr(data, size);
+    begin = data + size + 2;
+    if (size > 0) continue;
+    input_.erase(0, begin);
+    return body;
+  }
+}
+
+const std::string& stream::Unread(milliseconds wait) {
+  const std::int64_t end_ms = NowMs() + wait.count();
+  while (ReadSome(end_ms)) continue;
+  return input_;
+}
+
+std::optional<message> stream::Read(milliseconds limit, bool answers_head) {
   constexpr std::string_view kEnd = "\r\n\r\n";
   const std::int64_t end_ms = NowMs() + limit.count();
   while (input_.find(kEnd) == std::string::npos) {
@@ -168,11 +198,15 @@
     }
     begin = end + 2;
   }
-  const std::string length = read.Field("Content-Length");
-  const std::size_t size = head_size + (length.empty() ? 0 : std::stoul(length));
-  while (input_.size() < size) {
-    if (!ReadSome(end_ms)) return std::nullopt;
+  if (!answers_head && read.Field("Transfer-Encoding") == "chunked") {
+    auto body = ReadChunks(head_size, end_ms);
+    if (!body) return std::nullopt;
+    read.body = std::move(*body);
+    return read;
   }
+  const std::string length = answers_head ? "" : read.Field("Content-Length");
+  const std::size_t size = head_size + (length.empty() ? 0 : std::stoul(length));
+  if (!ReadUntil(size, end_ms)) return std::nullopt;
   read.body = input_.substr(head_size, size - head_size);
   input_.erase(0, size);
   return read;
@@ -352,13 +386,23 @@
       runs_.push_back({.at_ms = NowMs(), .id = id, .target = request->Target(), .replica = id_});
     }
     std::this_thread::sleep_for(work_);
-    const std::string body = "done by " + id_ + "\n";
-    std::string answer = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: ";
-    answer.append(id).append("\r\nReplica-Signature: ").append(id_);
-    answer.append(".1\r\nReplica-Load: 1,0,6\r\nContent-Length: ");
-    answer.append(std::to_string(body.size())).append("\r\n\r\n").append(body);
-    if (!caller.Send(answer)) return;
+    if (!caller.Send(AnswerTo(*request))) return;
+  }
+}
+
+std::string replica::AnswerTo(const message& request) const {
+  std::string answer = "HTTP/1.1 200 OK\r\nRequest-Attempt-Id: ";
+  answer.append(request.Field("Request-Attempt-Id")).append("\r\nReplica-Signature: ").append(id_);
+  answer.append(".1\r\nReplica-Load: 1,0,6\r\n");
+  const bool is_head = request.start.starts_with("HEAD ");
+  if (request.Target().starts_with("/draft/")) {
+    answer.append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (!is_head) answer.append("12\r\nid: 1\ndata: dear\n\n\r\n0\r\n\r\n");
+    return answer;
   }
+  const std::string body = "done by " + id_ + "\n";
+  answer.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n\r\n");
+  return is_head ? answer : answer.append(body);
 }
 
 gateway_process::gateway_process(std::string name, std::string zone)
--- a/review/stand_ins_3.h
+++ b/review/stand_ins_3.h
@@ -46,7 +46,7 @@
 /// An "IP:port" on loopback that is free for TCP and UDP.
 std::string FreeAddress();
 
-/// A request or an answer with a Content-Length, or without a body.
+/// A request or an answer with a Content-Length, with chunks, or without a body.
 struct message {
   std::string start;  // the first line
   std::vector<std::pair<std::string, std::string>> fields;
@@ -71,12 +71,18 @@
   /// Null if that fails.
   static std::unique_ptr<stream> Connect(const std::string& address);
   bool Send(std::string_view bytes) const;
-  /// Nothing if no whole message arrives in time.
-  std::optional<message> Read(milliseconds limit);
+  /// Nothing if no whole message arrives in time. `answers_head`: an answer to HEAD has no body,
+  /// whatever its fields say.
+  std::optional<message> Read(milliseconds limit, bool answers_head = false);
+  /// Bytes that have arrived beyond the messages that were read.
+  const std::string& Unread(milliseconds wait);
   /// Ends the connection, so that calls of other threads return.
   void Interrupt() const;
 
  private:
+  bool ReadUntil(std::size_t size, std::int64_t end_ms);
+  /// Takes a body in chunks from `begin` of the input. Nothing if it is not whole in time.
+  std::optional<std::string> ReadChunks(std::size_t begin, std::int64_t end_ms);
   /// Reads once. Returns false at the end of the connection or of the time.
   bool ReadSome(std::int64_t end_ms);
 
@@ -161,7 +167,8 @@
   std::string replica;
 };
 
-/// A sound replica: runs each request that is meant for it, and answers it whole and signed.
+/// A sound replica: runs each request that is meant for it, and answers it whole and signed. It
+/// answers below /draft/ with a stream of events in chunks.
 class replica {
  public:
   replica(std::string id, std::string service, milliseconds work);
@@ -179,6 +186,7 @@
 
  private:
   void Serve(stream& caller);
+  std::string AnswerTo(const message& request) const;
 
   std::string id_;
   std::string service_;
