Upstream link: an answer that is reset during the upload is not complete

Seen by callers: an upstream answered a long upload at once with a 200 without length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a whole answer: for payments, lookups, streams and resumed streams. The calls of companions to engines and to the store read answers with the same code.

Cause: the write and the read of a connection wait at the same time, and Linux reports the error of a connection once. After a reset the write took it and dropped it; the read then saw an end of file, which is how an answer without length ends when all is well. The same holds for a connection that the limit for unacknowledged bytes ends.

Change: the link remembers that its write has failed. An end of file is in order only if it has not, so that the answer counts as cut short: payments end with 502, lookups are sent again, streams are resumed or reset. A connection whose write has failed is not used again either. This holds whatever error the write got, and needs no order of events beyond that of the system calls: a read can only see the end in place of the error after the write has taken it, and both report to one thread in that order. An answer that ends in order while its upload is stuck, and one with a length, are passed on as before.

Not done: the error of the write tells on Linux whether an end in order came before the reset (EPIPE). It is not used, as nothing guarantees it; such an answer to a payment is a 502 now.

--- a/include/berylbarrow/connection/http/upstream_link.h
+++ b/include/berylbarrow/connection/http/upstream_link.h
@@ -105,6 +105,7 @@
 
  private:
   enum class state : std::uint8_t { kNew, kConnecting, kIdle, kBusy, kClosed };
+  enum class write_state : std::uint8_t { kPending, kDone, kFailed };
 
   void Connect();
   void OnConnected(const boost::system::error_code& error);
@@ -131,7 +132,7 @@
   exchange_handler* handler_ = nullptr;
   std::string output_;
   std::shared_ptr<const std::string> body_;  // sent after `output_`; shared with other attempts
-  bool write_pending_ = false;
+  write_state write_state_ = write_state::kDone;  // of the present request
   bool reading_ = false;
   bool is_head_ = false;
   bool head_shown_ = false;
--- a/src/connection/http/upstream_link.cc
+++ b/src/connection/http/upstream_link.cc
@@ -111,14 +111,14 @@
 }
 
 void upstream_link::Write() {
-  write_pending_ = true;
+  write_state_ = write_state::kPending;
   const std::array<boost::asio::const_buffer, 2> message{
       boost::asio::buffer(output_),
       body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
   boost::asio::async_write(
       socket_, message,
       [self = shared_from_this()](const boost::system::error_code& error, std::size_t /*size*/) {
-        self->write_pending_ = false;
+        self->write_state_ = error ? write_state::kFailed : write_state::kDone;
         std::string().swap(self->output_);
         self->body_.reset();
         // The reader reports the failure: an answer may still be on its way.
@@ -207,7 +207,8 @@
     BeginParser();
     return;
   }
-  const bool reusable = parser_->KeepAlive() && !write_pending_ && input_.empty();
+  const bool reusable =
+      parser_->KeepAlive() && write_state_ == write_state::kDone && input_.empty();
   ReadKeepAlive(parser_->Head());
   const http_head head = parser_->TakeHead();
   std::string body = std::move(parser_->Body());
@@ -223,7 +224,9 @@
 
 void upstream_link::HandleEnd(const boost::system::error_code& error) {
   if (state_ != state::kBusy) return;
-  const bool in_order = error == boost::asio::error::eof;
+  // The system reports the error of a connection once. If the write takes it, the read that follows
+  // sees an end that looks as if it were in order.
+  const bool in_order = error == boost::asio::error::eof && write_state_ != write_state::kFailed;
   if (in_order && head_shown_ && !skipping_ && parser_->EndsWithConnection() &&
       parser_->ParseEnd() == parse_state::kComplete) {
     HandleComplete();
--- /dev/null
+++ b/tests/connection/http_caller_test.cc
@@ -0,0 +1,98 @@
+#include "berylbarrow/connection/http/http_caller.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "connection/socket_fixture.h"
+
+namespace berylbarrow {
+namespace {
+
+using boost::asio::ip::tcp;
+
+// Fills the buffers of both sockets.
+constexpr std::size_t kLongUpload = 8U << 20U;
+const std::string kUnframed = "HTTP/1.1 200 OK\r\n\r\nhalf";
+
+/// A server whose answers the test writes, and a caller of it.
+struct fixture {
+  explicit fixture(bool reads = true) {
+    acceptor.async_accept([this, reads](boost::system::error_code error, tcp::socket socket) {
+      if (error) return;
+      server = std::make_shared<raw_socket>(std::move(socket));
+      if (reads) server->Read();
+    });
+  }
+
+  void Call(http_call call) {
+    caller.Call(std::move(call), [this](const http_result& received) { result = received; });
+    BOOST_REQUIRE(RunUntil(context, [this] { return server != nullptr; }));
+  }
+
+  void RunFor(std::chrono::milliseconds time) {
+    context.restart();
+    context.run_for(time);
+  }
+
+  bool HasResult() {
+    return RunUntil(context, [this] { return result.has_value(); });
+  }
+
+  boost::asio::io_context context;
+  system_clock clock;
+  tcp::acceptor acceptor{context, {boost::asio::ip::address_v4::loopback(), 0}};
+  http_caller caller{context, "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+                     std::chrono::seconds(20), clock};
+  std::shared_ptr<raw_socket> server;
+  std::optional<http_result> result;
+};
+
+// A server began an answer without length while the call was being written, and reset the
+// connection. The part was the result.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_broken_off_during_the_upload_is_none) {
+  for (const std::string& part : {kUnframed, kUnframed.substr(0, kUnframed.size() - 4)}) {
+    for (const int delay_ms : {0, 50, 200}) {
+      for (const bool close : {false, true}) {
+        BOOST_TEST_CONTEXT(part.size() << " bytes, " << delay_ms << " ms, close " << close) {
+          fixture f(false);
+          f.Call({.method = "POST", .target = "/x", .body = std::string(kLongUpload, 'u')});
+          f.server->Send(part);
+          f.RunFor(std::chrono::milliseconds(delay_ms));
+          if (close) {
+            f.server->Close();  // with unread bytes, which makes it a reset
+          } else {
+            f.server->Reset();
+          }
+          BOOST_TEST_REQUIRE(f.HasResult());
+          BOOST_TEST(f.result->status == 0U);
+          BOOST_TEST(f.result->body == "");
+        }
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_reset_after_the_upload_is_none) {
+  fixture f;
+  f.Call({.target = "/x"});
+  BOOST_TEST_REQUIRE(RunUntil(f.context, [&] { return f.server->Has("\r\n\r\n"); }));
+  f.server->Send(kUnframed);
+  f.RunFor(std::chrono::milliseconds(50));
+  f.server->Reset();
+  BOOST_TEST_REQUIRE(f.HasResult());
+  BOOST_TEST(f.result->status == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_in_order_during_the_upload_is_the_result) {
+  fixture f(false);
+  f.Call({.method = "POST", .target = "/x", .body = std::string(kLongUpload, 'u')});
+  f.server->Send(kUnframed);
+  f.RunFor(std::chrono::milliseconds(50));
+  f.server->FinishSending();
+  BOOST_TEST_REQUIRE(f.HasResult());
+  BOOST_TEST(f.result->status == 200U);
+  BOOST_TEST(f.result->body == "half");
+}
+
+}  // namespace
+}  // namespace berylbarrow
--- a/tests/platform/gateway_fixture.cc
+++ b/tests/platform/gateway_fixture.cc
@@ -102,8 +102,9 @@
   }
 }
 
-scripted_upstream::scripted_upstream(request_handler handler)
+scripted_upstream::scripted_upstream(request_handler handler, reply_time when)
     : handler_(std::move(handler)),
+      reply_time_(when),
       acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
       accept_thread_([this] { AcceptConnections(); }) {}
 
@@ -143,7 +144,10 @@
         boost::asio::read_until(socket, boost::asio::dynamic_buffer(buffered), "\r\n\r\n", error);
     if (error == boost::asio::error::connection_reset) ++reset_count_;
     if (error) return;
-    const std::string length = HeaderValue(buffered.substr(0, header_size), "Content-Length");
+    std::string length;
+    if (reply_time_ == reply_time::kAfterBody) {
+      length = HeaderValue(buffered.substr(0, header_size), "Content-Length");
+    }
     const std::size_t request_size = header_size + (length.empty() ? 0 : std::stoul(length));
     while (buffered.size() < request_size && !error) {
       std::array<char, 4096> bytes{};
@@ -164,12 +168,30 @@
       boost::asio::write(socket, boost::asio::buffer(reply.delayed_bytes), error);
     }
     if (reply.action == scripted_reply::connection_action::kKeepOpen) continue;
-    if (reply.action == scripted_reply::connection_action::kReset) {
+    return EndConnection(socket, reply.action);
+  }
+}
+
+void scripted_upstream::EndConnection(tcp::socket& socket,
+                                      scripted_reply::connection_action action) {
+  boost::system::error_code error;
+  switch (action) {
+    case scripted_reply::connection_action::kReset:
       std::this_thread::sleep_for(milliseconds(30));  // lets the reply arrive before the reset
       socket.set_option(boost::asio::socket_base::linger(true, 0), error);
       socket.close(error);  // the destructor would close the connection cleanly
+      return;
+    case scripted_reply::connection_action::kFinish: {
+      socket.shutdown(tcp::socket::shutdown_send, error);
+      std::array<char, 4096> bytes{};
+      while (!error) socket.read_some(boost::asio::buffer(bytes), error);
+      return;
     }
-    return;
+    case scripted_reply::connection_action::kStall:
+      while (!stopping_) std::this_thread::sleep_for(milliseconds(20));
+      return;
+    default:
+      return;
   }
 }
 
--- a/tests/platform/gateway_fixture.h
+++ b/tests/platform/gateway_fixture.h
@@ -19,7 +19,13 @@
 
 /// The raw response of a scripted upstream, and what happens to the connection after it.
 struct scripted_reply {
-  enum class connection_action : std::uint8_t { kKeepOpen, kClose, kReset };
+  enum class connection_action : std::uint8_t {
+    kKeepOpen,
+    kClose,
+    kReset,
+    kFinish,  // ends the sending direction in order, and discards what still arrives
+    kStall,   // keeps the connection and reads nothing more
+  };
   std::string bytes;
   connection_action action = connection_action::kKeepOpen;
   /// Sent `delay` after `bytes`, before `action`.
@@ -38,7 +44,13 @@
   /// `request`: the raw header and body of the request.
   using request_handler = std::function<scripted_reply(const std::string& request)>;
 
-  explicit scripted_upstream(request_handler handler);
+  /// When the handler is called and the reply is sent.
+  enum class reply_time : std::uint8_t {
+    kAfterBody,
+    kAfterHeader,  // the body of the request is not read
+  };
+
+  explicit scripted_upstream(request_handler handler, reply_time when = reply_time::kAfterBody);
   ~scripted_upstream();
 
   std::string Address() const;
@@ -54,8 +66,10 @@
   void AcceptConnections();
   void ServeConnection(tcp::socket socket);
   void SendEndlessly(tcp::socket& socket, const scripted_reply& reply);
+  void EndConnection(tcp::socket& socket, scripted_reply::connection_action action);
 
   request_handler handler_;
+  reply_time reply_time_;
   boost::asio::io_context context_;
   tcp::acceptor acceptor_;
   std::atomic<bool> stopping_{false};
