Answers: a line that begins with a blank makes the head invalid

Seen by callers of other systems of this kind, and here with a stand-in: an upstream sent an answer in which a line of the head began with a blank or a tab, so that the name of its field held a blank. The caller got it as an answer, with that line passed on as a part of the field before it. If the line or the one before it stated the length or the coding, the body was not the upstream's: after "X: a" the line " Content-Length: 2" was no length, and "Transfer-Encoding: chunked" with such a line after it no longer meant chunks.

Cause: Beast rejects blanks, control bytes and bytes beyond ASCII inside a name and before its colon, but reads a line that begins with a blank as the rest of the field before it (obs-fold) and joins the two. It has no option to reject that.

Change: all three parsers of answers report bad_field for a joined field, in heads, interim heads and trailers: http_parser (gateways to upstreams, companions to engines and to the store), answer_parser, a thin class over Beast's, for http_get and for the exchanges of agents. RFC 9112 (5.2) allows a gateway to discard such an answer. Beast joins in a buffer of its own or takes the value from a later line, and any other value follows its name and blanks in the input, so that the place of the value tells the two apart without a second look at the bytes. Requests are unchanged: joined with blanks, they are valid.

All other bytes in names, which the tests hold as well, were rejected before.

--- a/src/connection/http/http_get.cc
+++ b/src/connection/http/http_get.cc
@@ -6,7 +6,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -14,6 +13,7 @@
 #include <utility>
 
 #include "berylbarrow/connection/http/answer_status.h"
+#include "connection/http/answer_parser.h"
 #include "connection/wire/endpoint.h"
 
 namespace berylbarrow {
@@ -138,7 +138,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_{kMaxBufferBytes};
   http::request<http::string_body> request_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<answer_parser<http::string_body>> parser_;
   std::uint32_t interim_answers_ = 0;
 };
 
--- a/src/connection/http/http_parser.cc
+++ b/src/connection/http/http_parser.cc
@@ -6,6 +6,8 @@
 #include <boost/beast/http/error.hpp>
 #include <utility>
 
+#include "connection/http/line_folding.h"
+
 namespace berylbarrow {
 namespace {
 
@@ -117,7 +119,12 @@
 
 template <bool IsRequest>
 void http_parser<IsRequest>::on_field_impl(http::field /*field*/, text name, text value,
-                                           error_code& /*error*/) {
+                                           error_code& error) {
+  // A request is passed on with its folded fields joined, which RFC 9112 (5.2) allows.
+  if (!IsRequest && IsFolded(name, value)) {
+    error = http::error::bad_field;
+    return;
+  }
   // Fields of a chunked trailer come after the head and are dropped.
   if (!head_complete_) head_.fields.push_back({ToString(name), ToString(value)});
 }
--- a/src/connection/http/upstream_exchange.h
+++ b/src/connection/http/upstream_exchange.h
@@ -7,13 +7,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 
 #include "berylbarrow/connection/http/upstream_client.h"
+#include "connection/http/answer_parser.h"
 
 namespace berylbarrow {
 
@@ -43,7 +43,7 @@
 
  private:
   using error_code = boost::system::error_code;
-  using response_parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
+  using response_parser = answer_parser<boost::beast::http::buffer_body>;
 
   void OnConnected(error_code error);
   void OnWritten(error_code error, std::size_t bytes);
--- a/tests/connection/http_caller_test.cc
+++ b/tests/connection/http_caller_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "connection/socket_fixture.h"
+#include "support/broken_fields.h"
 
 namespace berylbarrow {
 namespace {
@@ -47,6 +48,25 @@
   std::optional<http_result> result;
 };
 
+/// What a caller makes of the bytes that a server sends.
+http_result ResultOf(const std::string& answer) {
+  fixture f;
+  f.Call({.target = "/x"});
+  f.server->Send(answer);
+  BOOST_TEST_REQUIRE(f.HasResult());
+  return *f.result;
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_with_a_broken_field_name_is_none) {
+  for (const std::string& line : BrokenFieldLines()) {
+    for (const std::string& answer : AnswersWithLine(line)) {
+      const http_result result = ResultOf(answer);
+      BOOST_TEST(result.status == 0U, answer);
+      BOOST_TEST(result.body == "", answer);
+    }
+  }
+}
+
 // A server began an answer without length while the call was being written, and reset the
 // connection. The part was the result.
 BOOST_AUTO_TEST_CASE(an_answer_that_is_broken_off_during_the_upload_is_none) {
--- a/tests/connection/http_get_test.cc
+++ b/tests/connection/http_get_test.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "connection/socket_fixture.h"
+#include "support/broken_fields.h"
 
 namespace berylbarrow {
 namespace {
@@ -54,6 +55,28 @@
   BOOST_TEST(reply.body == "done");
 }
 
+// A server in trouble sends a blank or a control byte in the name of a field; the body after it may
+// be none of its own.
+BOOST_AUTO_TEST_CASE(AnAnswerWithABrokenFieldNameIsAnError) {
+  for (const std::string& line : BrokenFieldLines()) {
+    for (const std::string& answer : AnswersWithLine(line)) {
+      const http_get_reply reply = ReplyTo(answer);
+      BOOST_TEST(!reply.error.empty(), answer);
+      BOOST_TEST(reply.body == "", answer);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(EmptyValuesAndTrailersAreSound) {
+  for (const std::string line : {"Y: b", "Y:", "Y: \t"}) {
+    for (const std::string& answer : AnswersWithLine(line)) {
+      const http_get_reply reply = ReplyTo(answer);
+      BOOST_TEST(reply.error == "", answer);
+      BOOST_TEST(reply.body == "done", answer);
+    }
+  }
+}
+
 // Bytes that are no answer may come without end.
 BOOST_AUTO_TEST_CASE(HeadsAndBodiesAreBounded) {
   BOOST_TEST(!ReplyTo("HTTP/1.1 200 OK\r\nX: " + std::string(1'000'000, 'x')).error.empty());
--- a/tests/connection/http_parser_test.cc
+++ b/tests/connection/http_parser_test.cc
@@ -1,6 +1,10 @@
 #include "berylbarrow/connection/http/http_parser.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
+#include <utility>
+
+#include "support/broken_fields.h"
 
 namespace berylbarrow {
 namespace {
@@ -48,5 +52,44 @@
   BOOST_TEST(parser.HeldBytes() >= 1000 * sizeof(header_field));
 }
 
+/// Parses an answer, and an interim answer before it, in pieces of `step` bytes.
+parse_state ParseAnswer(const std::string& answer, std::size_t step) {
+  std::optional<response_parser> parser(std::in_place, response_parser::limits{});
+  std::string input;
+  parse_state state = parse_state::kNeedMore;
+  for (std::size_t at = 0; at < answer.size() && state != parse_state::kFailed; at += step) {
+    input += answer.substr(at, step);
+    state = parser->Parse(input);
+    if (state != parse_state::kComplete || parser->Head().status >= 200) continue;
+    parser.emplace(response_parser::limits{});
+    state = parser->Parse(input);
+  }
+  return state;
+}
+
+// An upstream in trouble sent an answer with a blank or a control byte in the name of a field. A
+// line that began with a blank was read as the rest of the field before it.
+BOOST_AUTO_TEST_CASE(an_answer_with_a_broken_field_name_is_rejected) {
+  for (const std::string& line : BrokenFieldLines()) {
+    for (const std::string& answer : AnswersWithLine(line)) {
+      for (const std::size_t step : {std::size_t{1}, std::size_t{7}, answer.size()}) {
+        BOOST_TEST((ParseAnswer(answer, step) == parse_state::kFailed), answer << ", by " << step);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(blanks_around_values_and_empty_values_are_sound) {
+  for (const std::string line :
+       {"Y: b", "Y:b", "Y:", "Y: ", "Y:\t \t", "Y: \tb \t", "Y:  b  c", "!#$%&'*+-.^_`|~: b"}) {
+    for (const std::string& answer : AnswersWithLine(line)) {
+      for (const std::size_t step : {std::size_t{1}, std::size_t{7}, answer.size()}) {
+        BOOST_TEST((ParseAnswer(answer, step) == parse_state::kComplete),
+                   answer << ", by " << step);
+      }
+    }
+  }
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/connection/upstream_client_test.cc
+++ b/tests/connection/upstream_client_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "connection/socket_fixture.h"
+#include "support/broken_fields.h"
 
 namespace berylbarrow {
 namespace {
@@ -119,6 +120,25 @@
   }
 }
 
+// An upstream in trouble sent a blank or a control byte in the name of a field: the line was taken
+// for a part of the field before it, and with it the framing of the body.
+BOOST_AUTO_TEST_CASE(AnswerWithABrokenFieldNameIsBroken) {
+  constexpr std::size_t kTrailer = 4;
+  for (const std::string& line : BrokenFieldLines()) {
+    const std::vector<std::string> answers = AnswersWithLine(line);
+    for (std::size_t place = 0; place < answers.size(); ++place) {
+      BOOST_TEST_CONTEXT(answers[place]) {
+        fixture f;
+        f.Start(1);
+        f.Receiving("POST /pay")->Send(answers[place]);
+        BOOST_TEST_REQUIRE(f.Until([&] { return !f.ends.empty(); }));
+        BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kBroken)));
+        BOOST_TEST((f.heads.empty() || place == kTrailer));
+      }
+    }
+  }
+}
+
 // Guards against lost, reordered or undecoded bytes, and against a repeated part while the sink is
 // full.
 BOOST_AUTO_TEST_CASE(ChunkedAnswerIsPassedOnAsItArrives) {
--- a/tests/platform/store_feed_test.cc
+++ b/tests/platform/store_feed_test.cc
@@ -42,6 +42,9 @@
         "Content-Length: " +
         std::to_string(body.size()) + "\r\n\r\n" + body);
   }
+  void Send(std::size_t connection, const std::string& bytes) {
+    connections_[connection]->Send(bytes);
+  }
 
  private:
   void Accept() {
@@ -93,6 +96,51 @@
   BOOST_TEST((age < std::chrono::seconds(5)));
 }
 
+struct broken_answer {
+  std::string name;
+  std::string head;
+};
+
+// A store in trouble sends answers that are none. Their body must not be read, although it is a
+// whole list.
+BOOST_AUTO_TEST_CASE(the_body_of_a_broken_answer_is_not_read) {
+  const std::string body = R"({"items":[],"currentRev":7,"hasMore":false})";
+  const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::vector<broken_answer> answers{
+      {"a line that begins with a blank", ok + length + " X: a\r\n"},
+      {"a line that begins with a tab", ok + "X: a\r\n\tY: b\r\n" + length},
+      {"a blank in a name", ok + "X Y: a\r\n" + length},
+      {"a control byte in a name", ok + "X\x01: a\r\n" + length}};
+  for (const broken_answer& each : answers) {
+    BOOST_TEST_CONTEXT(each.name) {
+      boost::asio::io_context context;
+      silent_store store(context);
+      manual_clock clock;
+      store_timeline timeline({});
+      int lists = 0;
+      int failures = 0;
+      prefix_watcher watcher(
+          context, {.address = store.Address(), .timing = TimingFor({})},
+          {.prefix = "op/", .wait = milliseconds(100)}, clock, timeline,
+          {.on_full_list = [&](std::vector<store_item>&&, time_point) { ++lists; },
+           .on_changes = [](std::vector<store_item>&&, time_point) {},
+           .on_reachability =
+               [&](bool is_reachable, const std::string&) {
+                 if (!is_reachable) ++failures;
+               },
+           .on_restoration = [](std::uint64_t, std::uint64_t) {},
+           .on_outdated_answer = [](std::uint64_t, std::uint64_t) {}});
+      watcher.Start();
+      BOOST_TEST_REQUIRE(!store.Request(0).empty());
+      store.Send(0, each.head + "\r\n" + body);
+      BOOST_TEST(RunUntil(context, [&] { return lists + failures > 0; }));
+      BOOST_TEST(lists == 0);
+      BOOST_TEST(failures == 1);
+    }
+  }
+}
+
 /// Counts what a feed reports of the configuration.
 class recording_sink final : public platform_sink {
  public:
