Tests: broken answers that every reader already rejects

Change: tests only. A status that is none (two or four digits, signs, blanks and none at all beside 000, 099, 101, 600 and 999) at gateways (whole answers, streams and resumed streams), at agents, and at the calls of this process (http_get, http_caller, the reads of the store). An answer that is broken off while a long upload is being written, at agents and http_get: both read only after they have written, so that the error of the write ends the exchange.

No code had to change for them.

--- a/tests/connection/http_caller_test.cc
+++ b/tests/connection/http_caller_test.cc
@@ -30,11 +30,6 @@
     BOOST_REQUIRE(RunUntil(context, [this] { return server != nullptr; }));
   }
 
-  void RunFor(std::chrono::milliseconds time) {
-    context.restart();
-    context.run_for(time);
-  }
-
   bool HasResult() {
     return RunUntil(context, [this] { return result.has_value(); });
   }
@@ -57,6 +52,20 @@
   return *f.result;
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_whose_status_is_none_is_none) {
+  for (const std::string status :
+       {"000", "099", "101", "600", "999", "", "0", "20", "2000", "-20", "+20", " 200", "2 0"}) {
+    for (const std::string fields : {"Content-Length: 4\r\n", ""}) {
+      std::string answer = "HTTP/1.1 ";
+      answer += status;
+      answer += " X\r\n" + fields + "\r\ndone";
+      const http_result result = ResultOf(answer);
+      BOOST_TEST(result.status == 0U, answer);
+      BOOST_TEST(result.body == "", answer);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_with_a_broken_field_name_is_none) {
   for (const std::string& line : BrokenFieldLines()) {
     for (const std::string& answer : AnswersWithLine(line)) {
@@ -77,7 +86,7 @@
           fixture f(false);
           f.Call({.method = "POST", .target = "/x", .body = std::string(kLongUpload, 'u')});
           f.server->Send(part);
-          f.RunFor(std::chrono::milliseconds(delay_ms));
+          RunFor(f.context, std::chrono::milliseconds(delay_ms));
           if (close) {
             f.server->Close();  // with unread bytes, which makes it a reset
           } else {
@@ -97,7 +106,7 @@
   f.Call({.target = "/x"});
   BOOST_TEST_REQUIRE(RunUntil(f.context, [&] { return f.server->Has("\r\n\r\n"); }));
   f.server->Send(kUnframed);
-  f.RunFor(std::chrono::milliseconds(50));
+  RunFor(f.context, std::chrono::milliseconds(50));
   f.server->Reset();
   BOOST_TEST_REQUIRE(f.HasResult());
   BOOST_TEST(f.result->status == 0U);
@@ -107,7 +116,7 @@
   fixture f(false);
   f.Call({.method = "POST", .target = "/x", .body = std::string(kLongUpload, 'u')});
   f.server->Send(kUnframed);
-  f.RunFor(std::chrono::milliseconds(50));
+  RunFor(f.context, std::chrono::milliseconds(50));
   f.server->FinishSending();
   BOOST_TEST_REQUIRE(f.HasResult());
   BOOST_TEST(f.result->status == 200U);
--- a/tests/connection/socket_fixture.h
+++ b/tests/connection/socket_fixture.h
@@ -27,6 +27,12 @@
   return true;
 }
 
+/// Runs the context for `time`, whatever it has to do.
+inline void RunFor(boost::asio::io_context& context, std::chrono::milliseconds time) {
+  context.restart();
+  context.run_for(time);
+}
+
 /// The far end of a connection in tests: collects what arrives.
 class raw_socket : public std::enable_shared_from_this<raw_socket> {
  public:
--- a/tests/connection/upstream_client_test.cc
+++ b/tests/connection/upstream_client_test.cc
@@ -39,19 +39,19 @@
     acceptor.async_accept([this](boost::system::error_code error, tcp::socket socket) {
       if (!error) {
         sockets.push_back(std::make_shared<raw_socket>(std::move(socket)));
-        sockets.back()->Read();
+        if (reads) sockets.back()->Read();
         Accept();
       }
     });
   }
 
-  void Start(execution_id execution, std::uint64_t offset = 0) {
+  void Start(execution_id execution, std::uint64_t offset = 0, const std::string& body = "{}") {
     client->Deliver(upstream_start{.execution = execution,
                                    .id = {.sender = 0xab, .sequence = 7},
                                    .request = {.method = "POST",
                                                .target = "/pay",
                                                .content_type = "application/json",
-                                               .body = "{}"},
+                                               .body = body},
                                    .resume_offset = offset,
                                    .not_after = not_after});
   }
@@ -84,6 +84,7 @@
   std::vector<upstream_report> reports;
   std::string bytes;
   bool full = false;
+  bool reads = true;  // whether the listener reads what it gets
   int refused = 0;
 };
 
@@ -100,7 +101,8 @@
 // An upstream in trouble sent an answer whose status was 000: it was taken for an interim answer,
 // and the next head was read from its body. 700 was passed on.
 BOOST_AUTO_TEST_CASE(AnswerWithoutAStatusOfHttpIsBroken) {
-  for (const std::string status : {"000", "099", "101", "600", "999"}) {
+  for (const std::string status :
+       {"000", "099", "101", "600", "999", "", "0", "20", "2000", "-20", "+20", " 200", "2 0"}) {
     for (const std::string fields : {"Content-Length: 38\r\n", "Content-Length: 0\r\n", ""}) {
       BOOST_TEST_CONTEXT(status << " " << fields) {
         std::string answer = "HTTP/1.1 ";
@@ -222,6 +224,38 @@
   }
 }
 
+// An upstream began an answer while the request was being written, and broke it off.
+BOOST_AUTO_TEST_CASE(AnswerThatIsBrokenOffDuringTheUploadIsBroken) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string body(8U << 20U, 'u');  // fills the buffers of both sockets
+  const std::vector<std::string> parts{"", head + "\r\n", head + "\r\nhalf",
+                                       head + "Content-Length: 4\r\n\r\nhalf"};
+  for (const std::string& part : parts) {
+    for (const int delay_ms : {0, 50, 200}) {
+      for (const bool close : {false, true}) {
+        BOOST_TEST_CONTEXT(part << ", " << delay_ms << " ms, close " << close) {
+          fixture f({.load_poll_interval = std::chrono::hours(1)});
+          f.Receiving("GET /load");
+          f.reads = false;
+          f.Start(1, 0, body);
+          BOOST_TEST_REQUIRE(f.Until([&] { return f.sockets.size() == 2; }));
+          const auto upstream = f.sockets[1];
+          upstream->Send(part);
+          RunFor(f.context, std::chrono::milliseconds(delay_ms));
+          if (close) {
+            upstream->Close();  // with unread bytes, which makes it a reset
+          } else {
+            upstream->Reset();
+          }
+          BOOST_TEST_REQUIRE(f.Until([&] { return !f.ends.empty(); }));
+          BOOST_TEST((Of(f.ends[0]) == End(upstream_outcome::kBroken)));
+          BOOST_TEST(f.bytes == "");
+        }
+      }
+    }
+  }
+}
+
 // Guards against a death that is confirmed a whole poll interval late, or ruled out by a report
 // from before it; and against polls that cancels cause.
 BOOST_AUTO_TEST_CASE(BreakIsFollowedByANewReport) {
--- a/tests/platform/gateway_status_test.cc
+++ b/tests/platform/gateway_status_test.cc
@@ -8,7 +8,8 @@
 namespace berylbarrow {
 namespace {
 
-const std::vector<std::string> kNoStatuses = {"000", "099", "101", "600", "700", "999"};
+const std::vector<std::string> kNoStatuses = {"000", "099", "101",  "600", "700",
+                                              "999", "20",  "2000", "-20", " 200"};
 
 /// The first answer has `status` and a body that looks like an answer to the next request; further
 /// ones are sound.
@@ -83,5 +84,29 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_stream_is_reset_if_the_status_of_its_resumption_is_none) {
+  for (const std::string& status : kNoStatuses) {
+    BOOST_TEST_CONTEXT(status) {
+      std::atomic<int> answered{0};
+      const auto reply = [&](const std::string& request) {
+        if (answered++ == 0) {
+          return scripted_reply{.bytes = MakeStreamResponse(request, {"id: 1\ndata: a\n\n"}, false),
+                                .action = scripted_reply::connection_action::kReset};
+        }
+        const std::string sound = MakeStreamResponse(request, {"id: 2\ndata: b\n\n"}, true);
+        return scripted_reply{.bytes = "HTTP/1.1 " + status + sound.substr(sound.find(" OK"))};
+      };
+      const scripted_upstream one(reply);
+      const scripted_upstream two(reply);
+      const gateway_fixture gateway({&one, &two}, kOptions);
+      const std::string answer = Answer(gateway, "draft");
+      BOOST_TEST(answer.find("data: a\n\n") != std::string::npos, answer);
+      BOOST_TEST(answer.find("data: b") == std::string::npos, answer);
+      BOOST_TEST(!answer.ends_with("\r\n0\r\n\r\n"), answer);
+      BOOST_TEST(gateway.LastConnectionWasReset());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace berylbarrow
--- a/tests/platform/store_feed_test.cc
+++ b/tests/platform/store_feed_test.cc
@@ -45,6 +45,7 @@
   void Send(std::size_t connection, const std::string& bytes) {
     connections_[connection]->Send(bytes);
   }
+  void Reset(std::size_t connection) { connections_[connection]->Reset(); }
 
  private:
   void Accept() {
@@ -99,6 +100,7 @@
 struct broken_answer {
   std::string name;
   std::string head;
+  bool is_reset = false;
 };
 
 // A store in trouble sends answers that are none. Their body must not be read, although it is a
@@ -108,10 +110,13 @@
   const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
   const std::string ok = "HTTP/1.1 200 OK\r\n";
   const std::vector<broken_answer> answers{
+      {"status 000", "HTTP/1.1 000 X\r\n" + length},
+      {"status 700", "HTTP/1.1 700 X\r\n" + length},
       {"a line that begins with a blank", ok + length + " X: a\r\n"},
       {"a line that begins with a tab", ok + "X: a\r\n\tY: b\r\n" + length},
       {"a blank in a name", ok + "X Y: a\r\n" + length},
-      {"a control byte in a name", ok + "X\x01: a\r\n" + length}};
+      {"a control byte in a name", ok + "X\x01: a\r\n" + length},
+      {"a reset", ok, true}};
   for (const broken_answer& each : answers) {
     BOOST_TEST_CONTEXT(each.name) {
       boost::asio::io_context context;
@@ -134,6 +139,10 @@
       watcher.Start();
       BOOST_TEST_REQUIRE(!store.Request(0).empty());
       store.Send(0, each.head + "\r\n" + body);
+      if (each.is_reset) {
+        RunFor(context, milliseconds(50));  // the answer arrives before the reset
+        store.Reset(0);
+      }
       BOOST_TEST(RunUntil(context, [&] { return lists + failures > 0; }));
       BOOST_TEST(lists == 0);
       BOOST_TEST(failures == 1);
