Upstream registry: a call to the store that fails is no outage

Cause: each failed call counted as an outage, after which records that vanish stay in use for 1.8 s, because live upstreams may have lapsed. The removal arrived with the answer after a cut watch and was kept for that time, which each further cut put off.

Change: records lapse after three heartbeats without renewal, so the list has to be away for two at least. A shorter absence, counted from answer to answer, gives no grace, and removals count at once. The interval of heartbeats comes from the platform's settings (bounds.upstream_heartbeat). Outages of 2.4 s and longer are handled as before.

Weighed: a grace for each record instead of one for all would end the delay under repeated cuts, but still keep a removed replica for 1.8 s after a single one.

--- a/include/berylbarrow/process/gateway/gateway_settings.h
+++ b/include/berylbarrow/process/gateway/gateway_settings.h
@@ -22,6 +22,8 @@
   bool strict_keys = true;
   /// From the notice that an upstream leaves until it may refuse requests.
   duration upstream_drain = std::chrono::seconds(2);
+  /// Interval at which upstreams renew their records in the instance list.
+  duration upstream_heartbeat = std::chrono::milliseconds(1200);
   /// The period to which `retry_slack` applies.
   duration retry_window = std::chrono::seconds(10);
   /// Retries allowed per request, over all gateways.
--- a/include/berylbarrow/process/membership/upstream_registry.h
+++ b/include/berylbarrow/process/membership/upstream_registry.h
@@ -28,6 +28,8 @@
   /// Records that vanished while the instance list was away stay in use for so long after its
   /// return: live upstreams publish again within that time.
   duration lapse_grace = std::chrono::milliseconds(1800);
+  /// How long the instance list has to be away for records of live upstreams to lapse.
+  duration shortest_lapse = std::chrono::milliseconds(2400);
   /// How long an upstream that has said that it leaves may take to end. Later its announcement is
   /// forgotten, unless it is still in the instance list.
   duration longest_leave = std::chrono::minutes(10);
@@ -59,8 +61,8 @@
   void Replace(const std::vector<upstream_record>& records, time_point now);
   /// The instance list does not answer.
   void OnSourceLost();
-  /// It answers again. To be called before what it answers is put in.
-  void OnSourceRegained(time_point now);
+  /// It answers. To be called for each answer, before what it answers is put in.
+  void OnSourceAnswered(time_point now);
   /// The next list comes from a restored backup and may be older than what is known. It takes back
   /// no leaving, no removal, no restart and no cold start.
   void OnSourceRestored() { restored_ = true; }
@@ -106,6 +108,7 @@
   std::map<std::string, reappeared_upstream> reappeared_;          // by id; not in use yet
   std::uint64_t revision_ = 0;
   bool source_lost_ = false;
+  std::optional<time_point> source_answered_at_;
   bool restored_ = false;  // the next list comes from a restored store
   time_point grace_until_ = time_point::min();
 };
--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -50,6 +50,10 @@
           .callers_address = settings.callers_address};
 }
 
+/// A record lapses after three heartbeats without renewal, the first of which may have been missed
+/// before the instance list went away.
+duration ShortestLapse(const gateway_bounds& bounds) { return 2 * bounds.upstream_heartbeat; }
+
 }  // namespace
 
 gateway::gateway(const gateway_settings& settings, const gateway_platform& platform,
@@ -59,7 +63,7 @@
       clock_(clock),
       random_(std::random_device{}()),
       incarnation_(random_()),
-      registry_({}),
+      registry_({.shortest_lapse = ShortestLapse(settings.bounds)}),
       selector_({}),
       crashes_({.observer = incarnation_}),
       share_({}),
--- a/src/process/gateway/gateway_information.cc
+++ b/src/process/gateway/gateway_information.cc
@@ -144,7 +144,7 @@
 
 void gateway::OnStoreReachability(bool reachable, const std::string& reason) {
   const time_point now = clock_.Now();
-  reachable ? registry_.OnSourceRegained(now) : registry_.OnSourceLost();
+  reachable ? registry_.OnSourceAnswered(now) : registry_.OnSourceLost();
   if (reachable == store_reachable_) return;
   store_reachable_ = reachable;
   logger::Event(reachable ? log_level::kInfo : log_level::kWarning, "configuration",
--- a/src/process/gateway/gateway_settings.cc
+++ b/src/process/gateway/gateway_settings.cc
@@ -69,6 +69,8 @@
   section.ReadFlag("strict_keys", bounds.strict_keys);
   section.ReadTime("upstream_drain", bounds.upstream_drain,
                    {milliseconds(100), std::chrono::minutes(10)});
+  section.ReadTime("upstream_heartbeat", bounds.upstream_heartbeat,
+                   {milliseconds(50), std::chrono::minutes(10)});
   section.ReadTime("retry_window", bounds.retry_window,
                    {milliseconds(100), std::chrono::minutes(10)});
   section.ReadAmount("retry_share", bounds.retry_share, {0, 100});
--- a/src/process/membership/upstream_registry.cc
+++ b/src/process/membership/upstream_registry.cc
@@ -127,9 +127,12 @@
 
 void upstream_registry::OnSourceLost() { source_lost_ = true; }
 
-void upstream_registry::OnSourceRegained(time_point now) {
-  if (!source_lost_) return;
-  source_lost_ = false;
+void upstream_registry::OnSourceAnswered(time_point now) {
+  const bool was_lost = std::exchange(source_lost_, false);
+  const std::optional<time_point> answered_before = std::exchange(source_answered_at_, now);
+  if (!was_lost) return;
+  // After a shorter absence, such as one call that failed, what vanished was taken out.
+  if (answered_before && now - *answered_before < options_.shortest_lapse) return;
   grace_until_ = now + options_.lapse_grace;
 }
 
--- a/tests/process/gateway_settings_test.cc
+++ b/tests/process/gateway_settings_test.cc
@@ -36,6 +36,8 @@
       {"key_lifetime: 1666.6666666666667ms",
        {.key_lifetime = std::chrono::nanoseconds(1'666'666'667)}},
       {"key_lifetime: 5e3ms", {.key_lifetime = milliseconds(5000)}},
+      {"upstream_heartbeat: 1200ms", {.upstream_heartbeat = milliseconds(1200)}},
+      {"upstream_heartbeat: 250.5ms", {.upstream_heartbeat = microseconds(250'500)}},
       {"strict_keys: false", {.strict_keys = false}},
       {"retry_window: 10s", {.retry_window = milliseconds(10'000)}},
       {"retry_window: 0.25s", {.retry_window = milliseconds(250)}},
--- a/tests/process/membership/upstream_registry_test.cc
+++ b/tests/process/membership/upstream_registry_test.cc
@@ -26,7 +26,7 @@
   registry.Put(Record("b"), kStart);
   registry.OnSourceLost();
   const time_point back = kStart + std::chrono::seconds(5);
-  registry.OnSourceRegained(back);
+  registry.OnSourceAnswered(back);
   registry.Replace({}, back);
   BOOST_TEST(registry.Upstreams().size() == 2U);
   registry.Put(Record("a"), back + milliseconds(700));
@@ -37,13 +37,58 @@
   BOOST_TEST(registry.Upstreams().count("a") == 1U);
 }
 
+// Regression test (review/12): a watch that was cut counted as an outage, and each further one put
+// off the end of an upstream that had been removed meanwhile.
+BOOST_AUTO_TEST_CASE(a_removal_counts_at_once_after_an_absence_in_which_nothing_lapses) {
+  upstream_registry registry({.shortest_lapse = milliseconds(2400)});
+  registry.Put(Record("a"), kStart);
+  registry.Put(Record("b"), kStart);
+  registry.OnSourceAnswered(kStart);
+  registry.OnSourceLost();
+  registry.OnSourceAnswered(kStart + milliseconds(1100));
+  registry.Remove("a", kStart + milliseconds(1100));
+  BOOST_TEST(registry.Upstreams().count("a") == 0U);
+  registry.OnSourceLost();
+  registry.OnSourceAnswered(kStart + milliseconds(3499));
+  registry.Remove("b", kStart + milliseconds(3499));
+  BOOST_TEST(registry.Upstreams().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_after_an_absence_in_which_records_lapse_has_the_grace) {
+  upstream_registry registry({.shortest_lapse = milliseconds(2400)});
+  registry.Put(Record("a"), kStart);
+  registry.OnSourceAnswered(kStart);
+  registry.OnSourceLost();
+  registry.OnSourceLost();
+  registry.OnSourceAnswered(kStart + milliseconds(2400));
+  registry.Remove("a", kStart + milliseconds(2400));
+  BOOST_TEST(registry.Upstreams().size() == 1U);
+}
+
+// Further answers, and failures that are no outage, do not prolong the grace.
+BOOST_AUTO_TEST_CASE(the_grace_ends_although_calls_fail) {
+  upstream_registry registry({.lapse_grace = milliseconds(1800)});
+  registry.Put(Record("a"), kStart);
+  registry.OnSourceLost();
+  registry.OnSourceAnswered(kStart);
+  registry.Remove("a", kStart);
+  for (int ms = 300; ms <= 1500; ms += 300) {
+    registry.OnSourceLost();
+    registry.OnSourceAnswered(kStart + milliseconds(ms));
+    registry.Advance(kStart + milliseconds(ms));
+  }
+  BOOST_TEST(registry.Upstreams().size() == 1U);
+  registry.Advance(kStart + milliseconds(1800));
+  BOOST_TEST(registry.Upstreams().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_leaving_upstream_has_no_grace) {
   upstream_registry registry({});
   upstream_record leaving = Record("a");
   leaving.leaving = true;
   registry.Put(leaving, kStart);
   registry.OnSourceLost();
-  registry.OnSourceRegained(kStart);
+  registry.OnSourceAnswered(kStart);
   registry.Remove("a", kStart);
   BOOST_TEST(registry.Upstreams().empty());
 }
@@ -102,7 +147,7 @@
   upstream_registry registry({});
   registry.Put(Record("a"), kStart);
   registry.OnSourceLost();
-  registry.OnSourceRegained(kStart);
+  registry.OnSourceAnswered(kStart);
   registry.Remove("a", kStart + std::chrono::seconds(3));
   BOOST_TEST(registry.Upstreams().empty());
 }
