Store feed: changes that are too large are replaced by a full read

Cause: the answer to its watch was larger than an answer may be (4 MiB). The link dropped it, and the next call asked for the same changes again, without end, as their number only grows.

--- a/tests/platform/store_feed_test.cc
+++ b/tests/platform/store_feed_test.cc
@@ -97,6 +97,52 @@
   BOOST_TEST((age < std::chrono::seconds(5)));
 }
 
+// A gateway that had missed many versions dropped the answer to its watch, asked for the same
+// changes again without end, and went on with an old version (review/11).
+BOOST_AUTO_TEST_CASE(changes_that_are_too_large_are_replaced_by_a_full_read) {
+  const std::string too_large((4U << 20U) + 1, ' ');
+  const std::string length = "Content-Length: " + std::to_string(too_large.size()) + "\r\n\r\n";
+  for (const std::string& answer :
+       {length, length + too_large, "Transfer-Encoding: chunked\r\n\r\n400001\r\n" + too_large,
+        "\r\n" + too_large}) {
+    BOOST_TEST_CONTEXT(answer.substr(0, 60)) {
+      boost::asio::io_context context;
+      silent_store store(context);
+      manual_clock clock;
+      store_timeline timeline({});
+      int lists = 0;
+      int failures = 0;
+      prefix_watcher watcher(
+          context, {.address = store.Address(), .timing = TimingFor({})},
+          {.prefix = "op/", .wait = milliseconds(1800)}, clock, timeline,
+          {.on_full_list = [&](std::vector<store_item>&&, time_point) { ++lists; },
+           .on_changes = [](std::vector<store_item>&&, time_point) {},
+           .on_reachability =
+               [&](bool is_reachable, const std::string&) {
+                 if (!is_reachable) ++failures;
+               },
+           .on_restoration = [](std::uint64_t, std::uint64_t) {},
+           .on_outdated_answer = [](std::uint64_t, std::uint64_t) {}});
+      watcher.Start();
+      BOOST_TEST_REQUIRE(!store.Request(0).empty());
+      const std::size_t first_bytes = store.BytesReceived(0);
+      store.Answer(0, R"({"items":[],"currentRev":7,"hasMore":false})");
+      BOOST_TEST(store.Request(0, first_bytes) ==
+                 "GET /kv-watch?prefix=op/&after=7&waitMs=1800 HTTP/1.1");
+      store.Send(0, "HTTP/1.1 200 OK\r\n" + answer);
+      BOOST_TEST_REQUIRE(RunUntil(context, [&] { return failures > 0; }));
+      clock.Advance(milliseconds(100));
+      watcher.Advance(clock.Now());
+      BOOST_TEST(store.Request(1) == "GET /kv-range?prefix=op/ HTTP/1.1");
+      const std::size_t second_bytes = store.BytesReceived(1);
+      store.Answer(1, R"({"items":[],"currentRev":9,"hasMore":false})");
+      BOOST_TEST(store.Request(1, second_bytes) ==
+                 "GET /kv-watch?prefix=op/&after=9&waitMs=1800 HTTP/1.1");
+      BOOST_TEST(lists == 2);
+    }
+  }
+}
+
 struct broken_answer {
   std::string name;
   std::string head;
