Callers' connections: no last chunk after the answer to HEAD

Cause: SendAnswer leaves the body of an answer to HEAD out, EndStream and SendPart did not.

Change: neither writes anything in answer to HEAD.

--- a/src/connection/http/http_server_connection.cc
+++ b/src/connection/http/http_server_connection.cc
@@ -201,7 +201,7 @@
 }
 
 void http_server_connection::SendPart(std::string_view bytes) {
-  if (state_ != state::kAnswering || bytes.empty()) return;
+  if (state_ != state::kAnswering || bytes.empty() || head_request_) return;
   if (chunked_) {
     std::array<char, 16> length{};
     const auto end =
@@ -220,7 +220,7 @@
 
 void http_server_connection::EndStream() {
   if (state_ != state::kAnswering) return;
-  if (chunked_) output_ += "0\r\n\r\n";
+  if (chunked_ && !head_request_) output_ += "0\r\n\r\n";
   FinishAnswer();
 }
 
--- a/tests/platform/gateway_stream_end_test.cc
+++ b/tests/platform/gateway_stream_end_test.cc
@@ -50,5 +50,31 @@
   BOOST_TEST(HeaderValue(other.Requests().front(), "Last-Event-Id") == "1");
 }
 
+/// A request for the head of a stream, and a payment after it on the same connection.
+std::string MakeHeadThenPayment() {
+  const std::string draft = MakeRequest("draft", "a1");
+  const std::string payment = MakeRequest("pay", "a2");
+  const std::string length = "Content-Length: 3\r\n\r\nabc";
+  return "HEAD" + draft.substr(4, draft.size() - 4 - length.size()) + "\r\n" +
+         payment.substr(0, payment.size() - length.size()) + "Connection: close\r\n" + length;
+}
+
+// Guards against bytes that belong to no answer: the last chunk of a stream followed the answer to
+// HEAD, and stood where the next answer of the connection was due (review/13).
+BOOST_AUTO_TEST_CASE(the_answer_to_head_on_a_streaming_route_has_no_body) {
+  const scripted_upstream upstream([](const std::string& request) {
+    return request.starts_with("HEAD ")
+               ? scripted_reply{.bytes = MakeStreamResponse(request, {}, false)}
+               : scripted_reply{.bytes = MakeSignedResponse(request, 200, "paid")};
+  });
+  const gateway_fixture gateway({&upstream});
+  const std::string answer = gateway.SendAndReceive(MakeHeadThenPayment());
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+  BOOST_TEST(Contains(answer.substr(0, answer.find("\r\n\r\n")), "text/event-stream"), answer);
+  const std::size_t head_end = answer.find("\r\n\r\n") + 4;
+  BOOST_TEST(answer.substr(head_end).starts_with("HTTP/1.1 200"), answer);
+  BOOST_TEST(answer.ends_with("\r\n\r\npaid"), answer);
+}
+
 }  // namespace
 }  // namespace berylbarrow
