Relayed request: an answer to HEAD needs no event

Seen by callers: HEAD on a streaming route was answered by a reset if the upstream's answer stated no length and no coding, and the upstream counted as crashed.

Cause: a stream that ends with its connection and has no event counts as a crash before the first event. An answer to HEAD ends with its head, whatever its fields say, and never has one.

Change: an answer to HEAD is not missing anything.

--- a/src/process/gateway/relayed_request.cc
+++ b/src/process/gateway/relayed_request.cc
@@ -403,8 +403,10 @@
 }
 
 void relayed_request::HandleStreamEnd(bool ends_with_connection, time_point now) {
-  // Nothing else tells an upstream that crashed before the first event from an empty stream.
-  const bool is_missing = ends_with_connection && !attempt_->last_event;
+  // Nothing else tells an upstream that crashed before the first event from an empty stream. An
+  // answer to HEAD has no events.
+  const bool is_missing =
+      ends_with_connection && !attempt_->last_event && request_.head.method != "HEAD";
   if (is_missing || !splitter_.PartialEvent().empty()) {
     if (!attempt_->last_event) ReportCrash(now);
     EndAttempt(attempt_outcome::kBroken, now);
--- a/tests/platform/gateway_stream_end_test.cc
+++ b/tests/platform/gateway_stream_end_test.cc
@@ -76,5 +76,18 @@
   BOOST_TEST(answer.ends_with("\r\n\r\npaid"), answer);
 }
 
+// An answer to HEAD ends with its head, whatever a body would have ended with.
+BOOST_AUTO_TEST_CASE(the_answer_to_head_needs_no_event) {
+  const scripted_upstream upstream([](const std::string& request) {
+    return request.starts_with("HEAD ")
+               ? scripted_reply{.bytes = UnframedHead(request)}
+               : scripted_reply{.bytes = MakeSignedResponse(request, 200, "paid")};
+  });
+  const gateway_fixture gateway({&upstream});
+  const std::string answer = gateway.SendAndReceive(MakeHeadThenPayment());
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"), answer);
+  BOOST_TEST(answer.ends_with("\r\n\r\npaid"), answer);
+}
+
 }  // namespace
 }  // namespace berylbarrow
