--- a/src/process/gateway/gateway.cc
+++ b/src/process/gateway/gateway.cc
@@ -50,8 +50,8 @@
           .callers_address = settings.callers_address};
 }
 
-/// A record lapses after three heartbeats without renewal, the first of which may have been missed
-/// before the instance list went away.
+/// A record lapses after three heartbeats without renewal. One of them may have passed before the
+/// instance list went away.
 duration ShortestLapse(const gateway_bounds& bounds) { return 2 * bounds.upstream_heartbeat; }
 
 }  // namespace
--- a/tests/platform/store_feed_test.cc
+++ b/tests/platform/store_feed_test.cc
@@ -97,6 +97,27 @@
   BOOST_TEST((age < std::chrono::seconds(5)));
 }
 
+/// A watcher of the operator's items, and counts of what it reports.
+struct watched_store {
+  boost::asio::io_context context;
+  silent_store store{context};
+  manual_clock clock;
+  store_timeline timeline{{}};
+  int lists = 0;
+  int failures = 0;
+  prefix_watcher watcher{
+      context,
+      {.address = store.Address(), .timing = TimingFor({})},
+      {.prefix = "op/", .wait = milliseconds(1800)},
+      clock,
+      timeline,
+      {.on_full_list = [this](std::vector<store_item>&&, time_point) { ++lists; },
+       .on_changes = [](std::vector<store_item>&&, time_point) {},
+       .on_reachability = [this](bool reachable, const std::string&) { failures += !reachable; },
+       .on_restoration = [](std::uint64_t, std::uint64_t) {},
+       .on_outdated_answer = [](std::uint64_t, std::uint64_t) {}}};
+};
+
 // A gateway that had missed many versions dropped the answer to its watch, asked for the same
 // changes again without end, and went on with an old version (review/11).
 BOOST_AUTO_TEST_CASE(changes_that_are_too_large_are_replaced_by_a_full_read) {
@@ -106,39 +127,23 @@
        {length, length + too_large, "Transfer-Encoding: chunked\r\n\r\n400001\r\n" + too_large,
         "\r\n" + too_large}) {
     BOOST_TEST_CONTEXT(answer.substr(0, 60)) {
-      boost::asio::io_context context;
-      silent_store store(context);
-      manual_clock clock;
-      store_timeline timeline({});
-      int lists = 0;
-      int failures = 0;
-      prefix_watcher watcher(
-          context, {.address = store.Address(), .timing = TimingFor({})},
-          {.prefix = "op/", .wait = milliseconds(1800)}, clock, timeline,
-          {.on_full_list = [&](std::vector<store_item>&&, time_point) { ++lists; },
-           .on_changes = [](std::vector<store_item>&&, time_point) {},
-           .on_reachability =
-               [&](bool is_reachable, const std::string&) {
-                 if (!is_reachable) ++failures;
-               },
-           .on_restoration = [](std::uint64_t, std::uint64_t) {},
-           .on_outdated_answer = [](std::uint64_t, std::uint64_t) {}});
-      watcher.Start();
-      BOOST_TEST_REQUIRE(!store.Request(0).empty());
-      const std::size_t first_bytes = store.BytesReceived(0);
-      store.Answer(0, R"({"items":[],"currentRev":7,"hasMore":false})");
-      BOOST_TEST(store.Request(0, first_bytes) ==
+      watched_store watched;
+      watched.watcher.Start();
+      BOOST_TEST_REQUIRE(!watched.store.Request(0).empty());
+      const std::size_t first_bytes = watched.store.BytesReceived(0);
+      watched.store.Answer(0, R"({"items":[],"currentRev":7,"hasMore":false})");
+      BOOST_TEST(watched.store.Request(0, first_bytes) ==
                  "GET /kv-watch?prefix=op/&after=7&waitMs=1800 HTTP/1.1");
-      store.Send(0, "HTTP/1.1 200 OK\r\n" + answer);
-      BOOST_TEST_REQUIRE(RunUntil(context, [&] { return failures > 0; }));
-      clock.Advance(milliseconds(100));
-      watcher.Advance(clock.Now());
-      BOOST_TEST(store.Request(1) == "GET /kv-range?prefix=op/ HTTP/1.1");
-      const std::size_t second_bytes = store.BytesReceived(1);
-      store.Answer(1, R"({"items":[],"currentRev":9,"hasMore":false})");
-      BOOST_TEST(store.Request(1, second_bytes) ==
+      watched.store.Send(0, "HTTP/1.1 200 OK\r\n" + answer);
+      BOOST_TEST_REQUIRE(RunUntil(watched.context, [&] { return watched.failures > 0; }));
+      watched.clock.Advance(milliseconds(100));
+      watched.watcher.Advance(watched.clock.Now());
+      BOOST_TEST(watched.store.Request(1) == "GET /kv-range?prefix=op/ HTTP/1.1");
+      const std::size_t second_bytes = watched.store.BytesReceived(1);
+      watched.store.Answer(1, R"({"items":[],"currentRev":9,"hasMore":false})");
+      BOOST_TEST(watched.store.Request(1, second_bytes) ==
                  "GET /kv-watch?prefix=op/&after=9&waitMs=1800 HTTP/1.1");
-      BOOST_TEST(lists == 2);
+      BOOST_TEST(watched.lists == 2);
     }
   }
 }
@@ -165,33 +170,17 @@
       {"a reset", ok, true}};
   for (const broken_answer& each : answers) {
     BOOST_TEST_CONTEXT(each.name) {
-      boost::asio::io_context context;
-      silent_store store(context);
-      manual_clock clock;
-      store_timeline timeline({});
-      int lists = 0;
-      int failures = 0;
-      prefix_watcher watcher(
-          context, {.address = store.Address(), .timing = TimingFor({})},
-          {.prefix = "op/", .wait = milliseconds(100)}, clock, timeline,
-          {.on_full_list = [&](std::vector<store_item>&&, time_point) { ++lists; },
-           .on_changes = [](std::vector<store_item>&&, time_point) {},
-           .on_reachability =
-               [&](bool is_reachable, const std::string&) {
-                 if (!is_reachable) ++failures;
-               },
-           .on_restoration = [](std::uint64_t, std::uint64_t) {},
-           .on_outdated_answer = [](std::uint64_t, std::uint64_t) {}});
-      watcher.Start();
-      BOOST_TEST_REQUIRE(!store.Request(0).empty());
-      store.Send(0, each.head + "\r\n" + body);
+      watched_store watched;
+      watched.watcher.Start();
+      BOOST_TEST_REQUIRE(!watched.store.Request(0).empty());
+      watched.store.Send(0, each.head + "\r\n" + body);
       if (each.is_reset) {
-        RunFor(context, milliseconds(50));  // the answer arrives before the reset
-        store.Reset(0);
+        RunFor(watched.context, milliseconds(50));  // the answer arrives before the reset
+        watched.store.Reset(0);
       }
-      BOOST_TEST(RunUntil(context, [&] { return lists + failures > 0; }));
-      BOOST_TEST(lists == 0);
-      BOOST_TEST(failures == 1);
+      BOOST_TEST(RunUntil(watched.context, [&] { return watched.lists + watched.failures > 0; }));
+      BOOST_TEST(watched.lists == 0);
+      BOOST_TEST(watched.failures == 1);
     }
   }
 }
