Test: broken answers through an entry and an agent

Cause: agents were tested alone; that an entry passes no broken answer on was not. Change: a stand-in on the place of both payment upstreams of a fleet of real processes sends an answer without length that is reset or closed, the statuses 000 and 700, and blanks and control bytes in names, after a short upload and during the longest that an entry takes.

--- a/tests/support/process_fleet.cc
+++ b/tests/support/process_fleet.cc
@@ -120,7 +120,8 @@
   for (const std::string& domain : kDomains) {
     for (const std::string& service : kServices) {
       peers_[NameOf(domain, service)] = FreeAddress();
-      upstreams_[NameOf(domain, service)] = FreeAddress();
+      const bool is_given = service == "payments" && !options.payments_upstream.empty();
+      upstreams_[NameOf(domain, service)] = is_given ? options.payments_upstream : FreeAddress();
     }
   }
   announced_["alajuela-draft"] = FreeAddress();
@@ -225,10 +226,13 @@
                              const process_fleet_options& options) {
   const std::string name = NameOf(domain, service);
   operators_[name] = FreeAddress();
-  Add(name + "-upstream",
-      {build_ / "berylbarrow-upstream", "--listen", upstreams_.at(name), "--kind",
-       service == "draft" ? "model" : "plain", "--service-ms", std::to_string(options.service_ms),
-       "--token-ms", std::to_string(options.token_ms)});
+  const bool is_served = upstreams_.at(name) == options.payments_upstream;
+  if (!is_served) {
+    Add(name + "-upstream",
+        {build_ / "berylbarrow-upstream", "--listen", upstreams_.at(name), "--kind",
+         service == "draft" ? "model" : "plain", "--service-ms", std::to_string(options.service_ms),
+         "--token-ms", std::to_string(options.token_ms)});
+  }
   Add(name, {build_ / "berylbarrow", "agent",
              WriteSettings(
                  name, domain,
--- a/tests/support/process_fleet.h
+++ b/tests/support/process_fleet.h
@@ -36,10 +36,11 @@
                 std::chrono::milliseconds limit = std::chrono::seconds(45));
 
 struct process_fleet_options {
-  double service_ms = 5;            // of the plain upstreams
-  double token_ms = 10;             // of the model upstreams
-  std::string out;                  // failure domain that revision 1 takes out of service
-  std::string entry_settings = {};  // further lines of the settings of entries
+  double service_ms = 5;               // of the plain upstreams
+  double token_ms = 10;                // of the model upstreams
+  std::string out;                     // failure domain that revision 1 takes out of service
+  std::string entry_settings = {};     // further lines of the settings of entries
+  std::string payments_upstream = {};  // of both agents, served by the test; empty: one for each
 };
 
 /// A deployment of real processes on free loopback ports: the platform stand-in, entry-1 and
