Test: wait for the line of the gateway that has restarted

Cause: the test waits for newer_version_named in the logs, which outlive a process. A gateway that hears of a version before it has read one logs that at its first start as well; then the test did not wait for the second one, and connected before it listened.

Change: one line more than before the restart is awaited. The check of 503 is the same, and now always of the process that has restarted.

--- a/tests/system/store_restoration_test.cc
+++ b/tests/system/store_restoration_test.cc
@@ -30,8 +30,11 @@
   BOOST_REQUIRE(Eventually([&] { return !fleet.LogLines("lower_version_held").empty(); }));
   BOOST_TEST(fleet.LogLines("store_restored").size() == 1U);
 
+  // A gateway may hear of a version before it has read one, at its first start as well.
+  const std::size_t named_before = fleet.LogLines("newer_version_named").size();
   fleet.Start(fleet.GatewayName(1));
-  BOOST_REQUIRE(Eventually([&] { return !fleet.LogLines("newer_version_named").empty(); }));
+  BOOST_REQUIRE(
+      Eventually([&] { return fleet.LogLines("newer_version_named").size() > named_before; }));
   BOOST_TEST(Lookup(fleet, 1, "a1") == 503U);
   // The gateway that has the lost version keeps it, and the operator writes a newer one.
   BOOST_TEST(fleet.LogLines("version_lowered").empty());
